Thin whole path: caller, node, stand-in engine, streamed answer

Cause: the repository was empty; every other part needs interfaces to build on.

Figures: before, nothing ran. No speed was measured.

Conclusion: the parts can now be built side by side behind the interfaces in `node/interfaces.py`.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# The project's commands. `make demo` and `make test` need only CPython 3.11, pip and make.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+TEST_WORKERS ?= 8
+
+.PHONY: demo test lint format types imports check generate lock clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python examples/demo.py
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS)
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format --check .
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+imports: $(STAMP)
+	$(BIN)/lint-imports
+
+check: lint format types imports test
+
+# Generated code is committed; only a change of a schema needs this.
+generate: $(STAMP)
+	$(BIN)/python proto/generate.py
+
+lock: $(STAMP)
+	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url \
+	  --no-emit-find-links --no-emit-trusted-host --no-emit-options --extra bench --extra test \
+	  -o requirements.lock pyproject.toml
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/foxwinch/__init__.py
@@ -0,0 +1,1 @@
+"""foxwinch: a scheduler for agent programs across many small sites."""
--- /dev/null
+++ b/src/foxwinch/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m foxwinch`."""
+
+from foxwinch.cli.main import main
+
+main()
--- /dev/null
+++ b/src/foxwinch/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and tools: ports and their adapters."""
--- /dev/null
+++ b/src/foxwinch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one file for each command."""
--- /dev/null
+++ b/src/foxwinch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What changes state: one module for each command."""
--- /dev/null
+++ b/src/foxwinch/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Revisions of the cluster configuration and their spread."""
--- /dev/null
+++ b/src/foxwinch/core/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated journal of a shard: records, commit rule, sealing and recovery."""
--- /dev/null
+++ b/src/foxwinch/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shared rate limits, retry budgets, circuits and backoff."""
--- /dev/null
+++ b/src/foxwinch/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and dissemination between nodes."""
--- /dev/null
+++ b/src/foxwinch/core/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Goal state against actual state of models on workers."""
--- /dev/null
+++ b/src/foxwinch/core/program/__init__.py
@@ -0,0 +1,1 @@
+"""One program: its calls in order, its budget and its history."""
--- /dev/null
+++ b/src/foxwinch/core/shard/__init__.py
@@ -0,0 +1,1 @@
+"""Shards: placement on nodes, epochs, takeover."""
--- /dev/null
+++ b/src/foxwinch/core/steward/__init__.py
@@ -0,0 +1,1 @@
+"""One pool of workers: queueing, cache, placement and grants."""
--- /dev/null
+++ b/src/foxwinch/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, tools and the platform, over HTTP or on virtual time."""
--- /dev/null
+++ b/src/foxwinch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The caller side: HTTP by aiohttp."""
--- /dev/null
+++ b/src/foxwinch/log.py
@@ -0,0 +1,51 @@
+"""Logs: one line of key=value pairs for each event, on standard error."""
+
+import logging
+import sys
+
+from logfmter import Logfmter
+
+LOGGER_NAME = "foxwinch"
+
+
+def configure_logging(level: str = "INFO") -> None:
+    """Send the project's log lines to standard error in logfmt.
+
+    `level` is a name known to `logging`, such as "INFO".
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        Logfmter(keys=["at", "when", "name"], mapping={"at": "levelname", "when": "asctime"})
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    logging.getLogger(LOGGER_NAME).setLevel(level)
+
+
+class EventLog:
+    """Writes events of one subsystem; every event is a name and key=value pairs."""
+
+    def __init__(self, subsystem: str) -> None:
+        """Log under `foxwinch.<subsystem>`."""
+        self._logger = logging.getLogger(f"{LOGGER_NAME}.{subsystem}")
+
+    def debug(self, event: str, **pairs: object) -> None:
+        """Log an event that only a developer needs."""
+        self._write(logging.DEBUG, event, pairs)
+
+    def info(self, event: str, **pairs: object) -> None:
+        """Log an ordinary event."""
+        self._write(logging.INFO, event, pairs)
+
+    def warning(self, event: str, **pairs: object) -> None:
+        """Log an event that an operator should know of."""
+        self._write(logging.WARNING, event, pairs)
+
+    def error(self, event: str, **pairs: object) -> None:
+        """Log an event that an operator should act on."""
+        self._write(logging.ERROR, event, pairs)
+
+    def _write(self, level: int, event: str, pairs: dict[str, object]) -> None:
+        if self._logger.isEnabledFor(level):
+            self._logger.log(level, {"event": event, **pairs})
--- /dev/null
+++ b/src/foxwinch/node/__init__.py
@@ -0,0 +1,1 @@
+"""One node: its parts wired together as services."""
--- /dev/null
+++ b/src/foxwinch/node/http_service.py
@@ -0,0 +1,33 @@
+"""An aiohttp application as an aiomisc service that knows the port it was bound to."""
+
+from typing import Any
+
+from aiohttp import web
+from aiomisc import Service
+
+
+class HttpService(Service):
+    """Listens on `host:port`; after the start `bound_port` holds the real port."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    bound_port: int = 0
+
+    def __init__(self, application: web.Application, **kwargs: Any) -> None:
+        """Serve `application`."""
+        super().__init__(**kwargs)
+        self._application = application
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind and serve."""
+        self._runner = web.AppRunner(self._application, access_log=None, handle_signals=False)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.host, self.port)
+        await site.start()
+        self.bound_port = self._runner.addresses[0][1]
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening and finish open connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/src/foxwinch/node/interfaces.py
@@ -0,0 +1,262 @@
+"""What the parts of a node ask of each other.
+
+Each protocol has a single-process implementation (`node/local.py`) and a distributed one. The
+commands under `foxwinch.commands` know only these protocols.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch.identifiers import (
+    CallId,
+    ClassName,
+    Epoch,
+    ModelName,
+    NodeId,
+    ProgramId,
+    RegionName,
+    Revision,
+    ShardNumber,
+    TenantName,
+    WorkerId,
+    ZoneName,
+)
+from foxwinch.outcomes import Refused
+from foxwinch.peer.ports import PeerAddress
+from foxwinch.settings.cluster import ClusterConfiguration
+
+# --- configuration ---------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """A cluster configuration and the revision it was accepted under."""
+
+    revision: Revision
+    document: ClusterConfiguration
+
+
+class ConfigurationView(Protocol):
+    """The configuration in force at this node; never moves to an older revision."""
+
+    def current(self) -> ConfigurationSnapshot | Refused:
+        """Return the snapshot, or `STALE_CONFIGURATION` when a newer one is known but not held."""
+        ...
+
+    def subscribe(self, listener: Callable[[ConfigurationSnapshot], None]) -> None:
+        """Call `listener` with every newer snapshot."""
+        ...
+
+
+# --- membership ------------------------------------------------------------------------------
+
+
+class MemberState(StrEnum):
+    """State of a node as seen by failure detection."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    LEFT = "left"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A node as its fellow nodes see it."""
+
+    node: NodeId
+    address: PeerAddress
+    zone: ZoneName
+    region: RegionName
+    state: MemberState
+    incarnation: int
+
+
+class MembershipView(Protocol):
+    """Who is there, as far as this node knows."""
+
+    def this_member(self) -> Member:
+        """Return this node itself."""
+        ...
+
+    def members(self) -> Sequence[Member]:
+        """Return every known member, this node included."""
+        ...
+
+    def subscribe(self, listener: Callable[[Member], None]) -> None:
+        """Call `listener` with every change of a member."""
+        ...
+
+
+# --- ownership and journal -------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedHere:
+    """This node owns the shard of the program."""
+
+    shard: ShardNumber
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedBy:
+    """Another node owns the shard of the program."""
+
+    shard: ShardNumber
+    node: NodeId
+    address: PeerAddress
+
+
+class OwnershipView(Protocol):
+    """Which node owns a program."""
+
+    def locate(self, program_id: ProgramId) -> OwnedHere | OwnedBy | Refused:
+        """Find the owner; refused with `NOT_OWNER` and a retry time while nobody is known to."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Records are committed: they survive the loss of this node."""
+
+    last_index: int
+
+
+class JournalView(Protocol):
+    """The journal of the shards that this node owns."""
+
+    async def append(
+        self, shard: ShardNumber, epoch: Epoch, records: Sequence[JournalRecord]
+    ) -> Appended | Refused:
+        """Commit records in order, under the shard's epoch.
+
+        `FENCED`: another owner has taken over, nothing may be served. `NO_QUORUM` with
+        `unknown`: the records may or may not survive. With `not_run`: they were never sent.
+        """
+        ...
+
+
+# --- grants ----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class GrantRequest:
+    """An owner asks for the right to run one model call on some worker."""
+
+    call_id: CallId
+    program_id: ProgramId
+    tenant: TenantName
+    class_name: ClassName
+    model: ModelName
+    prompt_tokens: int
+    """Estimated length of the prompt."""
+    output_tokens: int
+    """Estimated length of the answer."""
+    prefix_hashes: tuple[int, ...]
+    """Chained hash of each whole block of the prompt, first block first."""
+    service_seconds: float
+    """Engine service that the program has received so far."""
+    deadline_at_seconds: float
+    """On the clock of the event loop of the asking node; sent between nodes as a remainder."""
+    repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The right to run the call on a worker, until it expires."""
+
+    call_id: CallId
+    worker: WorkerId
+    worker_url: str
+    epoch: Epoch
+    priority: int
+    expected_cached_tokens: int
+    waited_seconds: float
+    reason: str
+    """Why the call waited and went where it did, for `programs show`."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantUsage:
+    """What became of a grant."""
+
+    call_id: CallId
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+    failed: bool
+    not_run: bool = False
+    """True when the worker itself refused the call without running it."""
+
+
+class GrantView(Protocol):
+    """Access to the stewards of all workers."""
+
+    async def acquire(self, request: GrantRequest) -> Grant | Refused:
+        """Wait for a grant; cancelling the wait withdraws the request."""
+        ...
+
+    def settle(self, grant: Grant, usage: GrantUsage) -> None:
+        """Give a grant back with what was used."""
+        ...
+
+    def pause(self, program_id: ProgramId, tool: str) -> None:
+        """Tell that the program has gone into a tool call: keep, move or drop its cache."""
+        ...
+
+    def finish(self, program_id: ProgramId) -> None:
+        """Tell that the program is over: its engine memory is released, until that succeeds."""
+        ...
+
+
+# --- limits ----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The tenant's limits allow the call."""
+
+    tenant: TenantName
+    estimated_tokens: int
+
+
+class LimitView(Protocol):
+    """Limits of tenants and classes across all nodes."""
+
+    def admit(
+        self, tenant: TenantName, class_name: ClassName, estimated_tokens: int
+    ) -> Admitted | Refused:
+        """Take one request and its estimated tokens from the tenant's share, or refuse."""
+        ...
+
+    def settle(self, admitted: Admitted, used_tokens: int) -> None:
+        """Correct the estimate by what was used."""
+        ...
+
+
+# --- the platform's clock --------------------------------------------------------------------
+
+
+class Clock(Protocol):
+    """Time and randomness, given from outside so that tests decide both."""
+
+    def monotonic(self) -> float:
+        """Seconds on a clock that never goes back."""
+        ...
+
+    def wall(self) -> float:
+        """Seconds since the Unix epoch; may jump; never used for safety."""
+        ...
+
+    def identifier(self) -> str:
+        """Return a new unique identifier."""
+        ...
+
+    def uniform(self) -> float:
+        """Return a random number from 0 up to 1, for jitter and choices."""
+        ...
--- /dev/null
+++ b/src/foxwinch/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator side: gRPC by grpclib."""
--- /dev/null
+++ b/src/foxwinch/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The peer side: framed streams over TCP and gossip datagrams over UDP."""
--- /dev/null
+++ b/src/foxwinch/queries/__init__.py
@@ -0,0 +1,1 @@
+"""What only reads state: one module for each query."""
--- /dev/null
+++ b/src/foxwinch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings and the cluster configuration, typed and checked."""
--- /dev/null
+++ b/src/foxwinch/settings/cluster.py
@@ -0,0 +1,165 @@
+"""The cluster configuration: what operators declare and the platform's table keeps.
+
+One document under one revision. It is checked as a whole, cross references included, before it is
+accepted anywhere.
+"""
+
+from typing import Annotated, Literal, Self
+
+from pydantic import Field, model_validator
+
+from foxwinch.settings.base import StrictModel
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+"""A name: letters, digits, dot, underscore and hyphen, up to 63 characters."""
+KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+"""SHA-256 of a bearer key in lower-case hexadecimal; keys themselves are never kept."""
+PositiveSeconds = Annotated[float, Field(gt=0, le=86_400)]
+
+
+class TenantSettings(StrictModel):
+    """A tenant: who may call, in which classes, and how much."""
+
+    name: Name
+    key_hashes: tuple[KeyHash, ...] = ()
+    classes: tuple[Name, ...] = ()
+    """Classes that the tenant may use; empty means all."""
+    requests_per_second: Annotated[float, Field(gt=0)] = 100.0
+    tokens_per_second: Annotated[float, Field(gt=0)] = 100_000.0
+    burst_seconds: PositiveSeconds = 5.0
+
+
+class ClassSettings(StrictModel):
+    """A priority class."""
+
+    name: Name
+    rank: Annotated[int, Field(ge=0, le=9)]
+    """0 is the most urgent; the last to be refused under overload."""
+    deadline_seconds: PositiveSeconds
+    """Goal for the latency of one whole program of this class, tool pauses not counted."""
+
+
+class ModelSettings(StrictModel):
+    """A model that programs may use."""
+
+    name: Name
+    context_tokens: Annotated[int, Field(ge=1, le=2_000_000)] = 32_768
+    minimum_workers: Annotated[int, Field(ge=0)] = 1
+    version: str = "1"
+    adapters: tuple[Name, ...] = ()
+
+
+class PoolSettings(StrictModel):
+    """A pool of back-end workers of one kind."""
+
+    name: Name
+    kind: Literal["engine", "tool"]
+    models: tuple[Name, ...] = ()
+    """Models that engines of this pool may serve."""
+
+
+class WorkerSettings(StrictModel):
+    """A back-end worker."""
+
+    name: Name
+    pool: Name
+    zone: Name
+    url: Annotated[str, Field(pattern=r"^https?://[^\s]+$")]
+    """Base URL by IP number, such as `http://127.0.0.1:7101`."""
+
+
+class ToolSettings(StrictModel):
+    """A tool that programs may call."""
+
+    name: Name
+    pool: Name
+    repeatable: bool
+    """False: runs at most once, and is never retried once it may have run."""
+    timeout_seconds: PositiveSeconds = 30.0
+
+
+class BudgetSettings(StrictModel):
+    """What one program may spend, its sub-agents included."""
+
+    tokens: Annotated[int, Field(ge=1)] = 1_000_000
+    calls: Annotated[int, Field(ge=1)] = 500
+    depth: Annotated[int, Field(ge=0, le=16)] = 4
+    """Levels of sub-agents below the program; 0 allows none."""
+    wall_seconds: Annotated[float, Field(gt=0)] = 86_400.0
+    cost: Annotated[float, Field(gt=0)] = 1_000_000.0
+    """In the operator's own unit; see `cost_per_token` and `cost_per_tool_call`."""
+    repeated_calls: Annotated[int, Field(ge=2)] = 5
+    """Identical calls in a row after which the program counts as looping."""
+
+
+class TemplateSettings(StrictModel):
+    """A kind of program that callers create by name."""
+
+    name: Name
+    class_name: Name
+    models: tuple[Name, ...]
+    tools: tuple[Name, ...] = ()
+    budget: BudgetSettings = BudgetSettings()
+    idle_seconds: PositiveSeconds = 3_600.0
+    """Without a call for so long, the program counts as abandoned."""
+
+
+class ClusterConfiguration(StrictModel):
+    """The whole document."""
+
+    deployment: Name
+    region: Name
+    zones: tuple[Name, ...]
+    tenants: tuple[TenantSettings, ...]
+    classes: tuple[ClassSettings, ...]
+    models: tuple[ModelSettings, ...]
+    pools: tuple[PoolSettings, ...]
+    workers: tuple[WorkerSettings, ...] = ()
+    tools: tuple[ToolSettings, ...] = ()
+    templates: tuple[TemplateSettings, ...]
+    default_template: Name
+    """Template of a call that names no program."""
+    objective: Literal["latency", "cache"] = "latency"
+    """What this deployment weighs more: program latency or wasted cache."""
+    cost_per_token: Annotated[float, Field(ge=0)] = 0.0
+    cost_per_tool_call: Annotated[float, Field(ge=0)] = 0.0
+
+    @model_validator(mode="after")
+    def _names_are_unique(self) -> Self:
+        for field in ("tenants", "classes", "models", "pools", "workers", "tools", "templates"):
+            names = [entry.name for entry in getattr(self, field)]
+            doubled = sorted({name for name in names if names.count(name) > 1})
+            if doubled:
+                raise ValueError(f"{field}: names must be unique; given twice: {doubled}")
+        return self
+
+    @model_validator(mode="after")
+    def _references_exist(self) -> Self:
+        known = {
+            field: {entry.name for entry in getattr(self, field)}
+            for field in ("classes", "models", "pools", "tools", "templates")
+        }
+        known["zones"] = set(self.zones)
+        for field, name, target in self._references():
+            if name not in known[target]:
+                allowed = ", ".join(sorted(known[target]))
+                raise ValueError(f"{field} = {name!r}: not among {target}; allowed: {allowed}")
+        return self
+
+    def _references(self) -> list[tuple[str, str, str]]:
+        """Return every reference as (field, name, field referred to)."""
+        found = [("default_template", self.default_template, "templates")]
+        for tenant in self.tenants:
+            found += [(f"tenants.{tenant.name}.classes", n, "classes") for n in tenant.classes]
+        for pool in self.pools:
+            found += [(f"pools.{pool.name}.models", n, "models") for n in pool.models]
+        for worker in self.workers:
+            found.append((f"workers.{worker.name}.pool", worker.pool, "pools"))
+            found.append((f"workers.{worker.name}.zone", worker.zone, "zones"))
+        for tool in self.tools:
+            found.append((f"tools.{tool.name}.pool", tool.pool, "pools"))
+        for template in self.templates:
+            found.append((f"templates.{template.name}.class_name", template.class_name, "classes"))
+            found += [(f"templates.{template.name}.models", n, "models") for n in template.models]
+            found += [(f"templates.{template.name}.tools", n, "tools") for n in template.tools]
+        return found
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,65 @@
+"""A caller's request goes through a node to a stand-in engine and comes back whole."""
+
+from pathlib import Path
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+
+from foxwinch.emulator.engine_http import build_engine_application
+from foxwinch.gateway.authentication import hash_key
+from foxwinch.node.node import build_single_node
+from foxwinch.settings.base import check, read_toml
+from foxwinch.settings.cluster import ClusterConfiguration
+
+CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
+KEY = "a-key-of-the-tests"
+CALL = {
+    "model": "rail-chat",
+    "messages": [{"role": "user", "content": "To Wrecsam, please."}],
+    "max_tokens": 3,
+}
+
+
+@pytest.fixture
+async def caller():
+    document = check(ClusterConfiguration, read_toml(CLEDWYN), str(CLEDWYN))
+    assert isinstance(document, ClusterConfiguration)
+    engines = TestServer(build_engine_application(0.0))
+    await engines.start_server()
+    base = str(engines.make_url("/workers"))
+    workers = tuple(w.model_copy(update={"url": f"{base}/{w.name}"}) for w in document.workers)
+    tenant = document.tenants[0].model_copy(update={"key_hashes": (hash_key(KEY),)})
+    document = document.model_copy(update={"workers": workers, "tenants": (tenant,)})
+    async with aiohttp.ClientSession() as session:
+        gateway = TestServer(build_single_node(document, session).caller_application())
+        await gateway.start_server()
+        async with aiohttp.ClientSession(
+            base_url=gateway.make_url("/"), headers={"Authorization": f"Bearer {KEY}"}
+        ) as client:
+            yield client
+        await gateway.close()
+    await engines.close()
+
+
+async def test_whole_answer(caller):
+    async with caller.post("/v1/chat/completions", json=CALL) as response:
+        document = await response.json()
+    assert response.status == 200
+    assert document["choices"][0]["message"]["content"] == "the next train "
+    assert document["usage"]["completion_tokens"] == 3
+
+
+async def test_streamed_answer_ends_with_done(caller):
+    async with caller.post("/v1/chat/completions", json={**CALL, "stream": True}) as response:
+        lines = (await response.text()).strip().split("\n\n")
+    assert len(lines) == 5
+    assert lines[-1] == "data: [DONE]"
+
+
+async def test_unknown_key_is_refused_as_not_run(caller):
+    headers = {"Authorization": "Bearer wrong"}
+    async with caller.post("/v1/chat/completions", json=CALL, headers=headers) as response:
+        document = await response.json()
+    assert response.status == 401
+    assert document["error"]["run_state"] == "not_run"
