Agree the interfaces of gossip, epochs and time between the parts

Cause: membership, ownership, stewardship, configuration and limits are built side by side and meet in gossip and in fencing numbers.

Change: GossipView, EpochView and Clock.sleep in `node/interfaces.py`; the system clock reads the event loop's time so that virtual-time tests decide it.

Conclusion: each part can be written and tested against these protocols alone.

--- a/src/foxwinch/node/clock.py
+++ b/src/foxwinch/node/clock.py
@@ -1,5 +1,6 @@
 """The system's clock and randomness."""
 
+import asyncio
 import random
 import time
 import uuid
@@ -9,8 +10,8 @@
     """Real time and randomness; see `foxwinch.node.interfaces.Clock`."""
 
     def monotonic(self) -> float:
-        """Seconds on a clock that never goes back."""
-        return time.monotonic()
+        """Seconds of the running event loop, which a test may run on virtual time."""
+        return asyncio.get_running_loop().time()
 
     def wall(self) -> float:
         """Seconds since the Unix epoch."""
@@ -23,3 +24,7 @@
     def uniform(self) -> float:
         """Return a random number from 0 up to 1."""
         return random.random()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait on the running event loop."""
+        await asyncio.sleep(seconds)
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -4,9 +4,9 @@
 commands under `foxwinch.commands` know only these protocols.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from typing import Protocol
 
 from foxwinch._generated.journal_pb2 import JournalRecord
@@ -92,6 +92,69 @@
         ...
 
 
+# --- gossip ----------------------------------------------------------------------------------
+
+
+class GossipKind(IntEnum):
+    """What a gossip entry is about; a lower number goes first inside the byte budget."""
+
+    LEAVING = 0
+    MEMBERSHIP = 1
+    CONFIGURATION = 2
+    SHARD = 3
+    STEWARD = 4
+    USAGE = 5
+
+
+@dataclass(frozen=True, slots=True)
+class GossipEntry:
+    """A versioned value; of two versions under one key the higher wins everywhere."""
+
+    kind: GossipKind
+    key: str
+    version: int
+    payload: bytes
+    """Serialized protobuf of the subsystem, a few hundred bytes at most."""
+
+
+class GossipView(Protocol):
+    """Spread of small versioned values to the nodes of a region, digests between regions."""
+
+    def publish(self, entry: GossipEntry) -> None:
+        """Spread an entry; ignored when a version at least as high is held."""
+        ...
+
+    def entries(self, kind: GossipKind) -> Mapping[str, GossipEntry]:
+        """Return the entries held of a kind, by key."""
+        ...
+
+    def subscribe(self, kind: GossipKind, listener: Callable[[GossipEntry], None]) -> None:
+        """Call `listener` with every newer entry of a kind that arrives."""
+        ...
+
+
+# --- epochs ----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class EpochClaim:
+    """This node holds `resource` under `epoch` until somebody raises it further."""
+
+    resource: str
+    epoch: Epoch
+
+
+class EpochView(Protocol):
+    """Fencing numbers of shards and workers.
+
+    Kept in the table service; while that is down, in a majority of the resource's replicas.
+    """
+
+    async def raise_epoch(self, resource: str) -> EpochClaim | Refused:
+        """Take `resource` over under a new, higher epoch; `CONFLICT` when a race was lost."""
+        ...
+
+
 # --- ownership and journal -------------------------------------------------------------------
 
 
@@ -260,3 +323,7 @@
     def uniform(self) -> float:
         """Return a random number from 0 up to 1, for jitter and choices."""
         ...
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait; services wait only through this, so that tests can freeze a node."""
+        ...
