Wire a node from parts, one builder each

Change: NodePorts, build_node and node/parts/*.py: one module and one builder for each subsystem, first with the single-process implementations; an admission gate that drains; health and metrics. Conclusion: a distributed subsystem replaces the body of its own builder.

--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -1,57 +1,159 @@
-"""One node: its parts wired together."""
+"""One node: its parts wired together, started, drained and stopped in order."""
 
-from collections.abc import AsyncIterator
+import asyncio
 from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
+from prometheus_client import CollectorRegistry
 
 from foxwinch.backends.engine_http import HttpEngine
-from foxwinch.commands.model_call import CallEvent, ModelCallPorts, run_model_call
-from foxwinch.commands.requests import ModelCallRequest
-from foxwinch.gateway.chat import ChatHandlers
-from foxwinch.identifiers import WorkerId
+from foxwinch.identifiers import NodeId
+from foxwinch.log import EventLog
+from foxwinch.node.admission_gate import AdmissionGate
 from foxwinch.node.clock import SystemClock
+from foxwinch.node.health import HealthHandlers
 from foxwinch.node.interfaces import ConfigurationView
-from foxwinch.node.local import LocalConfiguration, LocalGrants, LocalJournal, LocalOwnership
+from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
+from foxwinch.node.parts.context import NodeContext, NodeService
+from foxwinch.node.parts.grants import GrantsPart, build_grants
+from foxwinch.node.parts.journal import JournalPart, build_journal
+from foxwinch.node.parts.membership import MembershipPart, build_membership
+from foxwinch.node.parts.programs import ProgramsPart, build_programs
+from foxwinch.node.ports import NodePorts
+from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.outcomes import Refused
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.settings.process import NodeSettings
+
+log = EventLog("node")
 
 
 @dataclass(frozen=True, slots=True)
+class NodeParts:
+    """The parts of a node, in the order in which they start."""
+
+    membership: MembershipPart
+    configuration: ConfigurationPart
+    journal: JournalPart
+    grants: GrantsPart
+    programs: ProgramsPart
+
+    def services(self) -> tuple[NodeService, ...]:
+        """Return every service in the order in which they start."""
+        return (
+            *self.membership.services,
+            *self.configuration.services,
+            *self.journal.services,
+            *self.grants.services,
+            *self.programs.services,
+        )
+
+
 class Node:
-    """The wired parts of a node that its servers need."""
+    """A node whose ports are open; its listening sides are started by the process."""
+
+    def __init__(self, context: NodeContext, parts: NodeParts) -> None:
+        """Hold the parts; `start` runs them."""
+        self.context = context
+        self.parts = parts
+        self.gate = AdmissionGate()
+        self._started: list[NodeService] = []
+
+    @property
+    def configuration(self) -> ConfigurationView:
+        """The configuration in force."""
+        return self.parts.configuration.configuration
+
+    async def start(self) -> None:
+        """Start every service in order; stops those started when one fails."""
+        try:
+            for service in self.parts.services():
+                await service.start()
+                self._started.append(service)
+        except BaseException:
+            await self.stop()
+            raise
+        log.info("node_started", node=self.context.node)
 
-    configuration: ConfigurationView
-    ports: ModelCallPorts
+    async def stop(self) -> None:
+        """Stop every started service, the last one first."""
+        self.gate.close()
+        while self._started:
+            service = self._started.pop()
+            await service.stop()
+        log.info("node_stopped", node=self.context.node)
+
+    async def drain(self) -> bool:
+        """Refuse new work, finish what runs and hand over; False when the limit came first."""
+        self.gate.close()
+        log.info("drain_started", node=self.context.node, running=self.gate.running)
+        try:
+            async with asyncio.timeout(self.context.settings.drain_seconds):
+                await self._hand_over()
+        except TimeoutError:
+            log.warning("drain_cut_short", node=self.context.node, running=self.gate.running)
+            return False
+        log.info("drain_finished", node=self.context.node)
+        return True
 
     def caller_application(self) -> web.Application:
         """Return the caller side."""
-        application = web.Application(client_max_size=4 * 1024 * 1024)
-        ChatHandlers(self.configuration, self._run).add_routes(application.router)
+        limits = self.context.settings.caller_limits
+        application = web.Application(
+            client_max_size=limits.body_bytes, middlewares=[self.gate.middleware()]
+        )
+        HealthHandlers(self.context.registry, self._not_ready_because).add_routes(
+            application.router
+        )
+        self.parts.programs.add_caller_routes(application.router)
         return application
 
-    def _run(self, request: ModelCallRequest) -> AsyncIterator[CallEvent]:
-        return run_model_call(self.ports, request)
+    async def _hand_over(self) -> None:
+        """Drain the services, the last one first, after the callers' requests have ended."""
+        await self.gate.wait_idle()
+        for service in reversed(self._started):
+            drain = getattr(service, "drain", None)
+            if drain is not None:
+                await drain()
 
+    def _not_ready_because(self) -> str | None:
+        if self.gate.closed:
+            return "draining"
+        snapshot = self.configuration.current()
+        return snapshot.detail if isinstance(snapshot, Refused) else None
 
-def build_single_node(document: ClusterConfiguration, session: aiohttp.ClientSession) -> Node:
-    """Wire one node without fellow nodes; `session` is closed by the caller."""
-    configuration = LocalConfiguration(document)
-    clock = SystemClock()
-
-    def url_of(worker: WorkerId) -> str | None:
-        snapshot = configuration.current()
-        if isinstance(snapshot, Refused):
-            return None
-        urls = (w.url for w in snapshot.document.workers if w.name == worker)
-        return next(urls, None)
-
-    ports = ModelCallPorts(
-        clock=clock,
-        ownership=LocalOwnership(),
-        journal=LocalJournal(),
-        grants=LocalGrants(configuration, clock),
-        engine=HttpEngine(session, url_of),
+
+def build_node(
+    settings: NodeSettings,
+    ports: NodePorts,
+    proposed: ClusterConfiguration | None = None,
+    registry: CollectorRegistry | None = None,
+) -> Node:
+    """Wire one node on open ports; nothing runs before `Node.start`.
+
+    `proposed` is the configuration to propose when the cluster holds none yet.
+    """
+    context = NodeContext(
+        node=NodeId(f"{settings.name}-{ports.clock.identifier()[:12]}"),
+        settings=settings,
+        ports=ports,
+        registry=registry or CollectorRegistry(),
+        proposed=proposed,
     )
-    return Node(configuration, ports)
+    membership = build_membership(context)
+    configuration = build_configuration(context, membership)
+    journal = build_journal(context, membership)
+    grants = build_grants(context, membership, configuration, journal)
+    programs = build_programs(context, membership, configuration, journal, grants)
+    return Node(context, NodeParts(membership, configuration, journal, grants, programs))
+
+
+def build_single_node(document: ClusterConfiguration, session: aiohttp.ClientSession) -> Node:
+    """Wire one node without fellow nodes or platform; `session` is closed by the caller."""
+    directory = WorkerDirectory()
+    ports = NodePorts(clock=SystemClock(), engine=HttpEngine(session, directory.url_of))
+    settings = NodeSettings(name="single", region=document.region, zone=document.zones[0])
+    node = build_node(settings, ports, document)
+    directory.follow(node.configuration)
+    return node
--- /dev/null
+++ b/src/foxwinch/node/parts/context.py
@@ -0,0 +1,44 @@
+"""What every part of a node is built from."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from prometheus_client import CollectorRegistry
+
+from foxwinch.identifiers import NodeId
+from foxwinch.node.ports import NodePorts
+from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.settings.process import NodeSettings
+
+
+class NodeService(Protocol):
+    """A running part: it starts its tasks, and stops them without leaving one behind."""
+
+    async def start(self) -> None:
+        """Start; returns once the service can be used."""
+        ...
+
+    async def stop(self) -> None:
+        """Stop all tasks; harmless when not started."""
+        ...
+
+
+class DrainingService(NodeService, Protocol):
+    """A service that has something to hand over before a planned stop."""
+
+    async def drain(self) -> None:
+        """Hand over what is held and return when nothing is; cancelled at the drain limit."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class NodeContext:
+    """Identity, settings and ports of the node being built."""
+
+    node: NodeId
+    settings: NodeSettings
+    ports: NodePorts
+    registry: CollectorRegistry
+    """Metrics of this node; never the default registry."""
+    proposed: ClusterConfiguration | None = None
+    """Configuration to propose when the cluster holds none yet."""
--- /dev/null
+++ b/src/foxwinch/node/ports.py
@@ -0,0 +1,28 @@
+"""The ports that one node is given: the only way by which its parts reach anything outside."""
+
+from dataclasses import dataclass
+
+from foxwinch.backends.ports import GeneratePort, ToolPort
+from foxwinch.node.interfaces import Clock
+from foxwinch.peer.ports import PeerAddress, PeerPort
+from foxwinch.platform.ports import MachinePort, ObjectPort, TablePort
+
+NO_PEER_ADDRESS = PeerAddress("127.0.0.1", 0)
+"""Address of a node without a peer side."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodePorts:
+    """Ports of one node, opened before it is built and closed after it has stopped."""
+
+    clock: Clock
+    engine: GeneratePort
+    tools: ToolPort | None = None
+    table: TablePort | None = None
+    """None: the platform's table service is not configured."""
+    objects: ObjectPort | None = None
+    machines: MachinePort | None = None
+    peers: PeerPort | None = None
+    """None: a node without fellow nodes."""
+    peer_address: PeerAddress = NO_PEER_ADDRESS
+    """Where `peers` listens, with the real port."""
--- /dev/null
+++ b/tests/test_node_drain.py
@@ -0,0 +1,79 @@
+"""A draining node finishes what runs and refuses the rest truthfully."""
+
+import asyncio
+from pathlib import Path
+
+from aiohttp.test_utils import TestClient, TestServer
+
+from foxwinch.backends.ports import GenerateFinished, TokenChunk
+from foxwinch.node.clock import SystemClock
+from foxwinch.node.node import build_node
+from foxwinch.node.ports import NodePorts
+from foxwinch.settings.base import check, read_toml
+from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.settings.process import NodeSettings
+
+CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
+CALL = {"model": "rail-chat", "messages": [{"role": "user", "content": "Hello"}]}
+
+
+class HeldEngine:
+    """An engine that ends its answer when told to."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def generate(self, worker, order):
+        self.asked.set()
+        yield TokenChunk("whole ", 1)
+        await self.released.wait()
+        yield TokenChunk("answer", 1)
+        yield GenerateFinished("stop", 1, 0, 2)
+
+
+def _document() -> ClusterConfiguration:
+    values = read_toml(CLEDWYN)
+    document = check(ClusterConfiguration, values, str(CLEDWYN))
+    assert isinstance(document, ClusterConfiguration)
+    return document
+
+
+async def test_drain_cuts_nothing_and_refuses_new_work(caller_key, keyed):
+    engine = HeldEngine()
+    settings = NodeSettings(name="node-1", region="cymru", zone="caerdydd", drain_seconds=30)
+    node = build_node(settings, NodePorts(SystemClock(), engine), keyed(_document()))
+    await node.start()
+    headers = {"Authorization": f"Bearer {caller_key}"}
+    async with TestClient(TestServer(node.caller_application()), headers=headers) as client:
+        running = asyncio.create_task(client.post("/v1/chat/completions", json=CALL))
+        await engine.asked.wait()
+        assert (await client.get("/readyz")).status == 200
+        drained = asyncio.create_task(node.drain())
+        await asyncio.sleep(0)
+        refused = await client.post("/v1/chat/completions", json=CALL)
+        error = (await refused.json())["error"]
+        assert refused.status == 503
+        assert refused.headers["Retry-After"] == "1"
+        assert error["run_state"] == "not_run"
+        assert (await client.get("/readyz")).status == 503
+        assert (await client.get("/healthz")).status == 200
+        assert not drained.done()
+        engine.released.set()
+        answer = await (await running).json()
+        assert answer["choices"][0]["message"]["content"] == "whole answer"
+        assert await drained
+    await node.stop()
+
+
+async def test_drain_ends_at_its_limit(caller_key, keyed):
+    engine = HeldEngine()
+    settings = NodeSettings(name="node-1", region="cymru", zone="caerdydd", drain_seconds=0.05)
+    node = build_node(settings, NodePorts(SystemClock(), engine), keyed(_document()))
+    headers = {"Authorization": f"Bearer {caller_key}"}
+    async with TestClient(TestServer(node.caller_application()), headers=headers) as client:
+        running = asyncio.create_task(client.post("/v1/chat/completions", json=CALL))
+        await engine.asked.wait()
+        assert not await node.drain()
+        engine.released.set()
+        assert (await running).status == 200
