Decide which node is the steward of which worker

Cause: each worker must be dispatched to by one node, and that node may die, pause or flap. Conclusion: ready to be driven by the steward service.

--- /dev/null
+++ b/tests/test_steward_assignment.py
@@ -0,0 +1,173 @@
+"""Assignment of workers to stewards: one holder at a time, stable, replaced when it dies."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foxwinch.core.steward.assignment import (
+    HANDOVER_SECONDS,
+    SETTLING_SECONDS,
+    Candidate,
+    Claim,
+    Holder,
+    Lost,
+    Release,
+    Resource,
+    Resync,
+    StewardAssignment,
+    StewardState,
+    preferred_node,
+)
+from foxwinch.identifiers import Epoch, NodeId, RegionName, ZoneName
+
+REGION = RegionName("cymru")
+WORKER = Resource("worker/llm-1", ZoneName("z1"))
+node_names = st.sampled_from([NodeId(f"n{i}") for i in range(8)])
+candidate_sets = st.dictionaries(
+    node_names, st.sampled_from(["z1", "z2"]), min_size=1, max_size=8
+).map(lambda zones: [Candidate(n, ZoneName(z), REGION) for n, z in sorted(zones.items())])
+
+
+def candidates(*nodes):
+    return [Candidate(NodeId(node), ZoneName("z1"), REGION) for node in nodes]
+
+
+def serving(node, now=10.0):
+    """An assignment of one node that serves the worker under epoch 1."""
+    assignment = StewardAssignment(NodeId(node), REGION, now - SETTLING_SECONDS)
+    assignment.update_resources([WORKER])
+    assignment.update_candidates(candidates(node))
+    assert assignment.advance(now) == [Claim(WORKER.name)]
+    assert assignment.claimed(WORKER.name, Epoch(1)) == [Resync(WORKER.name, Epoch(1))]
+    assignment.resynced(WORKER.name, Epoch(1))
+    assert assignment.state(WORKER.name) is StewardState.SERVING
+    return assignment
+
+
+@given(candidate_sets)
+def test_a_candidate_of_the_own_zone_goes_first(members):
+    chosen = preferred_node(WORKER, members, REGION)
+    near = {c.node for c in members if c.zone == WORKER.zone}
+    assert chosen in (near or {c.node for c in members})
+
+
+@given(candidate_sets, node_names)
+def test_a_member_that_goes_moves_only_its_own_workers(members, gone):
+    workers = [Resource(f"worker/{i}", None) for i in range(20)]
+    rest = [c for c in members if c.node != gone]
+    for worker in workers:
+        before = preferred_node(worker, members, REGION)
+        if before != gone and rest:
+            assert preferred_node(worker, rest, REGION) == before
+
+
+def test_no_candidate_in_the_region_means_no_steward():
+    assert preferred_node(WORKER, candidates("a"), RegionName("elsewhere")) is None
+
+
+def test_nothing_is_claimed_from_a_live_holder():
+    assignment = StewardAssignment(NodeId("a"), REGION, 0.0)
+    assignment.update_resources([WORKER])
+    assignment.update_candidates(candidates("a"))
+    assignment.update_holders({WORKER.name: Holder(NodeId("b"), Epoch(4))})
+    assert assignment.advance(100.0) == []
+    assignment.update_holders({})
+    assert assignment.advance(101.0) == [Claim(WORKER.name)]
+
+
+def test_a_refused_claim_is_tried_again():
+    assignment = StewardAssignment(NodeId("a"), REGION, 0.0)
+    assignment.update_resources([WORKER])
+    assignment.update_candidates(candidates("a"))
+    assert assignment.advance(10.0) == [Claim(WORKER.name)]
+    assignment.refused(WORKER.name, 10.0)
+    assert assignment.advance(10.1) == []
+    assert assignment.advance(11.0) == [Claim(WORKER.name)]
+
+
+def preferred_over_a():
+    return next(
+        name
+        for name in (f"n{i}" for i in range(100))
+        if preferred_node(WORKER, candidates("a", name), REGION) == name
+    )
+
+
+def test_a_flapping_member_moves_nothing_and_a_lasting_one_gets_the_worker():
+    assignment, better = serving("a"), preferred_over_a()
+    now = 10.0
+    for _ in range(20):
+        now += HANDOVER_SECONDS * 0.6
+        assignment.update_candidates(candidates("a", better))
+        assert assignment.advance(now) == []
+        now += 0.1
+        assignment.update_candidates(candidates("a"))
+        assert assignment.advance(now) == []
+    assignment.update_candidates(candidates("a", better))
+    assert assignment.advance(now) == []
+    assert assignment.advance(now + HANDOVER_SECONDS) == [Release(WORKER.name, Epoch(1))]
+    assert assignment.held() == {WORKER.name: Epoch(1)}
+    assignment.released(WORKER.name, Epoch(1))
+    assert assignment.held() == {}
+
+
+def test_a_holder_that_wakes_after_a_takeover_loses_the_worker():
+    assignment = serving("a")
+    assignment.update_holders({WORKER.name: Holder(NodeId("b"), Epoch(2))})
+    assert assignment.advance(60.0) == [Lost(WORKER.name, Epoch(1))]
+    assert assignment.state(WORKER.name) is StewardState.UNASSIGNED
+
+
+def test_draining_hands_over_and_claims_nothing():
+    assignment = serving("a")
+    assignment.drain()
+    assert assignment.advance(11.0) == [Release(WORKER.name, Epoch(1))]
+    assignment.released(WORKER.name, Epoch(1))
+    assert assignment.advance(12.0) == []
+
+
+def test_a_worker_taken_out_of_the_configuration_is_released():
+    assignment = serving("a")
+    assignment.update_resources([])
+    assert assignment.advance(11.0) == [Release(WORKER.name, Epoch(1))]
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["up", "down"]), st.integers(0, 3), st.floats(0.0, 8.0)),
+        max_size=25,
+    )
+)
+def test_nodes_that_share_a_view_settle_on_one_holder_of_the_highest_epoch(steps):
+    names = [f"n{i}" for i in range(4)]
+    cluster = {n: StewardAssignment(NodeId(n), REGION, 0.0) for n in names}
+    up, epoch, now = set(names), 0, 0.0
+    for action, index, pause in [*steps, ("up", 0, 8.0)] + [("up", 0, 6.0)] * 6:
+        now += pause
+        up = (up | {names[index]}) if action == "up" else (up - {names[index]})
+        for name in sorted(up):
+            node = cluster[name]
+            holders = highest_holder(cluster, up)
+            node.update_resources([WORKER])
+            node.update_candidates(candidates(*sorted(up)))
+            node.update_holders(holders)
+            for decided in node.advance(now):
+                if isinstance(decided, Claim):
+                    epoch += 1
+                    node.claimed(WORKER.name, Epoch(epoch))
+                    node.resynced(WORKER.name, Epoch(epoch))
+    serving_now = [n for n in up if cluster[n].state(WORKER.name) is StewardState.SERVING]
+    assert len(serving_now) == 1
+    assert cluster[serving_now[0]].held()[WORKER.name] == epoch
+
+
+def releasing(node):
+    return node.state(WORKER.name) is StewardState.RELEASING
+
+
+def highest_holder(cluster, up):
+    held = [(cluster[n].held()[WORKER.name], n) for n in up if cluster[n].held()]
+    if not held:
+        return {}
+    epoch, node = max(held)
+    return {WORKER.name: Holder(NodeId(node), epoch, releasing(cluster[node]))}
