Serve the platform and tools in process with injectable faults

Change: InProcessTable, -Objects, -Machines and -Tools over shared models; requests run to their end at the service even after the client gave up.

--- a/src/foxwinch/emulator/faults.py
+++ b/src/foxwinch/emulator/faults.py
@@ -3,7 +3,7 @@
 The same gate serves the stand-ins over HTTP and in process, so that a fault means the same in both.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Annotated, TypeVar
@@ -50,6 +50,26 @@
     """Age of what lists and load reports tell."""
 
 
+class ToolFaults(ServiceFaults):
+    """What goes wrong at the tool services."""
+
+    hung_tools: tuple[str, ...] = ()
+    """Tools that run and then never answer."""
+
+
+class EngineFaults(ServiceFaults):
+    """What goes wrong at one engine."""
+
+    leaving: bool = False
+    """Refuses new calls, finishes running ones, and tells so in its load."""
+    cut_stream_probability: Probability = 0.0
+    """A stream breaks half-way, as when the engine dies."""
+    event_gap_probability: Probability = 0.0
+    """A cache event is lost."""
+    event_delay_seconds: Seconds = 0.0
+    """Age at which a cache event is published."""
+
+
 class GateVerdict(StrEnum):
     """What becomes of a request before its effect."""
 
@@ -126,11 +146,11 @@
             return AnswerFate.MALFORMED
         return AnswerFate.GIVEN
 
-    async def apply(self, effect: Callable[[], Awaitable[Result]]) -> Result:
+    def apply(self, effect: Callable[[], Result]) -> Result:
         """Run an effect, twice where the network repeats the request; the later answer counts."""
         if self._happens(self._faults.duplicate_probability):
-            await effect()
-        return await effect()
+            effect()
+        return effect()
 
     def _limited(self, faults: ServiceFaults) -> Gated:
         if faults.requests_per_second is None:
--- /dev/null
+++ b/src/foxwinch/emulator/in_process.py
@@ -0,0 +1,190 @@
+"""The platform and the tools without sockets: ports over the in-memory models, on the loop's time.
+
+A request runs on the service's side to its end even when the client has given up on it, as at a
+real service: an effect may take place after the client was told `unknown`.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+from foxwinch.backends.ports import ToolOrder, ToolResult
+from foxwinch.emulator.faults import (
+    FOREVER_SECONDS,
+    AnswerFate,
+    FaultGate,
+    Gated,
+    GateVerdict,
+    ServiceFaults,
+    ToolFaults,
+)
+from foxwinch.emulator.machines import MachineModel
+from foxwinch.emulator.objects import ObjectModel
+from foxwinch.emulator.table import TableModel
+from foxwinch.emulator.tools import ToolModel
+from foxwinch.node.interfaces import Clock
+from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
+from foxwinch.platform.ports import (
+    Committed,
+    ConditionFailed,
+    Machine,
+    Row,
+    RowPage,
+    Stored,
+    Transaction,
+)
+
+REQUEST_TIMEOUT_SECONDS = 5.0
+"""After which a client gives a request up; as the HTTP adapters have it."""
+Result = TypeVar("Result")
+
+
+class InProcessService:
+    """Requests to one stand-in service; `gate.faults` may be replaced at any time."""
+
+    def __init__(self, name: str, unavailable: Reason, gate: FaultGate, clock: Clock) -> None:
+        """Refuse with `unavailable` while the service is down."""
+        self.name = name
+        self.gate = gate
+        self._unavailable = unavailable
+        self._clock = clock
+        self._serving: set[asyncio.Task[object]] = set()
+
+    async def request(
+        self,
+        effect: Callable[[], Result],
+        timeout_seconds: float = REQUEST_TIMEOUT_SECONDS,
+        late: Reason | None = None,
+        hangs: bool = False,
+    ) -> Result | Refused:
+        """Send a request; `late` is the reason when no answer came in time."""
+        task = asyncio.get_running_loop().create_task(self._serve(effect, hangs))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        done, _ = await asyncio.wait({task}, timeout=timeout_seconds)
+        if not done:
+            return outcome_unknown(
+                late or self._unavailable, f"{self.name} did not answer in {timeout_seconds} s"
+            )
+        return task.result()
+
+    async def stop(self) -> None:
+        """End the requests that are still being served, without their effects."""
+        tasks = list(self._serving)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def refusal(self, gated: Gated) -> Refused:
+        """Return what a client makes of a request that the gate refused."""
+        if gated.verdict is GateVerdict.LIMITED:
+            detail = f"{self.name} limits its rate"
+            return not_run(Reason.RATE_LIMITED, detail, gated.retry_after_seconds)
+        return not_run(self._unavailable, f"{self.name} is down", gated.retry_after_seconds)
+
+    async def _serve(self, effect: Callable[[], Result], hangs: bool) -> Result | Refused:
+        gated = await self.gate.enter()
+        if gated.verdict is not GateVerdict.PASS:
+            return self.refusal(gated)
+        result = self.gate.apply(effect)
+        if hangs:
+            await self._clock.sleep(FOREVER_SECONDS)
+        if await self.gate.leave() is AnswerFate.GIVEN:
+            return result
+        return outcome_unknown(self._unavailable, f"the answer of {self.name} was lost")
+
+
+class InProcessTable:
+    """`TablePort` over a model that several clients may share."""
+
+    def __init__(
+        self, model: TableModel, clock: Clock, faults: ServiceFaults | None = None
+    ) -> None:
+        """Use `model`; the faults are those of this client's way to it."""
+        self.model = model
+        self.gate = FaultGate(clock, faults)
+        self.service = InProcessService("the table", Reason.STORE_UNAVAILABLE, self.gate, clock)
+
+    async def transact(self, transaction: Transaction) -> Committed | ConditionFailed | Refused:
+        """See the port."""
+        return await self.service.request(lambda: self.model.transact(transaction))
+
+    async def read(self, key: str) -> Row | Refused | None:
+        """See the port."""
+        return await self.service.request(lambda: self.model.read(key))
+
+    async def scan(self, prefix: str, start: str = "", limit: int = 1000) -> RowPage | Refused:
+        """See the port."""
+        return await self.service.request(lambda: self.model.scan(prefix, start, limit))
+
+
+class InProcessObjects:
+    """`ObjectPort` over a model that several clients may share."""
+
+    def __init__(
+        self, model: ObjectModel, clock: Clock, faults: ServiceFaults | None = None
+    ) -> None:
+        """Use `model`; the faults are those of this client's way to it."""
+        self.model = model
+        self.gate = FaultGate(clock, faults)
+        self.service = InProcessService(
+            "the object store", Reason.STORE_UNAVAILABLE, self.gate, clock
+        )
+
+    async def put(self, key: str, data: bytes) -> Stored | Refused:
+        """See the port."""
+        return await self.service.request(lambda: self.model.put(key, data))
+
+    async def get(self, key: str) -> bytes | Refused | None:
+        """See the port."""
+        return await self.service.request(lambda: self.model.get(key))
+
+    async def delete(self, key: str) -> Stored | Refused:
+        """See the port."""
+        return await self.service.request(lambda: self.model.delete(key))
+
+
+class InProcessMachines:
+    """`MachinePort` over a model that several clients may share; the list lags by the faults."""
+
+    def __init__(
+        self, model: MachineModel, clock: Clock, faults: ServiceFaults | None = None
+    ) -> None:
+        """Use `model`; the faults are those of this client's way to it."""
+        self.model = model
+        self.gate = FaultGate(clock, faults)
+        self._clock = clock
+        self.service = InProcessService(
+            "the machine list", Reason.STORE_UNAVAILABLE, self.gate, clock
+        )
+
+    async def machines(self) -> tuple[Machine, ...] | Refused:
+        """See the port."""
+        return await self.service.request(self._listed)
+
+    def _listed(self) -> tuple[Machine, ...]:
+        return self.model.listed(self._clock.monotonic(), self.gate.faults.lag_seconds)
+
+
+class InProcessTools:
+    """`ToolPort` over a model that records every execution."""
+
+    def __init__(self, model: ToolModel, clock: Clock, faults: ToolFaults | None = None) -> None:
+        """Use `model`; the faults are those of the tool services."""
+        self.model = model
+        self.gate = FaultGate(clock, faults or ToolFaults())
+        self._clock = clock
+        self.service = InProcessService(
+            "the tool service", Reason.BACKEND_UNAVAILABLE, self.gate, clock
+        )
+
+    async def call(self, order: ToolOrder) -> ToolResult | Refused:
+        """See the port."""
+        faults = self.gate.faults
+        hangs = isinstance(faults, ToolFaults) and order.tool in faults.hung_tools
+        return await self.service.request(
+            lambda: self.model.run(order, "in-process", self._clock.monotonic()),
+            order.timeout_seconds,
+            Reason.TOOL_TIMEOUT,
+            hangs,
+        )
