--- /dev/null
+++ b/src/foxwinch/peer/connections.py
@@ -0,0 +1,95 @@
+"""Kept connections to other nodes, one for each address, opened on first use."""
+
+import asyncio
+
+from foxwinch.identifiers import NodeId
+from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.peer.limits import CONNECT_SECONDS, RECONNECT_PAUSE_SECONDS
+from foxwinch.peer.outbound import OutboundConnection
+from foxwinch.peer.ports import PeerAddress
+from foxwinch.peer.tls import PeerTls
+
+
+class ConnectionPool:
+    """Opens, shares and closes connections."""
+
+    def __init__(self, node: NodeId, tls: PeerTls | None) -> None:
+        """Greet as `node`."""
+        self._node = node
+        self._tls = tls
+        self._open: dict[PeerAddress, OutboundConnection] = {}
+        self._opening: dict[PeerAddress, asyncio.Task[OutboundConnection | Refused]] = {}
+        self._refused_until_seconds: dict[PeerAddress, float] = {}
+
+    async def get(self, address: PeerAddress, wait_seconds: float) -> OutboundConnection | Refused:
+        """Return the connection to an address; a refusal says that nothing was sent."""
+        connection = self._open.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        now = asyncio.get_running_loop().time()
+        if self._refused_until_seconds.get(address, 0.0) > now:
+            return _unreachable(address, "it refused a moment ago")
+        opening = self._opening.get(address)
+        if opening is None:
+            opening = asyncio.get_running_loop().create_task(self._connect(address))
+            self._opening[address] = opening
+        try:
+            async with asyncio.timeout(wait_seconds):
+                return await asyncio.shield(opening)
+        except TimeoutError:
+            return _unreachable(address, "no connection before the deadline")
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for task in list(self._opening.values()):
+            task.cancel()
+        for connection in list(self._open.values()):
+            connection.close()
+        self._open.clear()
+
+    async def _connect(self, address: PeerAddress) -> OutboundConnection | Refused:
+        loop = asyncio.get_running_loop()
+        cause = "the protocol versions do not agree or the peer closed"
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: OutboundConnection(self._node),
+                    address.host,
+                    address.port,
+                    ssl=self._tls.client if self._tls else None,
+                )
+                if await self._greeted(connection):
+                    self._keep(address, connection)
+                    return connection
+        except TimeoutError:
+            cause = "no connection in time"
+        except OSError as error:  # includes TLS failures
+            cause = error.strerror or type(error).__name__
+        finally:
+            self._opening.pop(address, None)
+        self._refuse_for_a_moment(address, loop.time())
+        return _unreachable(address, cause)
+
+    async def _greeted(self, connection: OutboundConnection) -> bool:
+        try:
+            return await asyncio.shield(connection.greeted)
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+
+    def _keep(self, address: PeerAddress, connection: OutboundConnection) -> None:
+        for known in [a for a, c in self._open.items() if c.closed]:
+            del self._open[known]
+        self._open[address] = connection
+
+    def _refuse_for_a_moment(self, address: PeerAddress, now: float) -> None:
+        stale = [a for a, until in self._refused_until_seconds.items() if until <= now]
+        for known in stale:
+            del self._refused_until_seconds[known]
+        self._refused_until_seconds[address] = now + RECONNECT_PAUSE_SECONDS
+
+
+def _unreachable(address: PeerAddress, cause: str) -> Refused:
+    return not_run(
+        Reason.PEER_UNREACHABLE, f"no connection to {address}: {cause}", RECONNECT_PAUSE_SECONDS
+    )
--- /dev/null
+++ b/src/foxwinch/peer/tls.py
@@ -0,0 +1,32 @@
+"""TLS contexts of the peer side: both sides show a certificate of the same authority."""
+
+import ssl
+from dataclasses import dataclass
+
+from foxwinch.settings.process import TlsSettings
+
+
+@dataclass(frozen=True, slots=True)
+class PeerTls:
+    """The contexts of the serving and of the asking side."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
+def build_peer_tls(settings: TlsSettings) -> PeerTls:
+    """Build both contexts; the authority is required, since it is what admits a peer.
+
+    Raises `ValueError` without an authority and `OSError` for files that cannot be read.
+    """
+    if settings.authority_file is None:
+        raise ValueError("peer_tls.authority_file: missing; it decides which peers are admitted")
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    client.check_hostname = False  # peers are named by IP numbers that change with each machine
+    for context in (server, client):
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_cert_chain(settings.certificate_file, settings.key_file)
+        context.load_verify_locations(settings.authority_file)
+    return PeerTls(server, client)
