--- a/src/foxwinch/node/parts/journal.py
+++ b/src/foxwinch/node/parts/journal.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from foxwinch.node.epoch_service import EpochPorts, EpochService
 from foxwinch.node.interfaces import EpochView, JournalView, OwnershipView
 from foxwinch.node.local import LocalJournal, LocalOwnership
 from foxwinch.node.local_cluster import LocalEpochs
@@ -20,5 +21,9 @@
 
 
 def build_journal(context: NodeContext, membership: MembershipPart) -> JournalPart:
-    """Build the part; a single node owns every shard and keeps its journal in memory."""
-    return JournalPart(LocalEpochs(), LocalOwnership(), LocalJournal())
+    """Build the part; without table and peers the node owns all and keeps it in memory."""
+    ports = context.ports
+    if ports.table is None and ports.peers is None:
+        return JournalPart(LocalEpochs(), LocalOwnership(), LocalJournal())
+    epochs = EpochService(EpochPorts(ports.clock, membership.membership, ports.table, ports.peers))
+    return JournalPart(epochs, LocalOwnership(), LocalJournal(), (epochs,))
--- /dev/null
+++ b/src/foxwinch/node/settled_table.py
@@ -0,0 +1,32 @@
+"""Transactions whose lost answers are settled: sent again under the same token, never assumed."""
+
+from foxwinch.node.interfaces import Clock
+from foxwinch.outcomes import Reason, Refused, RunState, outcome_unknown
+from foxwinch.platform.ports import Committed, ConditionFailed, TablePort, Transaction
+
+FIRST_RETRY_SECONDS = 0.05
+LAST_RETRY_SECONDS = 2.0
+
+
+async def transact_settled(
+    table: TablePort, clock: Clock, transaction: Transaction, attempts: int
+) -> Committed | ConditionFailed | Refused:
+    """Send a transaction until its outcome is certain, at most `attempts` times.
+
+    A refusal with `not_run` means that no attempt took effect; with `unknown` that one may have.
+    The waits grow with full jitter, or follow the service's own retry time when that is longer.
+    """
+    may_have_run = False
+    last: Refused | None = None
+    for attempt in range(attempts):
+        outcome = await table.transact(transaction)
+        if not isinstance(outcome, Refused):
+            return outcome
+        may_have_run = may_have_run or outcome.run_state is not RunState.NOT_RUN
+        last = outcome
+        if attempt + 1 < attempts:
+            limit = min(LAST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2**attempt)
+            await clock.sleep(max(limit * clock.uniform(), outcome.retry_after_seconds or 0.0))
+    if last is None or may_have_run:
+        return outcome_unknown(Reason.STORE_UNAVAILABLE, "no certain answer from the table")
+    return last
