--- a/tests/test_in_process_platform.py
+++ b/tests/test_in_process_platform.py
@@ -1,8 +1,5 @@
 """Each fault of the in-process platform and tools shows as the ports promise."""
 
-import asyncio
-import itertools
-
 import pytest
 
 from foxwinch.backends.ports import ToolOrder, ToolResult
@@ -28,28 +25,9 @@
     Transaction,
     Write,
 )
+from virtual_clock import VirtualClock
 
 pytestmark = [pytest.mark.looptime]
-TOKENS = itertools.count()
-
-
-class VirtualClock:
-    """The running loop's virtual time; chance always strikes."""
-
-    def monotonic(self):
-        return asyncio.get_running_loop().time()
-
-    def wall(self):
-        return 0.0
-
-    def identifier(self):
-        return f"id-{next(TOKENS)}"
-
-    def uniform(self):
-        return 0.0
-
-    async def sleep(self, seconds):
-        await asyncio.sleep(seconds)
 
 
 def put(key, value, version, token):
