--- /dev/null
+++ b/src/foxwinch/core/steward/admission.py
@@ -0,0 +1,32 @@
+"""Early refusal: a new program that cannot meet its deadline is told so at once."""
+
+from foxwinch.core.steward.calls import PoolCall
+from foxwinch.core.steward.policy import PolicySettings
+from foxwinch.outcomes import Reason, Refused, not_run
+
+SHORTEST_RETRY_SECONDS = 1.0
+"""Asking again sooner than a call lasts cannot find another answer."""
+RANK_SHARE_STEP = 0.5
+"""A class one rank more urgent tolerates so much more of its deadline in waiting before it is
+refused: the least urgent are refused first, the most urgent last."""
+
+
+def refusal(
+    policy: PolicySettings,
+    call: PoolCall,
+    lowest_rank: int,
+    predicted_wait_seconds: float,
+    now: float,
+) -> Refused | None:
+    """Return the refusal of a new program's first call, or None when it is admitted."""
+    budget = call.deadline_at_seconds - now
+    share = policy.refuse_share + RANK_SHARE_STEP * (lowest_rank - call.class_rank)
+    allowed = share * max(budget, 0.0)
+    if predicted_wait_seconds <= allowed:
+        return None
+    retry_after = max(SHORTEST_RETRY_SECONDS, predicted_wait_seconds - allowed)
+    detail = (
+        f"predicted wait {predicted_wait_seconds:.1f} s of class {call.class_name}"
+        f" is more than {allowed:.1f} s; nothing was run"
+    )
+    return not_run(Reason.OVERLOADED, detail, retry_after)
--- /dev/null
+++ b/src/foxwinch/core/steward/policy.py
@@ -0,0 +1,72 @@
+"""Settings of the scheduling policy: features that can be turned off, and constants with reasons.
+
+The figures behind the constants stand in docs/design/scheduling.md.
+"""
+
+from dataclasses import dataclass
+from typing import Literal
+
+Objective = Literal["latency", "cache"]
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """Parts of the policy; each can be turned off to measure what it brings."""
+
+    class_order: bool = True
+    """Calls of more urgent classes go first."""
+    service_order: bool = True
+    """Programs that have received less engine service go first."""
+    deadline_order: bool = True
+    """Calls whose deadline is near go first."""
+    critical_path: bool = True
+    """Calls of parallel sub-agents are ordered by when their common step began."""
+    cache_placement: bool = True
+    """Placement weighs cached prefixes."""
+    transfers: bool = True
+    """Prefixes are copied between workers where that is cheaper than computing them again."""
+    wait_for_cache: bool = True
+    """A call waits for the worker with its prefix where that is predicted to be cheaper."""
+    pause_policy: bool = True
+    """Cache of programs in a long pause is dropped when memory is short."""
+    release_ended: bool = True
+    """Cache of ended programs is freed at once."""
+    preemption: bool = True
+    """Urgent calls preempt others on a full worker."""
+    quiet_lane: bool = True
+    """No other call is sent to a worker while it runs an urgent one."""
+    admission: bool = True
+    """New programs that cannot meet their deadline are refused at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Everything that shapes decisions."""
+
+    features: Features = Features()
+    class_step_seconds: float = 20.0
+    """Head start of a class over the next one; with the service cap it bounds starvation."""
+    service_weight: float = 0.5
+    """Seconds of queue position for each second of service received."""
+    service_cap_seconds: float = 20.0
+    """Service beyond this no longer moves a program back: the bound on starvation."""
+    others_weight: float = 1.0
+    """Weight of the delay that a call's prefill causes to the calls beside it, against its own."""
+    transfer_margin: float = 1.0
+    """A transfer must cost less than this share of the prefill that it saves."""
+    memory_pressure: float = 0.9
+    """Share of a worker's memory believed in use, beyond which long pauses are dropped."""
+    longest_kept_pause_seconds: float = 30.0
+    """A tool whose median pause is longer gets its programs dropped when memory is short."""
+    refuse_share: float = 0.5
+    """A new program is refused when its predicted wait passes this share of its deadline."""
+    scan_limit: int = 16
+    """Waiting calls looked at for one free place: bounds the cost of a decision."""
+
+
+def policy_for(objective: Objective, features: Features | None = None) -> PolicySettings:
+    """Return the settings that express what a deployment weighs more."""
+    chosen = features if features is not None else Features()
+    if objective == "cache":
+        return PolicySettings(features=chosen, others_weight=2.0)
+    return PolicySettings(features=chosen)
