--- a/src/foxwinch/node/local_cluster.py
+++ b/src/foxwinch/node/local_cluster.py
@@ -1,11 +1,12 @@
-"""Single-process implementations of membership, gossip and epochs."""
+"""Single-process implementations of membership, gossip, epochs and the peer port."""
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
 from foxwinch.identifiers import Epoch
 from foxwinch.node.interfaces import EpochClaim, GossipEntry, GossipKind, Member
-from foxwinch.outcomes import Refused
+from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.peer.ports import DatagramHandler, PeerAddress, StreamHandler, UnaryHandler
 
 
 class LocalMembership:
@@ -59,3 +60,31 @@
         """Raise and claim; there is nobody to race with."""
         self._epochs[resource] += 1
         return EpochClaim(resource, Epoch(self._epochs[resource]))
+
+
+class NoPeers:
+    """A peer side that reaches nobody."""
+
+    async def call(
+        self, address: PeerAddress, method: str, payload: bytes, deadline_seconds: float
+    ) -> bytes | Refused:
+        """Refuse."""
+        return not_run(Reason.PEER_UNREACHABLE, "this node has no peer side")
+
+    async def stream(
+        self, address: PeerAddress, method: str, payload: bytes, deadline_seconds: float
+    ) -> AsyncIterator[bytes | Refused]:
+        """Refuse."""
+        yield not_run(Reason.PEER_UNREACHABLE, "this node has no peer side")
+
+    def send_datagram(self, address: PeerAddress, payload: bytes) -> None:
+        """Send to nobody."""
+
+    def handle(self, method: str, handler: UnaryHandler) -> None:
+        """Accept a handler that will never be called."""
+
+    def handle_stream(self, method: str, handler: StreamHandler) -> None:
+        """Accept a handler that will never be called."""
+
+    def handle_datagrams(self, handler: DatagramHandler) -> None:
+        """Accept a handler that will never be called."""
