Serve operators over gRPC and the command line; run a node as a process

Cause: operators could neither see nor steer a node, and a node ran only inside foxwinch dev. Change: the schema operator.proto served by grpclib with health, reflection, own keys (hashes), TLS, deadlines and small requests; queries and commands that reach the node concerned over the peer port; foxwinch node, nodes, workers, shards, programs, config, settings with exit codes in one module; foxwinch node drains on SIGTERM, SIGINT or nodes drain; settings name field, value and allowed; examples/physio.toml and two node settings files. The entry point gets a loop of ours, since its own starts a pool of threads. Conclusion: subsystems hand their facts and commands to the operator part by their own part module.

--- a/src/foxwinch/cli/dev.py
+++ b/src/foxwinch/cli/dev.py
@@ -1,30 +1,39 @@
 """`foxwinch dev`."""
 
-import sys
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
+from foxwinch.cli.exit_codes import ExitCode
+from foxwinch.cli.help import examples
+from foxwinch.cli.node import print_addresses
+from foxwinch.cli.output import fail, fail_settings
 from foxwinch.log import configure_logging
 from foxwinch.node.dev import run_dev
 from foxwinch.settings.base import SettingsError
+from foxwinch.settings.load import load_cluster_configuration
 
-EXIT_SETTINGS_REFUSED = 2
 
-
-@cappa.command(name="dev", help="Run one node with embedded stand-ins on loopback.")
-@dataclass
+@cappa.command(
+    name="dev",
+    help="Run one node with embedded stand-ins on loopback; prints addresses and keys.",
+    description=examples("foxwinch dev --configuration examples/cledwyn.toml"),
+)
+@dataclass(kw_only=True)
 class DevCommand:
     """Run one node with embedded stand-ins on loopback."""
 
-    configuration: Annotated[Path, cappa.Arg(long="--configuration", help="Cluster configuration")]
+    configuration: Annotated[
+        Path, cappa.Arg(long="--configuration", help="Cluster configuration (TOML)")
+    ]
 
     def __call__(self) -> None:
-        """Run until interrupted."""
+        """Run until SIGTERM or SIGINT."""
         configure_logging()
-        outcome = run_dev(self.configuration)
-        if isinstance(outcome, SettingsError):
-            print(outcome, file=sys.stderr)
-            raise cappa.Exit(code=EXIT_SETTINGS_REFUSED)
+        document = load_cluster_configuration(self.configuration)
+        if isinstance(document, SettingsError):
+            fail_settings(document)
+        if not run_dev(document, print_addresses):
+            fail(ExitCode.DRAIN_CUT_SHORT, "stopped with work in progress")
--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -4,7 +4,14 @@
 
 import cappa
 
+from foxwinch.cli.config import ConfigCommand
 from foxwinch.cli.dev import DevCommand
+from foxwinch.cli.node import NodeCommand
+from foxwinch.cli.nodes import NodesCommand
+from foxwinch.cli.programs import ProgramsCommand
+from foxwinch.cli.settings import SettingsCommand
+from foxwinch.cli.shards import ShardsCommand
+from foxwinch.cli.workers import WorkersCommand
 
 
 @cappa.command(name="foxwinch", help="A scheduler for agent programs.")
@@ -12,7 +19,16 @@
 class Foxwinch:
     """A scheduler for agent programs."""
 
-    command: cappa.Subcommands[DevCommand]
+    command: cappa.Subcommands[
+        NodeCommand
+        | DevCommand
+        | ConfigCommand
+        | ProgramsCommand
+        | NodesCommand
+        | WorkersCommand
+        | ShardsCommand
+        | SettingsCommand
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/src/foxwinch/commands/operator.py
@@ -0,0 +1,170 @@
+"""The operators' commands, passed on to the node that each concerns."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from foxwinch.commands.apply_configuration import ApplyConfiguration
+from foxwinch.core.configuration.change import ChangeAccepted
+from foxwinch.identifiers import NodeId, ProgramId, WorkerId, ZoneName
+from foxwinch.log import EventLog
+from foxwinch.node.interfaces import MembershipView, MemberState, OwnedBy, OwnershipView
+from foxwinch.node.local import LocalConfiguration
+from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort
+from foxwinch.queries.configuration import NodeRevision
+
+DRAIN_METHOD = "operator.drain"
+ABANDON_METHOD = "operator.abandon"
+COMMAND_SECONDS = 5.0
+log = EventLog("operator")
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The command is in force."""
+
+
+class ConfigurationChanges(Protocol):
+    """Changes of the cluster configuration."""
+
+    async def apply(self, command: ApplyConfiguration) -> ChangeAccepted | Refused:
+        """Put a document in force if `expected` is still the newest; `CONFLICT` names the newer."""
+        ...
+
+    async def revisions_at_nodes(self) -> Sequence[NodeRevision]:
+        """Return the revision at each node."""
+        ...
+
+
+class WorkerDrains(Protocol):
+    """Workers that operators take out of service."""
+
+    async def drain_worker(self, worker: WorkerId) -> Accepted | Refused:
+        """Give the worker no new work from any node of the region."""
+        ...
+
+
+class ProgramAbandons(Protocol):
+    """Programs of this node that operators abandon."""
+
+    async def abandon(self, program_id: ProgramId) -> Accepted | Refused:
+        """Abandon a program that this node owns and release what it holds."""
+        ...
+
+
+class FixedConfiguration:
+    """A configuration that cannot be changed while the process runs."""
+
+    def __init__(self, node: NodeId, zone: ZoneName) -> None:
+        """Stand for the fixed revision at this node."""
+        revision = LocalConfiguration.REVISION
+        self._row = NodeRevision(node, zone, MemberState.ALIVE, revision, revision, serving=True)
+
+    async def apply(self, command: ApplyConfiguration) -> ChangeAccepted | Refused:
+        """Refuse: there is no table service to keep a change."""
+        detail = "this node runs without a table service, which keeps the configuration"
+        return not_run(Reason.STORE_UNAVAILABLE, detail)
+
+    async def revisions_at_nodes(self) -> Sequence[NodeRevision]:
+        """Return this node's revision."""
+        return (self._row,)
+
+
+class FixedWorkers:
+    """Workers that cannot be drained."""
+
+    async def drain_worker(self, worker: WorkerId) -> Accepted | Refused:
+        """Refuse: nothing stewards the workers."""
+        return not_run(Reason.NOT_FOUND, f"worker {worker} has no steward here")
+
+
+class NoAbandons:
+    """A node that keeps no programs beyond their call."""
+
+    async def abandon(self, program_id: ProgramId) -> Accepted | Refused:
+        """Refuse: not found."""
+        return not_run(Reason.NOT_FOUND, f"program {program_id} is not known")
+
+
+@dataclass(frozen=True, slots=True)
+class LocalCommands:
+    """What this node carries out itself."""
+
+    drain_node: Callable[[], None]
+    """Begins the planned stop of this node; harmless when it has begun."""
+    configuration: ConfigurationChanges
+    workers: WorkerDrains
+    programs: ProgramAbandons
+
+
+class OperatorCommands:
+    """Carries commands out here or at the node they concern."""
+
+    def __init__(
+        self,
+        membership: MembershipView,
+        ownership: OwnershipView,
+        peers: PeerPort | None,
+        local: LocalCommands,
+    ) -> None:
+        """Pass on by `peers`; registers the handlers by which fellow nodes pass on to this one."""
+        self._membership = membership
+        self._ownership = ownership
+        self._peers = peers
+        self._local = local
+        if peers is not None:
+            peers.handle(DRAIN_METHOD, self._serve_drain)
+            peers.handle(ABANDON_METHOD, self._serve_abandon)
+
+    async def drain_node(self, node: NodeId) -> Accepted | Refused:
+        """Begin the planned stop of a node, this one or another."""
+        if node == self._membership.this_member().node:
+            return self._drain_this_node()
+        for member in self._membership.members():
+            if member.node == node:
+                return await self._pass_on(member.address, DRAIN_METHOD, node.encode())
+        return not_run(Reason.NOT_FOUND, f"node {node} is not a member")
+
+    async def drain_worker(self, worker: WorkerId) -> Accepted | Refused:
+        """Give a worker no new work."""
+        log.info("worker_drain_asked", worker=worker)
+        return await self._local.workers.drain_worker(worker)
+
+    async def abandon_program(self, program_id: ProgramId) -> Accepted | Refused:
+        """Abandon a program at its owner."""
+        owner = self._ownership.locate(program_id)
+        if isinstance(owner, Refused):
+            return owner
+        if isinstance(owner, OwnedBy):
+            return await self._pass_on(owner.address, ABANDON_METHOD, program_id.encode())
+        log.info("program_abandon_asked", program=program_id)
+        return await self._local.programs.abandon(program_id)
+
+    async def apply_configuration(self, command: ApplyConfiguration) -> ChangeAccepted | Refused:
+        """Put a checked document in force if `expected` is still the newest revision."""
+        return await self._local.configuration.apply(command)
+
+    def _drain_this_node(self) -> Accepted:
+        log.info("node_drain_asked", node=self._membership.this_member().node)
+        self._local.drain_node()
+        return Accepted()
+
+    async def _pass_on(
+        self, address: PeerAddress, method: str, payload: bytes
+    ) -> Accepted | Refused:
+        if self._peers is None:
+            return not_run(Reason.PEER_UNREACHABLE, "this node has no peer side")
+        answer = await self._peers.call(address, method, payload, COMMAND_SECONDS)
+        return answer if isinstance(answer, Refused) else Accepted()
+
+    async def _serve_drain(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        this = self._membership.this_member().node
+        if payload.decode() != this:
+            return not_run(Reason.NOT_FOUND, f"this address is node {this} now")
+        self._drain_this_node()
+        return b""
+
+    async def _serve_abandon(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        outcome = await self._local.programs.abandon(ProgramId(payload.decode()))
+        return outcome if isinstance(outcome, Refused) else b""
--- a/src/foxwinch/node/dev.py
+++ b/src/foxwinch/node/dev.py
@@ -1,54 +1,47 @@
 """`foxwinch dev`: a node and the embedded stand-ins on loopback, in one process."""
 
 import secrets
-from pathlib import Path
+from collections.abc import Callable
 
-import aiohttp
+import uvloop
 from aiomisc import entrypoint
 
 from foxwinch.emulator.engine_http import build_engine_application
 from foxwinch.gateway.authentication import hash_key
 from foxwinch.node.http_service import HttpService
-from foxwinch.node.node import build_single_node
-from foxwinch.settings.base import SettingsError, check, read_toml
+from foxwinch.node.process import NodeProcess
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.settings.process import NodeSettings
 
 TOKEN_SECONDS = 0.005
-
-
-def run_dev(configuration_file: Path) -> SettingsError | None:
-    """Run until interrupted; returns an error when the configuration is refused."""
-    values = read_toml(configuration_file)
-    if isinstance(values, SettingsError):
-        return values
-    document = check(ClusterConfiguration, values, str(configuration_file))
-    if isinstance(document, SettingsError):
-        return document
-    engines = HttpService(build_engine_application(TOKEN_SECONDS))
-    with entrypoint(engines, log_config=False) as loop:
-        session = loop.run_until_complete(_new_session())
-        caller_key = secrets.token_urlsafe(24)
-        base_url = f"http://127.0.0.1:{engines.bound_port}/workers"
-        node = build_single_node(_for_dev(document, base_url, caller_key), session)
-        gateway = HttpService(node.caller_application())
-        loop.run_until_complete(gateway.start())
-        print(f"caller_url=http://127.0.0.1:{gateway.bound_port}")
-        print(f"caller_key={caller_key}", flush=True)
+KEY_BYTES = 24
+
+
+def run_dev(document: ClusterConfiguration, announce: Callable[[dict[str, str]], None]) -> bool:
+    """Run until a signal; `announce` gets the addresses and the keys made for this run."""
+    stand_ins = HttpService(build_engine_application(TOKEN_SECONDS))
+    loop = uvloop.new_event_loop()
+    with entrypoint(stand_ins, loop=loop, log_config=False, catch_signals=()):
+        caller_key = secrets.token_urlsafe(KEY_BYTES)
+        operator_key = secrets.token_urlsafe(KEY_BYTES)
+        base_url = f"http://127.0.0.1:{stand_ins.bound_port}/workers"
+        settings = NodeSettings(
+            name="dev",
+            region=document.region,
+            zone=document.zones[0],
+            operator_key_hashes=(hash_key(operator_key),),
+            drain_seconds=10.0,
+        )
+        process = NodeProcess(settings, _for_dev(document, base_url, caller_key))
+        loop.run_until_complete(process.start())
         try:
-            loop.run_forever()
-        except KeyboardInterrupt:
-            pass
+            keys = {"caller_key": caller_key, "operator_key": operator_key}
+            announce({**process.addresses(), **keys})
+            whole = loop.run_until_complete(process.run())
         finally:
-            loop.run_until_complete(gateway.stop())
-            loop.run_until_complete(session.close())
-    return None
-
-
-async def _new_session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0)
-    return aiohttp.ClientSession(
-        connector=connector, timeout=aiohttp.ClientTimeout(total=None, sock_connect=3.0)
-    )
+            loop.run_until_complete(process.stop())
+    loop.close()
+    return whole
 
 
 def _for_dev(
--- a/src/foxwinch/node/http_service.py
+++ b/src/foxwinch/node/http_service.py
@@ -1,29 +1,40 @@
 """An aiohttp application as an aiomisc service that knows the port it was bound to."""
 
+import ssl
 from typing import Any
 
 from aiohttp import web
 from aiomisc import Service
 
+SHUTDOWN_SECONDS = 2.0
+"""For handlers still running when the service stops; a drain has let them finish before."""
+
 
 class HttpService(Service):
     """Listens on `host:port`; after the start `bound_port` holds the real port."""
 
     host: str = "127.0.0.1"
     port: int = 0
+    tls: ssl.SSLContext | None = None
     bound_port: int = 0
 
     def __init__(self, application: web.Application, **kwargs: Any) -> None:
-        """Serve `application`."""
+        """Serve `application`; `host`, `port` and `tls` may be given by name."""
         super().__init__(**kwargs)
         self._application = application
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Bind and serve."""
-        self._runner = web.AppRunner(self._application, access_log=None, handle_signals=False)
+        self._runner = web.AppRunner(
+            self._application,
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, self.port)
+        site = web.TCPSite(self._runner, self.host, self.port, ssl_context=self.tls)
         await site.start()
         self.bound_port = self._runner.addresses[0][1]
 
--- a/src/foxwinch/node/local.py
+++ b/src/foxwinch/node/local.py
@@ -35,9 +35,11 @@
 class LocalConfiguration:
     """A configuration that never changes."""
 
+    REVISION = Revision(1)
+
     def __init__(self, document: ClusterConfiguration) -> None:
         """Hold `document` as revision 1."""
-        self._snapshot = ConfigurationSnapshot(Revision(1), document)
+        self._snapshot = ConfigurationSnapshot(self.REVISION, document)
 
     def current(self) -> ConfigurationSnapshot | Refused:
         """Return the snapshot."""
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -10,22 +10,23 @@
 from foxwinch.backends.engine_http import HttpEngine
 from foxwinch.identifiers import NodeId
 from foxwinch.log import EventLog
-from foxwinch.node.admission_gate import AdmissionGate
 from foxwinch.node.clock import SystemClock
 from foxwinch.node.health import HealthHandlers
-from foxwinch.node.interfaces import ConfigurationView
+from foxwinch.node.interfaces import Clock, ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart, build_grants
 from foxwinch.node.parts.journal import JournalPart, build_journal
 from foxwinch.node.parts.membership import MembershipPart, build_membership
+from foxwinch.node.parts.operator import OperatorPart, build_operator
 from foxwinch.node.parts.programs import ProgramsPart, build_programs
 from foxwinch.node.ports import NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
-from foxwinch.outcomes import Refused
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
 
+IDENTITY_DIGITS = 12
+"""Hexadecimal digits that tell the lives of one name apart."""
 log = EventLog("node")
 
 
@@ -38,6 +39,7 @@
     journal: JournalPart
     grants: GrantsPart
     programs: ProgramsPart
+    operator: OperatorPart
 
     def services(self) -> tuple[NodeService, ...]:
         """Return every service in the order in which they start."""
@@ -57,7 +59,7 @@
         """Hold the parts; `start` runs them."""
         self.context = context
         self.parts = parts
-        self.gate = AdmissionGate()
+        self.gate = context.gate
         self._started: list[NodeService] = []
 
     @property
@@ -103,9 +105,9 @@
         application = web.Application(
             client_max_size=limits.body_bytes, middlewares=[self.gate.middleware()]
         )
-        HealthHandlers(self.context.registry, self._not_ready_because).add_routes(
-            application.router
-        )
+        HealthHandlers(
+            self.context.registry, self.parts.operator.readiness.not_ready_because
+        ).add_routes(application.router)
         self.parts.programs.add_caller_routes(application.router)
         return application
 
@@ -117,25 +119,21 @@
             if drain is not None:
                 await drain()
 
-    def _not_ready_because(self) -> str | None:
-        if self.gate.closed:
-            return "draining"
-        snapshot = self.configuration.current()
-        return snapshot.detail if isinstance(snapshot, Refused) else None
-
 
 def build_node(
     settings: NodeSettings,
     ports: NodePorts,
     proposed: ClusterConfiguration | None = None,
     registry: CollectorRegistry | None = None,
+    node: NodeId | None = None,
 ) -> Node:
     """Wire one node on open ports; nothing runs before `Node.start`.
 
-    `proposed` is the configuration to propose when the cluster holds none yet.
+    `proposed` is the configuration to propose when the cluster holds none yet; `node` is the
+    identity that the peer side was opened with.
     """
     context = NodeContext(
-        node=NodeId(f"{settings.name}-{ports.clock.identifier()[:12]}"),
+        node=node or new_node_identity(settings, ports.clock),
         settings=settings,
         ports=ports,
         registry=registry or CollectorRegistry(),
@@ -146,7 +144,14 @@
     journal = build_journal(context, membership)
     grants = build_grants(context, membership, configuration, journal)
     programs = build_programs(context, membership, configuration, journal, grants)
-    return Node(context, NodeParts(membership, configuration, journal, grants, programs))
+    operator = build_operator(context, membership, configuration, journal, grants, programs)
+    parts = NodeParts(membership, configuration, journal, grants, programs, operator)
+    return Node(context, parts)
+
+
+def new_node_identity(settings: NodeSettings, clock: Clock) -> NodeId:
+    """Return an identity for one life of a process: the name and a part nobody had before."""
+    return NodeId(f"{settings.name}-{clock.identifier()[:IDENTITY_DIGITS]}")
 
 
 def build_single_node(document: ClusterConfiguration, session: aiohttp.ClientSession) -> Node:
--- a/src/foxwinch/node/parts/configuration.py
+++ b/src/foxwinch/node/parts/configuration.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
+from foxwinch.commands.operator import ConfigurationChanges, FixedConfiguration
+from foxwinch.identifiers import ZoneName
 from foxwinch.node.configuration_service import ConfigurationService, ConfigurationServicePorts
 from foxwinch.node.interfaces import ConfigurationView, LimitView
 from foxwinch.node.local import LocalConfiguration, LocalLimits
 from foxwinch.node.local_cluster import NoPeers
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.membership import MembershipPart
+from foxwinch.settings.cluster import ClusterConfiguration
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,9 +19,9 @@
 
     configuration: ConfigurationView
     limits: LimitView
+    changes: ConfigurationChanges
+    """Takes operators' changes and tells the revision at each node."""
     services: tuple[NodeService, ...] = ()
-    changes: ConfigurationService | None = None
-    """Takes operators' changes and tells the revision at each node; None for a fixed document."""
 
 
 def build_configuration(context: NodeContext, membership: MembershipPart) -> ConfigurationPart:
@@ -26,7 +29,7 @@
     if context.ports.table is None:
         if context.proposed is None:
             raise ValueError("a node without a table needs a cluster configuration to propose")
-        return ConfigurationPart(LocalConfiguration(context.proposed), LocalLimits())
+        return _fixed(context, context.proposed)
     ports = ConfigurationServicePorts(
         clock=context.ports.clock,
         table=context.ports.table,
@@ -35,4 +38,9 @@
         membership=membership.membership,
     )
     service = ConfigurationService(ports, context.registry, context.proposed)
-    return ConfigurationPart(service, LocalLimits(), (service,), service)
+    return ConfigurationPart(service, LocalLimits(), service, (service,))
+
+
+def _fixed(context: NodeContext, document: ClusterConfiguration) -> ConfigurationPart:
+    changes = FixedConfiguration(context.node, ZoneName(context.settings.zone))
+    return ConfigurationPart(LocalConfiguration(document), LocalLimits(), changes)
--- a/src/foxwinch/node/parts/context.py
+++ b/src/foxwinch/node/parts/context.py
@@ -1,11 +1,13 @@
 """What every part of a node is built from."""
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry
 
 from foxwinch.identifiers import NodeId
+from foxwinch.node.admission_gate import AdmissionGate
 from foxwinch.node.ports import NodePorts
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
@@ -42,3 +44,7 @@
     """Metrics of this node; never the default registry."""
     proposed: ClusterConfiguration | None = None
     """Configuration to propose when the cluster holds none yet."""
+    gate: AdmissionGate = field(default_factory=AdmissionGate)
+    """Closed while the node drains."""
+    stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set by a signal or an operator: the process begins the planned stop."""
--- /dev/null
+++ b/src/foxwinch/node/parts/operator.py
@@ -0,0 +1,94 @@
+"""Part: the operators' queries and commands over the other parts."""
+
+from dataclasses import dataclass
+
+from foxwinch._generated.operator_pb2 import NodeStatus
+from foxwinch.commands.operator import LocalCommands, OperatorCommands
+from foxwinch.node.interfaces import ConfigurationView
+from foxwinch.node.parts.configuration import ConfigurationPart
+from foxwinch.node.parts.context import NodeContext
+from foxwinch.node.parts.grants import GrantsPart
+from foxwinch.node.parts.journal import JournalPart
+from foxwinch.node.parts.membership import MembershipPart
+from foxwinch.node.parts.programs import ProgramsPart
+from foxwinch.operator.handlers import OperatorHandlers
+from foxwinch.outcomes import Refused
+from foxwinch.queries.cluster import ClusterQueries, LocalFacts
+from foxwinch.queries.facts import ShardFacts
+
+
+class Readiness:
+    """Whether this node takes new work, and its own status for operators."""
+
+    def __init__(
+        self, context: NodeContext, configuration: ConfigurationView, shards: ShardFacts
+    ) -> None:
+        """Read the gate of `context` and the given parts."""
+        self._context = context
+        self._configuration = configuration
+        self._shards = shards
+
+    def not_ready_because(self) -> str | None:
+        """Return None when the node takes new work, else the reason."""
+        if self._context.gate.closed:
+            return "draining"
+        snapshot = self._configuration.current()
+        return snapshot.detail if isinstance(snapshot, Refused) else None
+
+    def status(self) -> NodeStatus:
+        """Return what this node says of itself."""
+        snapshot = self._configuration.current()
+        return NodeStatus(
+            node=self._context.node,
+            configuration_revision=0 if isinstance(snapshot, Refused) else snapshot.revision,
+            draining=self._context.gate.closed,
+            running_requests=self._context.gate.running,
+            owned_shards=len(self._shards.shards()),
+            not_ready_because=self.not_ready_because() or "",
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorPart:
+    """What the operators' side serves."""
+
+    handlers: OperatorHandlers
+    readiness: Readiness
+
+
+def build_operator(
+    context: NodeContext,
+    membership: MembershipPart,
+    configuration: ConfigurationPart,
+    journal: JournalPart,
+    grants: GrantsPart,
+    programs: ProgramsPart,
+) -> OperatorPart:
+    """Build the part over the facts and commands of the others."""
+    readiness = Readiness(context, configuration.configuration, journal.facts)
+    queries = ClusterQueries(
+        membership.membership,
+        journal.ownership,
+        context.ports.peers,
+        LocalFacts(readiness, grants.facts, journal.facts, programs.facts),
+    )
+    commands = OperatorCommands(
+        membership.membership,
+        journal.ownership,
+        context.ports.peers,
+        LocalCommands(
+            drain_node=context.stop_requested.set,
+            configuration=configuration.changes,
+            workers=grants.drains,
+            programs=programs.abandons,
+        ),
+    )
+    return OperatorPart(
+        OperatorHandlers(
+            configuration.configuration,
+            queries,
+            commands,
+            configuration.changes.revisions_at_nodes,
+        ),
+        readiness,
+    )
--- /dev/null
+++ b/src/foxwinch/node/process.py
@@ -0,0 +1,115 @@
+"""`foxwinch node`: one node process with its listening sides, from start to planned stop."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+import uvloop
+from aiomisc import Service, entrypoint
+
+from foxwinch.log import EventLog
+from foxwinch.node.http_ports import OpenPorts, open_ports
+from foxwinch.node.http_service import HttpService
+from foxwinch.node.node import Node, build_node
+from foxwinch.node.tls import server_context
+from foxwinch.operator.server import OperatorServer
+from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.settings.process import NodeSettings
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+CALLER_PROTOCOLS = ("http/1.1",)
+OPERATOR_PROTOCOLS = ("h2",)
+log = EventLog("process")
+
+
+class NodeProcess(Service):
+    """A node with its caller and operator sides."""
+
+    def __init__(self, settings: NodeSettings, proposed: ClusterConfiguration | None) -> None:
+        """Run a node by `settings`; `proposed` is put in force where nothing is yet."""
+        super().__init__()
+        self._settings = settings
+        self._proposed = proposed
+        self._open: OpenPorts | None = None
+        self._node: Node | None = None
+        self._callers: HttpService | None = None
+        self._operators: OperatorServer | None = None
+
+    async def start(self) -> None:
+        """Open the ports, start the node and then its listening sides."""
+        settings = self._settings
+        self._open = await open_ports(settings)
+        node = build_node(settings, self._open.ports, self._proposed, node=self._open.node)
+        self._node = node
+        self._open.directory.follow(node.configuration)
+        await node.start()
+        self._callers = HttpService(
+            node.caller_application(),
+            host=settings.host,
+            port=settings.caller_port,
+            tls=server_context(settings.caller_tls, CALLER_PROTOCOLS),
+        )
+        await self._callers.start()
+        self._operators = OperatorServer(
+            node.parts.operator.handlers,
+            settings.operator_key_hashes,
+            settings.host,
+            settings.operator_port,
+            server_context(settings.operator_tls, OPERATOR_PROTOCOLS),
+        )
+        await self._operators.start()
+
+    def addresses(self) -> dict[str, str]:
+        """Return where the started process listens, by the names that it prints."""
+        assert self._callers is not None
+        assert self._operators is not None
+        assert self._open is not None
+        scheme = "https" if self._settings.caller_tls else "http"
+        return {
+            "caller_url": f"{scheme}://{_with_port(self._callers.host, self._callers.bound_port)}",
+            "operator_address": _with_port(self._operators.host, self._operators.port),
+            "peer_address": str(self._open.ports.peer_address),
+        }
+
+    async def run(self) -> bool:
+        """Wait for a signal or an operator's drain, then drain; False when work was cut."""
+        assert self._node is not None
+        assert self._operators is not None
+        stop_requested = self._node.context.stop_requested
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, stop_requested.set)
+        await stop_requested.wait()
+        self._operators.set_serving(False)
+        return await self._node.drain()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop listening, stop the node, close the ports."""
+        if self._callers is not None:
+            await self._callers.stop()
+        if self._operators is not None:
+            await self._operators.stop()
+        if self._node is not None:
+            await self._node.stop()
+        if self._open is not None:
+            await self._open.close()
+
+
+def run_node(
+    settings: NodeSettings,
+    proposed: ClusterConfiguration | None,
+    announce: Callable[[dict[str, str]], None],
+) -> bool:
+    """Run one node until its planned stop; `announce` gets its addresses once it is ready."""
+    process = NodeProcess(settings, proposed)
+    loop = uvloop.new_event_loop()
+    # A loop of our own: the entry point would otherwise start a pool of threads.
+    with entrypoint(process, loop=loop, log_config=False, catch_signals=()):
+        announce(process.addresses())
+        whole = loop.run_until_complete(process.run())
+    loop.close()
+    return whole
+
+
+def _with_port(host: str, port: int) -> str:
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/src/foxwinch/operator/client.py
@@ -0,0 +1,77 @@
+"""Client of the operators' service, for the command line: refusals are values."""
+
+import ssl
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+from google.protobuf.message import Message
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.events import RecvTrailingMetadata, listen
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from foxwinch._generated.operator_grpc import OperatorStub
+from foxwinch.gateway.authentication import BEARER_PREFIX
+from foxwinch.operator.authentication import AUTHORIZATION_KEY
+from foxwinch.operator.refusals import refusal_of
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+
+Method = Callable[[OperatorStub], UnaryUnaryMethod[Any, Any]]
+
+
+class OperatorClient:
+    """A connection to one node's operator side; use as an async context manager."""
+
+    def __init__(
+        self, host: str, port: int, key: str, seconds: float, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Connect on first use; `seconds` is the deadline of each request."""
+        self._channel = Channel(host, port, ssl=tls)
+        self._stub = OperatorStub(self._channel)
+        self._metadata = {AUTHORIZATION_KEY: f"{BEARER_PREFIX}{key}"}
+        self._seconds = seconds
+        self._trailing: dict[str, object] = {}
+        listen(self._channel, RecvTrailingMetadata, self._keep_trailing)
+
+    async def __aenter__(self) -> Self:
+        """Return the client."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+    async def query(self, method: Method, request: Message) -> Any | Refused:
+        """Ask a question, which has no effect."""
+        return await self._call(method, request, is_command=False)
+
+    async def command(self, method: Method, request: Message) -> Any | Refused:
+        """Give a command; when its answer is lost the refusal's run state is `unknown`."""
+        return await self._call(method, request, is_command=True)
+
+    async def _call(self, method: Method, request: Message, is_command: bool) -> Any | Refused:
+        self._trailing = {}
+        try:
+            return await method(self._stub)(request, timeout=self._seconds, metadata=self._metadata)
+        except GRPCError as error:
+            return refusal_of(error, self._trailing, is_command)
+        except (ConnectionRefusedError, ssl.SSLError) as error:
+            return not_run(Reason.PEER_UNREACHABLE, f"the node cannot be reached: {error}")
+        except TimeoutError:
+            detail = f"no answer within {self._seconds:g} s"
+            return Refused(Reason.DEADLINE, _lost(is_command), detail)
+        except (OSError, StreamTerminatedError) as error:
+            detail = f"the connection was lost: {error}"
+            return Refused(Reason.PEER_UNREACHABLE, _lost(is_command), detail)
+
+    async def _keep_trailing(self, event: RecvTrailingMetadata) -> None:
+        self._trailing = dict(event.metadata)
+
+
+def _lost(is_command: bool) -> RunState:
+    return RunState.UNKNOWN if is_command else RunState.NOT_RUN
--- /dev/null
+++ b/src/foxwinch/queries/configuration_difference.py
@@ -0,0 +1,61 @@
+"""How a proposed cluster configuration differs from the one in force."""
+
+import json
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from foxwinch.node.interfaces import ConfigurationSnapshot
+from foxwinch.settings.base import SettingsError, check
+from foxwinch.settings.cluster import ClusterConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One place where a proposed document differs from the one in force."""
+
+    path: str
+    in_force: str | None
+    """JSON of the value, None when it is absent."""
+    proposed: str | None
+
+
+def parse_document(text: str) -> ClusterConfiguration | SettingsError:
+    """Read and check a document given as JSON."""
+    source = "configuration"
+    try:
+        values = json.loads(text)
+    except ValueError as error:
+        return SettingsError(source, (f"is not valid JSON: {error}",))
+    if not isinstance(values, dict):
+        return SettingsError(source, ("must be an object of fields",))
+    return check(ClusterConfiguration, values, source)
+
+
+def differences(
+    snapshot: ConfigurationSnapshot, proposed: ClusterConfiguration
+) -> Sequence[Difference]:
+    """Compare a proposed document with the one in force; entries of a list go by their name."""
+    old = dict(_leaves("", snapshot.document.model_dump(mode="json")))
+    new = dict(_leaves("", proposed.model_dump(mode="json")))
+    paths = sorted(path for path in old.keys() | new.keys() if old.get(path) != new.get(path))
+    return [Difference(path, old.get(path), new.get(path)) for path in paths]
+
+
+def _leaves(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for name, item in value.items():
+            yield from _leaves(f"{path}.{name}" if path else name, item)
+    elif _is_list_of_named(value):
+        for item in value:
+            yield from _leaves(f"{path}.{item['name']}", item)
+    else:
+        yield path, json.dumps(value, sort_keys=True)
+
+
+def _is_list_of_named(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and bool(value)
+        and all(isinstance(item, dict) and "name" in item for item in value)
+    )
--- a/src/foxwinch/settings/process.py
+++ b/src/foxwinch/settings/process.py
@@ -1,16 +1,41 @@
 """Process settings of one node: addresses, zone, platform, limits; a file and flags over it."""
 
+import ipaddress
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import AfterValidator, Field
 
 from foxwinch.settings.base import StrictModel
 from foxwinch.settings.cluster import KeyHash, Name
 
 Port = Annotated[int, Field(ge=0, le=65_535)]
 """A TCP or UDP port; 0 lets the system choose, for tests."""
-IpAddress = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$")]
+MAXIMUM_PORT = 65_535
+
+
+def _is_ip_number(value: str) -> str:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError("must be an IP number, such as 127.0.0.1") from None
+    return value
+
+
+def _is_ip_and_port(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) <= MAXIMUM_PORT:
+            raise ValueError
+    except ValueError:
+        raise ValueError("must be ip:port, such as 127.0.0.1:7003") from None
+    return value
+
+
+IpAddress = Annotated[str, AfterValidator(_is_ip_number)]
 """An IP number; names are not resolved."""
+IpAndPort = Annotated[str, AfterValidator(_is_ip_and_port)]
+"""An IP number and a port, such as `127.0.0.1:7003`."""
 
 
 class TlsSettings(StrictModel):
@@ -51,7 +76,7 @@
     caller_port: Port = 0
     operator_port: Port = 0
     peer_port: Port = 0
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[IpAndPort, ...] = ()
     """Peer addresses `ip:port` to join by; hints only."""
     platform: PlatformSettings = PlatformSettings()
     caller_limits: CallerLimits = CallerLimits()
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,127 @@
+"""`foxwinch node` and `foxwinch dev` as real processes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import urllib.request
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+EXAMPLES = ROOT / "examples"
+SECONDS = 60
+
+
+class Foxwinch:
+    """A foxwinch process that has printed its addresses."""
+
+    def __init__(self, *arguments, expected):
+        self.environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "foxwinch", *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+            env=self.environment,
+        )
+        self.printed = {}
+        while not set(expected) <= self.printed.keys():
+            line = self.process.stdout.readline()
+            assert line, f"ended with {self.process.wait(SECONDS)} before it was ready"
+            name, _, value = line.strip().partition("=")
+            self.printed[name] = value
+
+    def command(self, *arguments, key):
+        """Run an operators' command against the process."""
+        address = self.printed["operator_address"]
+        variables = {"FOXWINCH_OPERATOR_ADDRESS": address, "FOXWINCH_OPERATOR_KEY": key}
+        return subprocess.run(
+            [sys.executable, "-m", "foxwinch", *arguments],
+            env={**self.environment, **variables},
+            capture_output=True,
+            text=True,
+            timeout=SECONDS,
+            check=False,
+        )
+
+    def get(self, path):
+        """Read a path of the caller side; returns status and body."""
+        with urllib.request.urlopen(self.printed["caller_url"] + path, timeout=SECONDS) as answer:
+            return answer.status, answer.read().decode()
+
+
+@pytest.fixture
+def started():
+    processes = []
+
+    def start(*arguments, expected):
+        processes.append(Foxwinch(*arguments, expected=expected))
+        return processes[-1]
+
+    yield start
+    for one in processes:
+        one.process.kill()
+        one.process.wait(SECONDS)
+
+
+def test_dev_answers_operators_and_stops_on_sigterm(started):
+    names = ("caller_url", "operator_address", "caller_key", "operator_key")
+    dev = started("dev", "--configuration", str(EXAMPLES / "cledwyn.toml"), expected=names)
+    key = dev.printed["operator_key"]
+    nodes = dev.command("nodes", "list", "--json", key=key)
+    (node,) = json.loads(nodes.stdout)["nodes"]
+    assert node["state"] == "alive"
+    got = dev.command("config", "get", "--json", key=key)
+    assert json.loads(json.loads(got.stdout)["document_json"])["deployment"] == "cledwyn"
+    different = dev.command("config", "diff", str(EXAMPLES / "cledwyn.toml"), key=key)
+    assert different.returncode == 9
+    assert "workers.llm-1.url" in different.stdout
+    assert dev.command("config", "status", key=key).returncode == 0
+    refused = dev.command("nodes", "list", key="wrong")
+    assert refused.returncode == 5
+    missing = dev.command("programs", "show", "no-such-program", key=key)
+    assert (missing.returncode, missing.stdout) == (7, "")
+    clients = [sys.executable, str(ROOT / "tests" / "operator_clients.py")]
+    found = json.loads(
+        subprocess.run(
+            [*clients, dev.printed["operator_address"]],
+            capture_output=True,
+            text=True,
+            timeout=SECONDS,
+            check=True,
+        ).stdout
+    )
+    assert found["health"] == "SERVING"
+    assert "foxwinch.v1.Operator" in found["services"]
+    assert found["schema_names_drain"]
+    dev.process.send_signal(signal.SIGTERM)
+    assert dev.process.wait(SECONDS) == 0
+
+
+def test_node_serves_health_and_an_operator_drains_it(started):
+    names = ("caller_url", "operator_address", "peer_address")
+    settings = str(EXAMPLES / "node-tvm-hall.toml")
+    ports = ("--caller-port", "0", "--operator-port", "0", "--peer-port", "0")
+    node = started("node", "--settings", settings, *ports, expected=names)
+    assert node.get("/healthz")[0] == 200
+    assert node.get("/metrics")[0] == 200
+    key = "example-operator-key"
+    listed = json.loads(node.command("nodes", "list", "--json", key=key).stdout)
+    drained = node.command("nodes", "drain", listed["nodes"][0]["node"], key=key)
+    assert drained.returncode == 0
+    assert node.process.wait(SECONDS) == 0
+
+
+def test_node_refuses_wrong_settings_before_it_starts():
+    refused = subprocess.run(
+        [sys.executable, "-m", "foxwinch", "node", "--name", "n", "--region", "r"],
+        capture_output=True,
+        text=True,
+        timeout=SECONDS,
+        check=False,
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+    )
+    assert refused.returncode == 2
+    assert "zone: missing" in refused.stderr
