Open the peer side of a node process

Cause: foxwinch node had no way to its fellow nodes. Change: open_ports starts PeerService under the identity that the node is then built with. Conclusion: the parts find peers in NodePorts; foxwinch dev runs alone.

--- a/src/foxwinch/node/dev.py
+++ b/src/foxwinch/node/dev.py
@@ -32,7 +32,7 @@
             operator_key_hashes=(hash_key(operator_key),),
             drain_seconds=10.0,
         )
-        process = NodeProcess(settings, _for_dev(document, base_url, caller_key))
+        process = NodeProcess(settings, _for_dev(document, base_url, caller_key), alone=True)
         loop.run_until_complete(process.start())
         try:
             keys = {"caller_key": caller_key, "operator_key": operator_key}
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -8,8 +8,9 @@
 from foxwinch.identifiers import NodeId
 from foxwinch.node.clock import SystemClock
 from foxwinch.node.node import new_node_identity
-from foxwinch.node.ports import NodePorts
+from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
+from foxwinch.peer.service import PeerService
 from foxwinch.settings.process import NodeSettings
 
 CONNECT_SECONDS = 3.0
@@ -24,20 +25,32 @@
     ports: NodePorts
     directory: WorkerDirectory
     session: aiohttp.ClientSession
+    peers: PeerService | None
 
     async def close(self) -> None:
         """Close every connection."""
+        if self.peers is not None:
+            await self.peers.stop()
         await self.session.close()
 
 
-async def open_ports(settings: NodeSettings) -> OpenPorts:
-    """Open the ports that the settings name."""
+async def open_ports(settings: NodeSettings, alone: bool = False) -> OpenPorts:
+    """Open the ports that the settings name; `alone` opens no peer side."""
     clock = SystemClock()
     node = new_node_identity(settings, clock)
     directory = WorkerDirectory()
+    peers = None
+    if not alone:
+        peers = PeerService(node, settings.host, settings.peer_port, settings.peer_tls)
+        await peers.start()
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
     )
-    ports = NodePorts(clock=clock, engine=HttpEngine(session, directory.url_of))
-    return OpenPorts(node, ports, directory, session)
+    ports = NodePorts(
+        clock=clock,
+        engine=HttpEngine(session, directory.url_of),
+        peers=peers,
+        peer_address=peers.address if peers is not None else NO_PEER_ADDRESS,
+    )
+    return OpenPorts(node, ports, directory, session, peers)
--- a/src/foxwinch/node/process.py
+++ b/src/foxwinch/node/process.py
@@ -25,11 +25,20 @@
 class NodeProcess(Service):
     """A node with its caller and operator sides."""
 
-    def __init__(self, settings: NodeSettings, proposed: ClusterConfiguration | None) -> None:
-        """Run a node by `settings`; `proposed` is put in force where nothing is yet."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        proposed: ClusterConfiguration | None,
+        alone: bool = False,
+    ) -> None:
+        """Run a node by `settings`; `proposed` is put in force where nothing is yet.
+
+        A node that runs `alone` has no peer side.
+        """
         super().__init__()
         self._settings = settings
         self._proposed = proposed
+        self._alone = alone
         self._open: OpenPorts | None = None
         self._node: Node | None = None
         self._callers: HttpService | None = None
@@ -38,7 +47,7 @@
     async def start(self) -> None:
         """Open the ports, start the node and then its listening sides."""
         settings = self._settings
-        self._open = await open_ports(settings)
+        self._open = await open_ports(settings, self._alone)
         node = build_node(settings, self._open.ports, self._proposed, node=self._open.node)
         self._node = node
         self._open.directory.follow(node.configuration)
