Reconcile models on workers with the configuration by bounded orders

Cause: models, versions and adapters must reach the configured state without draining a model. Change: a pure reconciler: loads within the weight store's rate, coldest worker first, never below a model's minimum, differences must last, failed orders pause.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,141 @@
+"""Model orders: goals are reached, minima and the weight store's rate are kept on the way."""
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foxwinch.core.orders.model import READS_WEIGHTS, ModelGoal, OrderKind, WorkerActual
+from foxwinch.core.orders.reconciler import OrderPolicy, OrderReconciler
+from foxwinch.identifiers import Epoch, ModelName, WorkerId
+
+POLICY = OrderPolicy(loads_in_flight=2, load_interval_seconds=1.0, stable_seconds=3.0)
+CHAT = ModelName("chat")
+POOL = frozenset({"pool"})
+
+
+def worker(name, load=0.0, models=(CHAT,), version="1", **more):
+    names = frozenset(models)
+    return WorkerActual(
+        WorkerId(name), "pool", load, names, versions=dict.fromkeys(names, version), **more
+    )
+
+
+def goal(minimum=2, version="1", adapters=(), model=CHAT):
+    return ModelGoal(model, version, frozenset(adapters), minimum, POOL)
+
+
+def test_below_its_minimum_a_model_is_loaded_at_once_on_the_coldest_worker():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    workers = [worker("a", 9.0, ()), worker("b", 1.0, ()), worker("c", 5.0)]
+    orders = reconciler.advance([goal()], workers, {}, 0.0)
+    assert [(o.worker, o.kind) for o in orders] == [("b", OrderKind.LOAD)]
+
+
+def test_a_new_version_waits_for_the_minimum_of_other_workers():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    workers = [worker("a"), worker("b"), worker("c")]
+    want = [goal(minimum=2, version="2")]
+    assert reconciler.advance(want, workers, {}, 0.0) == []
+    assert len(reconciler.advance(want, workers, {}, 3.0)) == 1
+    assert reconciler.advance(want, workers, {}, 10.0) == []
+
+
+def test_with_all_workers_needed_no_version_is_changed():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    workers = [worker("a"), worker("b")]
+    for now in range(0, 60, 3):
+        assert reconciler.advance([goal(2, "2")], workers, {}, float(now)) == []
+
+
+def test_a_difference_that_does_not_last_gives_no_order():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    for now in range(20):
+        adapters = ["a"] if now % 2 else []
+        assert reconciler.advance([goal(1, "1", adapters)], [worker("w")], {}, float(now)) == []
+
+
+def test_a_failed_order_is_not_repeated_at_once():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    workers = [worker("a", models=())]
+    (order,) = reconciler.advance([goal(1)], workers, {}, 0.0)
+    reconciler.completed(order.token, False, 1.0)
+    assert reconciler.advance([goal(1)], workers, {}, 5.0) == []
+    (again,) = reconciler.advance([goal(1)], workers, {}, 12.0)
+    assert again.token != order.token
+
+
+def test_pressure_on_a_model_gives_it_one_more_worker():
+    other = ModelName("other")
+    goals = [goal(1), goal(1, model=other)]
+    workers = [worker("a"), worker("b", models=(other,)), worker("c", 3.0, models=(other,))]
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    assert reconciler.advance(goals, workers, {CHAT: 50}, 0.0) == []
+    (order,) = reconciler.advance(goals, workers, {CHAT: 50}, 3.0)
+    assert (order.worker, order.kind, order.model) == ("b", OrderKind.LOAD, CHAT)
+
+
+def test_a_model_outside_the_configuration_is_unloaded():
+    reconciler = OrderReconciler(Epoch(1), POLICY)
+    workers = [worker("a", models=(CHAT, ModelName("old")))]
+    reconciler.advance([goal(1)], workers, {}, 0.0)
+    (order,) = reconciler.advance([goal(1)], workers, {}, 3.0)
+    assert (order.kind, order.model) == (OrderKind.UNLOAD, "old")
+
+
+def apply(actual, order):
+    """The worker after it has carried out an order."""
+    if order.kind is OrderKind.LOAD:
+        return replace(
+            actual,
+            models=actual.models | {order.model},
+            versions={**actual.versions, order.model: order.value},
+        )
+    if order.kind is OrderKind.UNLOAD:
+        return replace(actual, models=actual.models - {order.model})
+    if order.kind is OrderKind.SET_VERSION:
+        return replace(actual, versions={**actual.versions, order.model: order.value})
+    change = {(order.model, order.value)}
+    adapters = actual.adapters
+    added = order.kind is OrderKind.LOAD_ADAPTER
+    return replace(actual, adapters=adapters | change if added else adapters - change)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    loads=st.lists(st.floats(0.0, 10.0), min_size=3, max_size=8),
+    present=st.integers(0, 8),
+    minimum=st.integers(0, 3),
+    answers=st.lists(st.tuples(st.booleans(), st.floats(0.1, 6.0)), max_size=20),
+)
+def test_the_goal_is_reached_within_rate_and_minimum(loads, present, minimum, answers):
+    workers = {
+        f"w{i}": worker(f"w{i}", load, (CHAT,) if i < present else ())
+        for i, load in enumerate(loads)
+    }
+    want = goal(min(minimum, len(workers) - 1), "2", ["adapter"])
+    reconciler = OrderReconciler(Epoch(7), POLICY)
+    now, due, last_load = 0.0, {}, -10.0
+    script = iter(answers)
+    for _ in range(600):
+        now += 0.5
+        for token in [t for t, at in due.items() if at[0] <= now]:
+            _, succeeded = due.pop(token)
+            order = reconciler.completed(token, succeeded, now)
+            if succeeded:
+                workers[order.worker] = apply(workers[order.worker], order)
+        before = reconciler.serving(CHAT, workers.values())
+        for order in reconciler.advance([want], workers.values(), {}, now):
+            succeeded, seconds = next(script, (True, 0.4))
+            due[order.token] = (now + seconds, succeeded)
+            if order.kind in READS_WEIGHTS:
+                assert now - last_load >= POLICY.load_interval_seconds
+                last_load = now
+        loading = [o for o in reconciler.in_flight() if o.kind in READS_WEIGHTS]
+        assert len(loading) <= POLICY.loads_in_flight
+        after = reconciler.serving(CHAT, workers.values())
+        assert after >= min(before, want.minimum_workers)
+    for actual in workers.values():
+        assert actual.models == {CHAT}
+        assert actual.versions[CHAT] == "2"
+        assert actual.adapters == {(CHAT, "adapter")}
