Run stewards of workers, grants over leases, drains of workers and model orders

Cause: each worker must be dispatched to by one fenced node that may die, pause or leave, and owners anywhere must get grants from it, give them back, and have memory of ended programs released. Change: steward.proto; the steward service (claims, load and cache polling, leases, handover), the owner's grants service with idempotent reports that follow a worker to its next steward, engine retries until done, leaving workers by operator, machine list, report or refusals, orders delivered by the node that holds the region's orders epoch.

--- a/src/foxwinch/core/steward/assignment.py
+++ b/src/foxwinch/core/steward/assignment.py
@@ -223,8 +223,20 @@
             return self._maybe_claim(name, held, now)
         if held.state in (StewardState.SERVING, StewardState.RESYNCING):
             return self._maybe_release(name, held, now)
+        if held.state is StewardState.RELEASING:
+            return self._maybe_take_back(name, held)
         return []
 
+    def _maybe_take_back(self, name: str, held: _Held) -> list[AssignmentAction]:
+        """The node that was to follow is gone: end the handover, and claim anew."""
+        resource = self._resources.get(name)
+        if resource is None or self._draining:
+            return []
+        if preferred_node(resource, self._candidates, self._region) != self._node:
+            return []
+        held.state = StewardState.UNASSIGNED
+        return [Lost(name, held.epoch)]
+
     def _maybe_claim(self, name: str, held: _Held, now: float) -> list[AssignmentAction]:
         resource = self._resources.get(name)
         settling = now < self._started_at + SETTLING_SECONDS
--- /dev/null
+++ b/src/foxwinch/node/service_tasks.py
@@ -0,0 +1,43 @@
+"""The background tasks of one service: none dies silently, all end with the service."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from foxwinch.log import EventLog
+
+log = EventLog("tasks")
+
+
+class ServiceTasks:
+    """Keeps tasks; one that fails is a broken invariant and is given to the loop's handler."""
+
+    def __init__(self, service: str) -> None:
+        """Name the service for the log."""
+        self._service = service
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def keep(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a coroutine until it ends or the service stops."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def stop(self) -> None:
+        """Cancel every task and wait for its end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.error("task_failed", service=self._service, error=type(error).__name__)
+            task.get_loop().call_exception_handler(
+                {"message": f"a task of {self._service} failed", "exception": error, "task": task}
+            )
--- /dev/null
+++ b/src/foxwinch/node/steward_desk.py
@@ -0,0 +1,168 @@
+"""What a steward answers to owners, operators and the node that decides on model orders."""
+
+from collections.abc import AsyncIterator, Callable
+
+from google.protobuf.message import DecodeError, Message
+
+from foxwinch._generated.steward_pb2 import (
+    GrantAsk,
+    GrantGiven,
+    GrantReport,
+    GrantReportAnswer,
+    StewardedWorker,
+    StewardedWorkers,
+    WorkerOrder,
+    WorkerOrderDone,
+)
+from foxwinch.backends.ports import EnginePort, ModelOrder
+from foxwinch.core.steward.assignment import StewardState
+from foxwinch.core.steward.grant_ledger import GrantLedger
+from foxwinch.identifiers import CallId, ModelName, NodeId, ProgramId, WorkerId
+from foxwinch.node.engine_retries import EngineRetries
+from foxwinch.node.interfaces import Clock
+from foxwinch.node.steward_grants import StewardGrants
+from foxwinch.node.steward_messages import (
+    ACQUIRE_METHOD,
+    DESCRIBE_METHOD,
+    ORDER_METHOD,
+    REPORT_METHOD,
+)
+from foxwinch.node.steward_pools import StewardPools
+from foxwinch.node.steward_programs import StewardPrograms
+from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.peer.ports import PeerContext, PeerPort
+
+UNREADABLE = not_run(Reason.INVALID_REQUEST, "the message cannot be read")
+
+
+class StewardDesk:
+    """Implements `foxwinch.node.steward_client.StewardEndpoint`."""
+
+    def __init__(
+        self,
+        engine: EnginePort,
+        clock: Clock,
+        pools: StewardPools,
+        ledger: GrantLedger,
+        retries: EngineRetries,
+        grants: StewardGrants,
+        state_of: Callable[[WorkerId], StewardState],
+    ) -> None:
+        """Answer out of the pools; `state_of` tells what this node is to a worker."""
+        self._engine = engine
+        self._clock = clock
+        self._pools = pools
+        self._ledger = ledger
+        self._retries = retries
+        self._grants = grants
+        self._state_of = state_of
+        self.programs = StewardPrograms(pools, grants)
+        self._orders_epoch = 0
+
+    def serve(self, peers: PeerPort) -> None:
+        """Answer fellow nodes."""
+        peers.handle_stream(ACQUIRE_METHOD, self._serve_acquire)
+        peers.handle(REPORT_METHOD, self._serve_report)
+        peers.handle(DESCRIBE_METHOD, self._serve_describe)
+        peers.handle(ORDER_METHOD, self._serve_order)
+
+    async def acquire(self, owner: NodeId, ask: GrantAsk) -> GrantGiven | Refused:
+        """Wait for a grant; cancelling withdraws the request."""
+        program_id = ProgramId(ask.program_id)
+        self.programs.asked(owner, program_id, ask.sequence)
+        answer = await self._grants.acquire(owner, ask)
+        if not isinstance(answer, Refused):
+            self.programs.granted(program_id, WorkerId(answer.worker))
+        return answer
+
+    async def report(self, owner: NodeId, report: GrantReport) -> GrantReportAnswer:
+        """Take a report in; every item is idempotent."""
+        answer = GrantReportAnswer()
+        for settled in report.settled:
+            self._grants.settle(owner, settled)
+        for withdrawn in report.withdrawn:
+            self._grants.withdraw(owner, CallId(withdrawn.call_id), withdrawn.sequence)
+        for paused in report.paused:
+            self.programs.pause(owner, paused)
+        for finished in report.finished:
+            if self.programs.finish(finished):
+                answer.released.append(finished.program_id)
+        for held in report.held:
+            worker = WorkerId(held.worker)
+            if not self._grants.confirm(owner, CallId(held.call_id), held.sequence, worker):
+                answer.void_calls.append(held.call_id)
+        return answer
+
+    async def describe(self) -> StewardedWorkers:
+        """Return the state of the workers that the node holds."""
+        return StewardedWorkers(workers=[self._status(worker) for worker in self._pools.held()])
+
+    async def order(self, order: WorkerOrder) -> WorkerOrderDone | Refused:
+        """Carry out a model order under the worker's epoch, unless a newer orderer is known."""
+        if order.orders_epoch < self._orders_epoch:
+            return not_run(Reason.FENCED, "a newer node decides on model orders")
+        self._orders_epoch = order.orders_epoch
+        worker = WorkerId(order.worker)
+        held = self._pools.held().get(worker)
+        if held is None:
+            return not_run(Reason.NOT_OWNER, f"worker {worker} has another steward")
+        fenced = ModelOrder(
+            order.token, held.epoch, order.kind, ModelName(order.model), order.value
+        )
+        done = await self._engine.apply_order(worker, fenced)
+        held.link.poll_now()
+        return done if isinstance(done, Refused) else WorkerOrderDone()
+
+    def _status(self, worker: WorkerId) -> StewardedWorker:
+        held = self._pools.held()[worker]
+        status = StewardedWorker(
+            worker=worker,
+            epoch=held.epoch,
+            state=self._state_of(worker),
+            leaving=held.leaving,
+            granted=len(self._ledger.on_worker(worker)) + self._ledger.foreign_calls(worker),
+            releases_pending=self._retries.pending(worker),
+            report_age_seconds=-1.0,
+        )
+        report, reported_at = held.link.report, held.link.reported_at
+        if report is not None and reported_at is not None:
+            status.running, status.waiting = report.running, report.waiting
+            status.cache_blocks_used = report.cache_blocks_used
+            status.cache_blocks_total = report.cache_blocks_total
+            status.models.extend(report.models)
+            status.report_age_seconds = self._clock.monotonic() - reported_at
+        return status
+
+    async def _serve_acquire(
+        self, context: PeerContext, payload: bytes
+    ) -> AsyncIterator[bytes | Refused]:
+        ask = GrantAsk()
+        if not _parses(ask, payload):
+            yield UNREADABLE
+            return
+        answer = await self.acquire(context.sender, ask)
+        yield answer if isinstance(answer, Refused) else answer.SerializeToString()
+
+    async def _serve_report(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        report = GrantReport()
+        if not _parses(report, payload):
+            return UNREADABLE
+        return (await self.report(context.sender, report)).SerializeToString()
+
+    async def _serve_describe(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        return (await self.describe()).SerializeToString()
+
+    async def _serve_order(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        order = WorkerOrder()
+        if not _parses(order, payload):
+            return UNREADABLE
+        answer = await self.order(order)
+        return answer if isinstance(answer, Refused) else answer.SerializeToString()
+
+
+def _parses(message: Message, payload: bytes) -> bool:
+    try:
+        message.ParseFromString(payload)
+    except DecodeError:
+        return False
+    return True
--- /dev/null
+++ b/src/foxwinch/node/steward_facts.py
@@ -0,0 +1,64 @@
+"""The workers of a steward as operators see them, and their order to drain one."""
+
+from collections.abc import Sequence
+
+from foxwinch._generated.operator_pb2 import WorkerStatus
+from foxwinch.commands.drain_worker import DrainWorker, drain_worker
+from foxwinch.commands.operator import Accepted
+from foxwinch.identifiers import NodeId, WorkerId
+from foxwinch.node.interfaces import ConfigurationView, GossipView
+from foxwinch.node.steward_pools import HeldWorker
+from foxwinch.node.steward_service import StewardService
+from foxwinch.outcomes import Refused
+
+
+class StewardFacts:
+    """Implements `foxwinch.queries.facts.WorkerFacts`."""
+
+    def __init__(self, node: NodeId, steward: StewardService) -> None:
+        """Report what `steward` holds."""
+        self._node = node
+        self._steward = steward
+
+    def workers(self) -> Sequence[WorkerStatus]:
+        """Return a status for each worker that this node is steward of."""
+        held = self._steward.pools.held()
+        return [self._status(worker, entry) for worker, entry in held.items()]
+
+    def _status(self, worker: WorkerId, held: HeldWorker) -> WorkerStatus:
+        status = WorkerStatus(
+            worker=worker,
+            pool=held.settings.pool,
+            zone=held.settings.zone,
+            url=held.settings.url,
+            steward=self._node,
+            epoch=held.epoch,
+            state=_state(held),
+        )
+        report = held.link.report
+        if report is not None:
+            status.running, status.waiting = report.running, report.waiting
+            status.models.extend(report.models)
+        return status
+
+
+class GossipedDrains:
+    """Implements `foxwinch.commands.operator.WorkerDrains`."""
+
+    def __init__(self, configuration: ConfigurationView, gossip: GossipView) -> None:
+        """Check against `configuration`, spread by `gossip`."""
+        self._configuration = configuration
+        self._gossip = gossip
+
+    async def drain_worker(self, worker: WorkerId) -> Accepted | Refused:
+        """Give the worker no new work from any node of the region."""
+        outcome = drain_worker(self._configuration, self._gossip, DrainWorker(worker))
+        return outcome if isinstance(outcome, Refused) else Accepted()
+
+
+def _state(held: HeldWorker) -> str:
+    if held.link.report is None:
+        return "unknown"
+    if not held.ready:
+        return "down"
+    return "leaving" if held.leaving else "ready"
--- /dev/null
+++ b/src/foxwinch/node/steward_service.py
@@ -0,0 +1,314 @@
+"""The steward of a node: claims workers, reads them, gives grants, and hands them over."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import cast
+
+from prometheus_client import CollectorRegistry
+
+from foxwinch._generated.steward_pb2 import HeldResource, ModelQueue, StewardDigest
+from foxwinch.backends.ports import EnginePort
+from foxwinch.core.steward.assignment import (
+    AssignmentAction,
+    Claim,
+    Lost,
+    Release,
+    Resource,
+    Resync,
+    StewardAssignment,
+    StewardState,
+)
+from foxwinch.core.steward.grant_ledger import GrantLedger
+from foxwinch.identifiers import Epoch, ModelName, NodeId, WorkerId, ZoneName
+from foxwinch.log import EventLog
+from foxwinch.node.cache_evacuation import CacheEvacuation
+from foxwinch.node.engine_retries import EngineRetries
+from foxwinch.node.interfaces import (
+    Clock,
+    ConfigurationSnapshot,
+    ConfigurationView,
+    EpochView,
+    GossipEntry,
+    GossipKind,
+    GossipView,
+    MembershipView,
+)
+from foxwinch.node.service_tasks import ServiceTasks
+from foxwinch.node.steward_desk import StewardDesk
+from foxwinch.node.steward_directory import StewardDirectory, resource_worker, worker_resource
+from foxwinch.node.steward_grants import LOWEST_RANK, StewardGrants
+from foxwinch.node.steward_metrics import StewardMetrics
+from foxwinch.node.steward_pools import StewardPools
+from foxwinch.node.waiting import wait_for_event
+from foxwinch.node.worker_drains import WorkerDrains
+from foxwinch.outcomes import Refused
+from foxwinch.peer.ports import PeerPort
+from foxwinch.platform.ports import MachinePort
+
+TICK_SECONDS = 0.25
+"""Period of looking at members, leases and waiting calls when nothing wakes the service."""
+DIGEST_SECONDS = 1.0
+"""A digest is spread at most this often while only queue lengths change."""
+
+log = EventLog("steward")
+
+
+@dataclass(frozen=True, slots=True)
+class StewardPorts:
+    """What the steward needs of its node."""
+
+    node: NodeId
+    clock: Clock
+    engine: EnginePort
+    configuration: ConfigurationView
+    membership: MembershipView
+    gossip: GossipView
+    epochs: EpochView
+    peers: PeerPort | None
+    machines: MachinePort | None
+    registry: CollectorRegistry
+
+
+class StewardService:
+    """Runs the assignment of this node; `desk` answers owners."""
+
+    def __init__(self, ports: StewardPorts, directory: StewardDirectory) -> None:
+        """Build the parts; nothing runs before `start`."""
+        self._ports = ports
+        self._directory = directory
+        self._ledger = GrantLedger()
+        self._retries = EngineRetries(ports.clock)
+        self._evacuation = CacheEvacuation(ports.engine)
+        self._wake = asyncio.Event()
+        self._drains = WorkerDrains(ports.gossip, ports.machines, ports.clock, self._wake.set)
+        self.pools = StewardPools(
+            ports.engine, ports.clock, self._ledger, self._retries, self._drains, self._evacuate
+        )
+        self._grants = StewardGrants(
+            ports.engine,
+            ports.clock,
+            ports.configuration,
+            self.pools,
+            self._ledger,
+            self._retries,
+            self._drains,
+        )
+        self.desk = StewardDesk(
+            ports.engine,
+            ports.clock,
+            self.pools,
+            self._ledger,
+            self._retries,
+            self._grants,
+            self.state_of,
+        )
+        self._metrics = StewardMetrics(ports.registry)
+        self._assignment: StewardAssignment | None = None
+        self._tasks = ServiceTasks("steward")
+        self._extra: tuple[Resource, ...] = ()
+        self._draining = False
+        self._digest = b""
+        self._digest_held = b""
+        self._digest_version = 0
+        self._digest_at = float("-inf")
+
+    def state_of(self, worker: WorkerId) -> StewardState:
+        """Return what this node is to a worker."""
+        if self._assignment is None:
+            return StewardState.UNASSIGNED
+        return self._assignment.state(worker_resource(worker))
+
+    def hold_also(self, resource: Resource) -> None:
+        """Assign a further resource that is not a worker among the nodes."""
+        self._extra = (*self._extra, resource)
+
+    def epoch_of(self, resource: str) -> Epoch | None:
+        """Return the epoch of a resource that this node serves, or None."""
+        if self._assignment is None or self._draining:
+            return None
+        if self._assignment.state(resource) is not StewardState.SERVING:
+            return None
+        return self._assignment.held().get(resource)
+
+    async def start(self) -> None:
+        """Serve fellow nodes and begin to claim."""
+        member = self._ports.membership.this_member()
+        now = self._ports.clock.monotonic()
+        self._assignment = StewardAssignment(self._ports.node, member.region, now)
+        self._ports.configuration.subscribe(self._configured)
+        snapshot = self._ports.configuration.current()
+        if not isinstance(snapshot, Refused):
+            self._configured(snapshot)
+        if self._ports.peers is not None:
+            self.desk.serve(self._ports.peers)
+        self._directory.subscribe(self._wake.set)
+        self._drains.start()
+        self._tasks.keep(self._run())
+
+    async def stop(self) -> None:
+        """Stop everything; the epochs stay until another node raises them."""
+        await self._tasks.stop()
+        await self._drains.stop()
+        await self._evacuation.stop()
+        await self.pools.stop()
+        await self._retries.stop()
+
+    async def drain(self) -> None:
+        """Hand every worker over; returns when this node holds none."""
+        assert self._assignment is not None
+        self._draining = True
+        self._assignment.drain()
+        while self._assignment.held():
+            self._wake.set()
+            await self._ports.clock.sleep(TICK_SECONDS)
+
+    # --- the loop ----------------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            self._tick()
+            await wait_for_event(self._ports.clock, self._wake, TICK_SECONDS)
+
+    def _tick(self) -> None:
+        assignment = cast(StewardAssignment, self._assignment)
+        now = self._ports.clock.monotonic()
+        assignment.update_candidates(self._directory.candidates())
+        assignment.update_holders(self._directory.holders())
+        for action in assignment.advance(now):
+            self._carry_out(action)
+        self._finish_handovers(assignment)
+        self._metrics.expired(self._grants.expire(self._is_present))
+        self.pools.refresh_all()
+        self.pools.tick()
+        self._publish(assignment, now)
+        self._metrics.observe(assignment.held(), self._ledger, self.pools)
+
+    def _is_present(self, node: NodeId) -> bool:
+        return self._directory.member(node) is not None
+
+    def _configured(self, snapshot: ConfigurationSnapshot) -> None:
+        self.pools.configure(snapshot.document)
+        assert self._assignment is not None
+        workers = [
+            Resource(worker_resource(worker), ZoneName(settings.zone))
+            for worker, settings in self.pools.workers().items()
+        ]
+        self._assignment.update_resources([*workers, *self._extra])
+        self._wake.set()
+
+    # --- assignment --------------------------------------------------------------------------
+
+    def _carry_out(self, action: AssignmentAction) -> None:
+        log.info(type(action).__name__.lower(), node=self._ports.node, resource=action.resource)
+        worker = resource_worker(action.resource)
+        match action:
+            case Claim():
+                self._tasks.keep(self._claim(action.resource))
+            case Resync():
+                self._resync(action, worker)
+            case Release() if worker is not None:
+                self.pools.release(worker)
+            case Lost() if worker is not None:
+                self._let_go(worker)
+
+    async def _claim(self, resource: str) -> None:
+        assignment = cast(StewardAssignment, self._assignment)
+        claim = await self._ports.epochs.raise_epoch(resource)
+        if isinstance(claim, Refused):
+            log.info("claim_refused", resource=resource, reason=claim.reason)
+            assignment.refused(resource, self._ports.clock.monotonic())
+        else:
+            for action in assignment.claimed(resource, claim.epoch):
+                self._carry_out(action)
+        self._wake.set()
+
+    def _resync(self, action: Resync, worker: WorkerId | None) -> None:
+        assignment = cast(StewardAssignment, self._assignment)
+        if worker is None:
+            assignment.resynced(action.resource, action.epoch)
+            return
+
+        def ready() -> None:
+            assignment.resynced(action.resource, action.epoch)
+            self._wake.set()
+
+        self.pools.hold(worker, action.epoch, ready)
+
+    def _finish_handovers(self, assignment: StewardAssignment) -> None:
+        """End a handover that no other node will take up, once its grants are over."""
+        alone = not any(c.node != self._ports.node for c in self._directory.candidates())
+        for resource, epoch in assignment.held().items():
+            if assignment.state(resource) is not StewardState.RELEASING:
+                continue
+            worker = resource_worker(resource)
+            if worker is None:
+                assignment.released(resource, epoch)
+            elif (alone or worker not in self.pools.workers()) and not self._ledger.on_worker(
+                worker
+            ):
+                self._let_go(worker)
+                assignment.released(resource, epoch)
+
+    def _let_go(self, worker: WorkerId) -> None:
+        self._evacuation.cancel(worker)
+        self.pools.let_go(worker)
+
+    def _evacuate(self, worker: WorkerId) -> None:
+        """Move useful cache off a worker that begins to leave, to its pool's other workers."""
+        held = self.pools.held()
+        pool_name = held[worker].settings.pool
+        targets = [
+            name
+            for name, other in held.items()
+            if name != worker
+            and other.settings.pool == pool_name
+            and other.ready
+            and not other.leaving
+        ]
+        log.info("worker_leaving", worker=worker, targets=len(targets))
+        self._evacuation.begin(worker, targets, self.desk.programs.latest_on(worker))
+
+    # --- the digest --------------------------------------------------------------------------
+
+    def _publish(self, assignment: StewardAssignment, now: float) -> None:
+        """Spread what has changed: who holds what at once, queue lengths at a slower pace."""
+        digest = StewardDigest(draining=self._draining, held=self._held_resources(assignment))
+        held_part = digest.SerializeToString(deterministic=True)
+        digest.queues.extend(self._queues())
+        digest.hot_prefixes.extend(self._grants.hot_prefixes())
+        payload = digest.SerializeToString(deterministic=True)
+        due = held_part != self._digest_held or now - self._digest_at >= DIGEST_SECONDS
+        if payload == self._digest or not due:
+            return
+        self._digest, self._digest_held, self._digest_at = payload, held_part, now
+        self._digest_version += 1
+        entry = GossipEntry(
+            GossipKind.STEWARD, str(self._ports.node), self._digest_version, payload
+        )
+        self._ports.gossip.publish(entry)
+
+    def _held_resources(self, assignment: StewardAssignment) -> list[HeldResource]:
+        found: list[HeldResource] = []
+        for resource, epoch in sorted(assignment.held().items()):
+            worker = resource_worker(resource)
+            held = self.pools.held().get(worker) if worker else None
+            releasing = assignment.state(resource) is StewardState.RELEASING
+            item = HeldResource(name=resource, epoch=epoch, releasing=releasing)
+            if held is not None and held.ready and held.link.report is not None:
+                item.leaving = held.leaving
+                item.models.extend(held.link.report.models)
+            found.append(item)
+        return found
+
+    def _queues(self) -> list[ModelQueue]:
+        found: list[ModelQueue] = []
+        for model in sorted(self.pools.models()):
+            served = self.pools.serving(ModelName(model), LOWEST_RANK)
+            if served is not None:
+                pool = served[1]
+                wait = round(pool.predicted_wait_seconds(LOWEST_RANK), 1)
+                found.append(
+                    ModelQueue(model=model, queued=pool.queued(model), predicted_wait_seconds=wait)
+                )
+        return found
--- /dev/null
+++ b/tests/test_steward_service.py
@@ -0,0 +1,198 @@
+"""Stewards and owners together: grants, takeover, fencing, leaving workers, releases."""
+
+import asyncio
+
+import pytest
+
+from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message
+from foxwinch.emulator.faults import EngineFaults
+from foxwinch.node.interfaces import Grant, GrantUsage
+from foxwinch.node.worker_drains import drain_entry
+from foxwinch.outcomes import Reason, Refused
+from steward_cluster import MODEL, StewardCluster, request, run_call, until
+
+pytestmark = [pytest.mark.looptime]
+
+
+def order_under(grant):
+    messages = (Message("user", "x"),)
+    return GenerateOrder(grant.call_id, "stale", MODEL, messages, 4, 0, grant.epoch)
+
+
+def granted(cluster):
+    """Grants that stewards have given and not taken back."""
+    return sum(len(node.steward._ledger) for node in cluster.nodes.values())
+
+
+async def test_every_worker_has_one_steward_and_any_owner_gets_grants():
+    async with StewardCluster() as cluster:
+        assert set(cluster.serving()) == set(cluster.engines)
+        for number, node in enumerate(cluster.nodes.values()):
+            grant, last = await run_call(cluster, node, f"c{number}", f"p{number}")
+            assert isinstance(last, GenerateFinished)
+            assert grant.worker in cluster.engines
+        await until(lambda: granted(cluster) == 0)
+
+
+async def test_a_program_goes_back_to_the_steward_of_its_prefix():
+    async with StewardCluster() as cluster:
+        node = cluster.nodes["n0"]
+        grants = [(await run_call(cluster, node, f"c{i}"))[0] for i in range(6)]
+        stewards = {cluster.serving()[grant.worker] for grant in grants}
+        assert len(stewards) == 1
+
+
+async def test_withdrawn_requests_leave_nothing_behind():
+    async with StewardCluster(workers=1) as cluster:
+        nodes = list(cluster.nodes.values())
+        holding = [await nodes[0].grants.acquire(request(f"c{i}", f"p{i}")) for i in range(16)]
+        assert all(isinstance(grant, Grant) for grant in holding)
+        waiting = asyncio.create_task(nodes[1].grants.acquire(request("late", "late")))
+        await asyncio.sleep(0.5)
+        assert not waiting.done()
+        waiting.cancel()
+        await asyncio.sleep(0.5)
+        nodes[0].grants.settle(holding[0], GrantUsage(holding[0].call_id, 1, 0, 1, False))
+        await until(lambda: granted(cluster) == 15)
+        follower = await nodes[2].grants.acquire(request("next", "next", 5.0))
+        assert isinstance(follower, Grant)
+
+
+async def test_a_request_is_refused_at_its_deadline_as_not_run():
+    async with StewardCluster(workers=1) as cluster:
+        node = cluster.nodes["n0"]
+        for i in range(16):
+            await node.grants.acquire(request(f"c{i}", f"p{i}"))
+        refused = await node.grants.acquire(request("late", "late", 3.0))
+        assert isinstance(refused, Refused)
+        assert (refused.reason, refused.run_state) == (Reason.DEADLINE, "not_run")
+
+
+async def test_a_steward_killed_with_waiting_requests_is_replaced():
+    async with StewardCluster(workers=1) as cluster:
+        (name,) = set(cluster.serving().values())
+        owner = next(node for node in cluster.nodes.values() if node.name != name)
+        for i in range(16):
+            await owner.grants.acquire(request(f"c{i}", f"p{i}"))
+        waiting = asyncio.create_task(owner.grants.acquire(request("w", "w")))
+        await asyncio.sleep(0.3)
+        await cluster.kill(name)
+        await until(lambda: set(cluster.serving().values()) - {name})
+        for call in owner.grants._reports.held()[:4]:
+            owner.grants.settle(call, GrantUsage(call.call_id, 1, 0, 1, False))
+        assert isinstance(await waiting, Grant)
+
+
+async def test_grants_of_a_killed_owner_are_taken_back():
+    async with StewardCluster(workers=1) as cluster:
+        (name,) = set(cluster.serving().values())
+        owner = next(node for node in cluster.nodes.values() if node.name != name)
+        for i in range(16):
+            await owner.grants.acquire(request(f"c{i}", f"p{i}"))
+        await cluster.kill(owner.name)
+        await until(lambda: granted(cluster) == 0, 5.0)
+
+
+async def test_a_paused_steward_that_wakes_is_fenced():
+    async with StewardCluster(workers=1) as cluster:
+        (name,) = set(cluster.serving().values())
+        old = cluster.nodes[name]
+        stale = await old.grants.acquire(request("stale", "stale"))
+        member = cluster.members.pop(name)
+        cluster.pause(name)
+        await until(lambda: set(cluster.serving().values()) - {name})
+        new = cluster.nodes[next(iter(cluster.serving().values()))]
+        await run_call(cluster, new, "c1")
+        last = None
+        order = GenerateOrder(
+            "stale", "stale", "rail-chat", (Message("user", "x"),), 4, 0, stale.epoch
+        )
+        async for event in cluster.engine.generate(stale.worker, order):
+            last = event
+        assert (last.reason, last.run_state) == (Reason.FENCED, "not_run")
+        cluster.members[name] = member
+        cluster.resume(name)
+        await until(lambda: not old.steward.pools.held() or new.steward.pools.held() == {})
+        await asyncio.sleep(20.0)
+        assert len([n for n in cluster.nodes.values() if n.steward.pools.held()]) == 1
+
+
+LEAVING = {
+    "operator": lambda cluster, worker: cluster.nodes["n0"].views.publish(
+        drain_entry(cluster.nodes["n0"].views, worker, True)
+    ),
+    "machine list": lambda cluster, worker: cluster.machines.mark_leaving(
+        worker, asyncio.get_running_loop().time()
+    ),
+    "report": lambda cluster, worker: setattr(
+        cluster.engines[worker].gate, "faults", EngineFaults(leaving=True)
+    ),
+}
+
+
+@pytest.mark.parametrize("source", LEAVING)
+async def test_a_leaving_worker_gets_no_new_work_within_three_seconds(source):
+    async with StewardCluster(nodes=3, workers=2) as cluster:
+        leaving = "llm-1"
+        LEAVING[source](cluster, leaving)
+        await asyncio.sleep(3.0)
+        for number in range(20):
+            node = cluster.nodes[f"n{number % 3}"]
+            grant = await node.grants.acquire(request(f"c{number}", f"p{number}"))
+            assert grant.worker != leaving
+            node.grants.settle(grant, GrantUsage(grant.call_id, 1, 0, 1, False))
+
+
+async def test_memory_of_finished_programs_is_released_also_by_the_next_steward():
+    async with StewardCluster(workers=1) as cluster:
+        (name,) = set(cluster.serving().values())
+        owner = next(node for node in cluster.nodes.values() if node.name != name)
+        await run_call(cluster, owner, "c1", "p1")
+        await run_call(cluster, owner, "c2", "p2")
+        engine = cluster.engines["llm-1"]
+        engine.gate.faults = EngineFaults(down=True)
+        owner.grants.finish("p1")
+        await asyncio.sleep(2.0)
+        assert cluster.held_memory() == {"p1", "p2"}
+        await cluster.kill(name)
+        await asyncio.sleep(8.0)
+        engine.gate.faults = EngineFaults()
+        await until(lambda: cluster.held_memory() == {"p2"})
+        await until(lambda: owner.grants._reports.pending() == 0)
+
+
+async def test_a_lost_answer_to_a_release_is_settled_by_releasing_again():
+    async with StewardCluster(workers=1) as cluster:
+        owner = cluster.nodes["n0"]
+        await run_call(cluster, owner, "c1", "p1")
+        cluster.engines["llm-1"].gate.faults = EngineFaults(lose_answer_probability=0.7)
+        owner.grants.finish("p1")
+        await until(lambda: owner.grants._reports.pending() == 0)
+        assert cluster.engines["llm-1"].released["p1"] >= 1
+
+
+async def test_a_worker_that_is_gone_frees_its_places_and_serves_again_when_back():
+    async with StewardCluster(nodes=1, workers=1) as cluster:
+        node = cluster.nodes["n0"]
+        lost = [await node.grants.acquire(request(f"c{i}", f"p{i}")) for i in range(16)]
+        engine = cluster.engines.pop("llm-1")
+        for grant in lost:
+            node.grants.settle(grant, GrantUsage(grant.call_id, 0, 0, 0, True))
+        await asyncio.sleep(8.0)
+        refused = await node.grants.acquire(request("while-gone", "w"))
+        assert (refused.reason, refused.run_state) == (Reason.BACKEND_UNAVAILABLE, "not_run")
+        assert refused.retry_after_seconds
+        cluster.engines["llm-1"] = engine
+        assert isinstance(await node.grants.acquire(request("back", "b")), Grant)
+
+
+async def test_a_planned_stop_hands_every_worker_over():
+    async with StewardCluster() as cluster:
+        leaving = cluster.nodes["n1"]
+        grant = await leaving.grants.acquire(request("running", "r"))
+        await asyncio.wait_for(leaving.steward.drain(), 20.0)
+        assert "n1" not in cluster.serving().values()
+        await until(lambda: set(cluster.serving()) == set(cluster.engines))
+        leaving.grants.settle(grant, GrantUsage("running", 1, 0, 1, False))
+        await leaving.grants.drain()
+        await until(lambda: granted(cluster) == 0)
