Fence stewards by epochs heard from dead nodes and by refusals of workers

Cause: a steward that slept through a takeover by a node that has since died served on under an old epoch, found by the Hypothesis test of the assignment. Change: the highest epoch heard of counts whoever it came from; owners report a fenced refusal. Conclusion: the test passes; an old steward claims anew.

--- a/src/foxwinch/core/steward/assignment.py
+++ b/src/foxwinch/core/steward/assignment.py
@@ -141,6 +141,7 @@
         self._held: dict[str, _Held] = {}
         self._candidates: tuple[Candidate, ...] = ()
         self._holders: Mapping[str, Holder] = {}
+        self._epochs: Mapping[str, Epoch] = {}
         self._draining = False
 
     def state(self, resource: str) -> StewardState:
@@ -165,6 +166,10 @@
         """Replace the holders heard of, live nodes only (a leaving one counts as live)."""
         self._holders = holders
 
+    def update_epochs(self, epochs: Mapping[str, Epoch]) -> None:
+        """Replace the highest epoch heard of each resource, from nodes that are dead included."""
+        self._epochs = epochs
+
     def drain(self) -> None:
         """Hand everything over and claim nothing more."""
         self._draining = True
@@ -212,9 +217,7 @@
         actions: list[AssignmentAction] = []
         for name in sorted(set(self._resources) | set(self._held)):
             held = self._held.setdefault(name, _Held())
-            holder = self._holders.get(name)
-            if holder is not None and holder.node != self._node:
-                actions += self.fenced(name, holder.epoch)
+            actions += self.fenced(name, self._epochs.get(name, NO_EPOCH))
             actions += self._decide(name, held, now)
         return actions
 
--- a/src/foxwinch/core/steward/grant_ledger.py
+++ b/src/foxwinch/core/steward/grant_ledger.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from foxwinch.identifiers import CallId, NodeId, ProgramId, WorkerId
+from foxwinch.identifiers import CallId, Epoch, NodeId, ProgramId, WorkerId
 
 LEASE_SECONDS = 10.0
 """Five times the period at which owners confirm: four lost reports in a row cost nothing."""
@@ -24,6 +24,7 @@
     sequence: int
     """Of the owner's ask; a call may be asked for again."""
     worker: WorkerId
+    epoch: Epoch
     program_id: ProgramId | None
     """None for a foreign call."""
     pool: str
@@ -65,7 +66,7 @@
         """Take in that an owner still holds a grant, one of an earlier steward included."""
         record = self._grants.get(call_id)
         if record is None or record.owner != owner or record.sequence != sequence:
-            record = GrantRecord(call_id, owner, sequence, worker, None, "")
+            record = GrantRecord(call_id, owner, sequence, worker, Epoch(0), None, "")
             self._foreign[(owner, call_id)] = record
         self._expires_at[(owner, call_id)] = now + LEASE_SECONDS
 
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -255,6 +255,8 @@
     failed: bool
     not_run: bool = False
     """True when the worker itself refused the call without running it."""
+    fenced: bool = False
+    """True when it refused because it has seen a newer epoch: the steward has been replaced."""
 
 
 class GrantView(Protocol):
--- a/src/foxwinch/node/steward_directory.py
+++ b/src/foxwinch/node/steward_directory.py
@@ -90,6 +90,14 @@
                     found[held.name] = Holder(member.node, Epoch(held.epoch), held.releasing)
         return found
 
+    def epochs(self) -> dict[str, Epoch]:
+        """Return the highest epoch heard of each resource, from nodes that are dead included."""
+        found: dict[str, Epoch] = {}
+        for key, entry in self._gossip.entries(GossipKind.STEWARD).items():
+            for held in self._decode(key, entry).held:
+                found[held.name] = max(found.get(held.name, Epoch(0)), Epoch(held.epoch))
+        return found
+
     def steward_of(self, worker: WorkerId) -> NodeId | None:
         """Return the node that holds a worker, handing it over included."""
         holder = self.holders().get(worker_resource(worker))
@@ -136,7 +144,7 @@
         """Yield the digest of every member that may still answer."""
         present = self._present()
         entries = self._gossip.entries(GossipKind.STEWARD)
-        for node in self._decoded.keys() - present.keys():
+        for node in self._decoded.keys() - entries.keys():
             del self._decoded[node]
         for key, entry in entries.items():
             member = present.get(NodeId(key))
--- a/src/foxwinch/node/steward_grants.py
+++ b/src/foxwinch/node/steward_grants.py
@@ -13,7 +13,7 @@
 from foxwinch.core.steward.events import CallFailed, CallFinished
 from foxwinch.core.steward.grant_ledger import LEASE_SECONDS, GrantLedger, GrantRecord
 from foxwinch.core.steward.hot_prefixes import HotPrefixes
-from foxwinch.identifiers import CallId, ClassName, NodeId, ProgramId, WorkerId
+from foxwinch.identifiers import CallId, ClassName, Epoch, NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
 from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
 from foxwinch.node.interfaces import Clock, ConfigurationView
@@ -45,8 +45,9 @@
         ledger: GrantLedger,
         retries: EngineRetries,
         drains: WorkerDrains,
+        on_fenced: Callable[[WorkerId, Epoch], None],
     ) -> None:
-        """Place calls in `pools`."""
+        """Place calls in `pools`; `on_fenced` hears of a worker that refused an epoch as old."""
         self._engine = engine
         self._clock = clock
         self._configuration = configuration
@@ -54,6 +55,7 @@
         self._ledger = ledger
         self._retries = retries
         self._drains = drains
+        self._on_fenced = on_fenced
         self._hot = HotPrefixes()
         self._failed_on: LRUCache[CallId, frozenset[WorkerId]] = LRUCache(FAILURES_REMEMBERED)
 
@@ -82,6 +84,10 @@
         record = self._ledger.end(owner, usage.call_id, settled.sequence)
         if record is None:
             return
+        if usage.fenced:
+            self._fail(record, not_run=True)
+            self._on_fenced(record.worker, record.epoch)
+            return
         if usage.failed:
             self._remember_failure(record, usage.not_run)
             self._fail(record, usage.not_run)
@@ -136,7 +142,9 @@
             detail = f"worker {dispatch.worker} has another steward now"
             return not_run(Reason.NOT_OWNER, detail, ASK_ELSEWHERE_SECONDS)
         self._hot.use(tuple(ask.prefix_hashes))
-        record = GrantRecord(call_id, owner, ask.sequence, dispatch.worker, program_id, pool_name)
+        record = GrantRecord(
+            call_id, owner, ask.sequence, dispatch.worker, held.epoch, program_id, pool_name
+        )
         self._ledger.grant(record, self._clock.monotonic())
         return GrantGiven(
             call_id=ask.call_id,
--- a/src/foxwinch/node/steward_messages.py
+++ b/src/foxwinch/node/steward_messages.py
@@ -81,6 +81,7 @@
         failed=usage.failed,
         not_run=usage.not_run,
         sequence=sequence,
+        fenced=usage.fenced,
     )
 
 
@@ -93,4 +94,5 @@
         completion_tokens=settled.completion_tokens,
         failed=settled.failed,
         not_run=settled.not_run,
+        fenced=settled.fenced,
     )
--- a/src/foxwinch/node/steward_service.py
+++ b/src/foxwinch/node/steward_service.py
@@ -92,6 +92,7 @@
             self._ledger,
             self._retries,
             self._drains,
+            self._fenced,
         )
         self.desk = StewardDesk(
             ports.engine,
@@ -175,6 +176,7 @@
         now = self._ports.clock.monotonic()
         assignment.update_candidates(self._directory.candidates())
         assignment.update_holders(self._directory.holders())
+        assignment.update_epochs(self._directory.epochs())
         for action in assignment.advance(now):
             self._carry_out(action)
         self._finish_handovers(assignment)
@@ -235,6 +237,13 @@
 
         self.pools.hold(worker, action.epoch, ready)
 
+    def _fenced(self, worker: WorkerId, epoch: Epoch) -> None:
+        """A worker has refused an epoch of this node: somebody holds a higher one."""
+        assignment = cast(StewardAssignment, self._assignment)
+        for action in assignment.fenced(worker_resource(worker), Epoch(epoch + 1)):
+            self._carry_out(action)
+        self._wake.set()
+
     def _finish_handovers(self, assignment: StewardAssignment) -> None:
         """End a handover that no other node will take up, once its grants are over."""
         alone = not any(c.node != self._ports.node for c in self._directory.candidates())
--- a/tests/test_steward_assignment.py
+++ b/tests/test_steward_assignment.py
@@ -112,6 +112,7 @@
 
 def test_a_holder_that_wakes_after_a_takeover_loses_the_worker():
     assignment = serving("a")
+    assignment.update_epochs({WORKER.name: Epoch(2)})
     assignment.update_holders({WORKER.name: Holder(NodeId("b"), Epoch(2))})
     assert assignment.advance(60.0) == [Lost(WORKER.name, Epoch(1))]
     assert assignment.state(WORKER.name) is StewardState.UNASSIGNED
@@ -151,6 +152,7 @@
             node.update_resources([WORKER])
             node.update_candidates(candidates(*sorted(up)))
             node.update_holders(holders)
+            node.update_epochs({WORKER.name: Epoch(epoch)})
             for decided in node.advance(now):
                 if isinstance(decided, Claim):
                     epoch += 1
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -196,3 +196,16 @@
         leaving.grants.settle(grant, GrantUsage("running", 1, 0, 1, False))
         await leaving.grants.drain()
         await until(lambda: granted(cluster) == 0)
+
+
+async def test_a_steward_that_a_worker_refuses_as_old_gives_it_up_and_claims_anew():
+    async with StewardCluster(nodes=1, workers=1) as cluster:
+        node = cluster.nodes["n0"]
+        old = await node.grants.acquire(request("c1"))
+        cluster.engines["llm-1"].newest_epoch = old.epoch + 1
+        cluster.epochs._epochs["worker/llm-1"] = old.epoch + 1
+        node.grants.settle(old, GrantUsage("c1", 0, 0, 0, True, not_run=True, fenced=True))
+        await until(lambda: cluster.epochs._epochs["worker/llm-1"] > old.epoch + 1)
+        await until(lambda: node.steward.state_of("llm-1") == "serving")
+        new = await node.grants.acquire(request("c1"))
+        assert new.epoch > old.epoch + 1
