Detect failures by SWIM and gossip inside an enforced byte budget

Cause: nodes did not know of each other, and nothing carried small facts between them. Change: pure membership (probes, indirect probes, suspicion that only the suspecting node may turn into death, incarnations, leaving told from dead, new identity at an old address) and gossip (priority order, token bucket over every datagram sent, anti-entropy by bucket hashes, summaries between regions through three bridges a region); services over PeerPort; a deployed node opens its peer side and announces leaving when it drains; a simulator for many hollow nodes in bench/fleet.

--- /dev/null
+++ b/src/foxwinch/bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of nodes in one process on virtual time, around the real decision code."""
--- /dev/null
+++ b/src/foxwinch/core/membership/draws.py
@@ -0,0 +1,32 @@
+"""A deterministic sequence of numbers for choices that should differ between nodes."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+Item = TypeVar("Item")
+_MASK = 2**64 - 1
+
+
+class Draws:
+    """SplitMix64: the same seed gives the same choices, so that every run can be repeated."""
+
+    def __init__(self, seed: int) -> None:
+        """Start from `seed`."""
+        self._state = seed & _MASK
+
+    def below(self, bound: int) -> int:
+        """Return a number from 0 up to `bound`, which is positive."""
+        self._state = (self._state + 0x9E3779B97F4A7C15) & _MASK
+        mixed = self._state
+        mixed = ((mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+        mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & _MASK
+        return (mixed ^ (mixed >> 31)) % bound
+
+    def pick(self, items: Sequence[Item], count: int) -> list[Item]:
+        """Return up to `count` different items in random order."""
+        chosen = list(items)
+        take = min(count, len(chosen))
+        for index in range(take):
+            other = index + self.below(len(chosen) - index)
+            chosen[index], chosen[other] = chosen[other], chosen[index]
+        return chosen[:take]
--- /dev/null
+++ b/src/foxwinch/core/membership/receiver.py
@@ -0,0 +1,191 @@
+"""What a node does about a datagram."""
+
+from dataclasses import replace
+
+from foxwinch._generated.membership_pb2 import (
+    Digest,
+    GossipDatagram,
+    Join,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+)
+from foxwinch.core.membership.detector import FailureDetector
+from foxwinch.core.membership.draws import Draws
+from foxwinch.core.membership.joining import JoinPlan
+from foxwinch.core.membership.member import Member, MemberState
+from foxwinch.core.membership.regions import SUMMARY_PREFIX
+from foxwinch.core.membership.sender import DatagramSender
+from foxwinch.core.membership.state import KnowledgeState
+from foxwinch.core.membership.wire import parse_datagram, read_entry, read_member
+from foxwinch.identifiers import NodeId, PeerAddress
+
+RELAYS = 256
+"""Indirect probes remembered at a time."""
+JOIN_MEMBERS = 8
+"""Members named to a node that joins; digests bring the rest."""
+FAR_APART_FRACTION = 0.25
+"""Above this fraction of differing buckets the next comparison comes soon."""
+
+
+class DatagramReceiver:
+    """Merges what a datagram carries and answers what it asks."""
+
+    def __init__(
+        self,
+        state: KnowledgeState,
+        sender: DatagramSender,
+        detector: FailureDetector,
+        draws: Draws,
+        joining: JoinPlan,
+    ) -> None:
+        """Answer through `sender`."""
+        self.far_apart = False
+        """Whether the last comparison found more than a quarter of the buckets differing."""
+        self._state = state
+        self._sender = sender
+        self._detector = detector
+        self._draws = draws
+        self._joining = joining
+        self._relays: dict[int, tuple[PeerAddress, int]] = {}
+        self._next_relay = 2**32
+
+    def receive(self, source: PeerAddress, payload: bytes, now: float) -> None:
+        """Act on one datagram."""
+        datagram = parse_datagram(payload)
+        sender = read_member(datagram.sender) if datagram is not None else None
+        if datagram is None or sender is None:
+            self._state.counters.malformed += 1
+            return
+        this = self._state.table.this
+        if sender.node == this.node or this.state is MemberState.LEFT:
+            return
+        local = sender.region == this.region
+        if local:
+            self._hear(sender, now)
+            self._merge_members(datagram, now)
+        else:
+            self._joining.is_elsewhere(source)
+        self._merge_entries(datagram, local, now)
+        self._answer(source, sender, datagram, local, now)
+
+    def _hear(self, sender: Member, now: float) -> None:
+        """Take a sign of life from the member itself."""
+        table = self._state.table
+        previous = table.present_at(sender.address)
+        if previous is not None and previous.node not in (sender.node, table.this.node):
+            self._state.merge_member(replace(previous, state=MemberState.DEAD), now)
+        self._state.merge_member(sender, now)
+        self._detector.heard_from(sender.node)
+
+    def _merge_members(self, datagram: GossipDatagram, now: float) -> None:
+        region = self._state.table.this.region
+        for record in datagram.members:
+            member = read_member(record)
+            if member is not None and member.region == region:
+                self._state.merge_member(member, now)
+
+    def _merge_entries(self, datagram: GossipDatagram, local: bool, now: float) -> None:
+        own_summary = SUMMARY_PREFIX + self._state.table.this.region
+        for record in datagram.entries:
+            entry = read_entry(record)
+            if entry is None or not (local or entry.is_global):
+                continue
+            if self._state.merge_entry(entry, now) and entry.key == own_summary:
+                self._joining.news_of_region()
+
+    def _answer(
+        self, source: PeerAddress, sender: Member, datagram: GossipDatagram, local: bool, now: float
+    ) -> None:
+        kind = datagram.WhichOneof("body")
+        if kind == "probe":
+            self._probed(source, sender, datagram.probe, local, now)
+        elif kind == "probe_answer":
+            self._probe_answered(sender, datagram.probe_answer, now)
+        elif kind == "probe_request" and local:
+            self._asked_to_probe(source, datagram.probe_request, now)
+        elif kind == "join":
+            self._joined(source, datagram.join, local, now)
+        elif kind == "digest":
+            self._compared(source, datagram.digest, local, now)
+        if local and kind != "probe":
+            self._correct(source, sender, now)
+
+    def _probed(
+        self, source: PeerAddress, sender: Member, probe: Probe, local: bool, now: float
+    ) -> None:
+        answer = GossipDatagram(probe_answer=ProbeAnswer(sequence=probe.sequence))
+        news = self._state.outbox if local else None
+        self._sender.send(source, answer, now, self._record_to_refute(sender), news)
+
+    def _probe_answered(self, sender: Member, answer: ProbeAnswer, now: float) -> None:
+        relay = self._relays.pop(answer.sequence, None)
+        if relay is not None:
+            asker, sequence = relay
+            record = self._state.member_field(sender.node)
+            body = GossipDatagram(probe_answer=ProbeAnswer(sequence=sequence))
+            self._sender.send(asker, body, now, [record] if record is not None else [])
+            return
+        self._detector.answered(answer.sequence)
+
+    def _asked_to_probe(self, source: PeerAddress, request: ProbeRequest, now: float) -> None:
+        target = self._state.table.get(NodeId(request.target))
+        if target is None or not target.is_present:
+            return
+        self._next_relay += 1
+        self._relays[self._next_relay] = (source, request.sequence)
+        if len(self._relays) > RELAYS:
+            del self._relays[next(iter(self._relays))]
+        probe = GossipDatagram(probe=Probe(sequence=self._next_relay, target=target.node))
+        record = self._state.member_field(target.node)
+        self._sender.send(target.address, probe, now, [record] if record is not None else [])
+
+    def _joined(self, source: PeerAddress, join: Join, local: bool, now: float) -> None:
+        self.far_apart = self.far_apart or local
+        if join.reply or not self._sender.has_balance(now):
+            return  # who joins tries again, here or elsewhere
+        fields = []
+        if local:
+            members = self._draws.pick(self._state.table.present_others(), JOIN_MEMBERS)
+            fields = [self._state.member_field(member.node) or b"" for member in members]
+        fields += self._global_fields(range(len(self._state.global_digest.buckets)), now)
+        self._sender.send(source, GossipDatagram(join=Join(reply=True)), now, fields)
+
+    def _compared(self, source: PeerAddress, digest: Digest, local: bool, now: float) -> None:
+        only_global = digest.only_global or not local
+        index = self._state.global_digest if only_global else self._state.digest
+        if len(digest.buckets) != len(index.buckets):
+            return  # a version with another number of buckets
+        differing = index.differing(list(digest.buckets))
+        if not differing:
+            return
+        everything = len(differing) > FAR_APART_FRACTION * len(index.buckets)
+        self.far_apart = self.far_apart or (everything and not only_global)
+        if not digest.reply and self._sender.has_balance(now):
+            reply = Digest(buckets=index.buckets, reply=True, only_global=only_global)
+            self._sender.send(source, GossipDatagram(digest=reply), now)
+        if only_global:
+            fields = self._global_fields(differing, now)
+        else:
+            keys = [key for bucket in differing for key in index.keys(bucket)]
+            keys = self._draws.pick(keys, len(keys))
+            fields = self._state.repair_fields(keys, now, everything)
+        self._sender.send_fields(source, fields, self._state.parameters.repair_datagrams, now)
+
+    def _global_fields(self, buckets: "list[int] | range", now: float) -> list[bytes]:
+        index = self._state.global_digest
+        keys = [key for bucket in buckets for key in index.keys(bucket)]
+        return self._state.repair_fields(self._draws.pick(keys, len(keys)), now, everything=True)
+
+    def _correct(self, source: PeerAddress, sender: Member, now: float) -> None:
+        """Tell a member that speaks here although it counts as suspected or dead."""
+        fields = self._record_to_refute(sender)
+        if fields and self._sender.has_balance(now):
+            self._sender.send(source, GossipDatagram(), now, fields)
+
+    def _record_to_refute(self, sender: Member) -> list[bytes]:
+        held = self._state.table.get(sender.node)
+        if held is None or held.state not in (MemberState.SUSPECT, MemberState.DEAD):
+            return []
+        record = self._state.member_field(sender.node)
+        return [record] if record is not None else []
--- /dev/null
+++ b/src/foxwinch/core/membership/sender.py
@@ -0,0 +1,81 @@
+"""Builds datagrams: what must be in them, then news, inside the byte budget."""
+
+from collections.abc import Sequence
+
+from foxwinch._generated.membership_pb2 import GossipDatagram
+from foxwinch.core.limits.token_bucket import TokenBucket
+from foxwinch.core.membership.actions import SendDatagram
+from foxwinch.core.membership.outbox import Outbox
+from foxwinch.core.membership.parameters import DATAGRAM_BYTES, UDP_HEADER_BYTES
+from foxwinch.core.membership.state import KnowledgeState
+from foxwinch.core.membership.wire import sender_field
+from foxwinch.identifiers import PeerAddress
+
+NEWS_BYTES = 300
+"""Room for news below which no datagram is sent for news alone."""
+
+
+class DatagramSender:
+    """The only way out; every byte is charged to one bucket.
+
+    Probes and answers may overdraw it by a burst, since few of them are ever due; news and
+    repairs wait until there is a balance.
+    """
+
+    def __init__(self, state: KnowledgeState, now: float) -> None:
+        """Start with a full bucket."""
+        self._state = state
+        parameters = state.parameters
+        self._bucket = TokenBucket.full(
+            parameters.budget_bytes_per_second, parameters.budget_burst_bytes, now
+        )
+
+    def has_balance(self, now: float) -> bool:
+        """Tell whether news and repairs may be sent."""
+        return self._bucket.available(now) >= NEWS_BYTES
+
+    def send(
+        self,
+        address: PeerAddress,
+        body: GossipDatagram,
+        now: float,
+        fields: Sequence[bytes] = (),
+        news: Outbox | None = None,
+    ) -> None:
+        """Send `body` with as many of `fields`, then of the news, as fit."""
+        counters = self._state.counters
+        balance = self._bucket.available(now)
+        if balance <= -self._state.parameters.budget_burst_bytes:
+            counters.over_budget += 1
+            return
+        parts = [sender_field(self._state.table.this), body.SerializeToString()]
+        size = sum(map(len, parts))
+        for field in fields:
+            if size + len(field) <= DATAGRAM_BYTES:
+                parts.append(field)
+                size += len(field)
+        if news is not None:
+            room = min(DATAGRAM_BYTES - size, balance - size - UDP_HEADER_BYTES)
+            taken = news.take(room)
+            parts += taken
+            size += sum(map(len, taken))
+        self._bucket.charge(size + UDP_HEADER_BYTES, now)
+        counters.datagrams_sent += 1
+        counters.bytes_sent += size + UDP_HEADER_BYTES
+        self._state.actions.append(SendDatagram(address, b"".join(parts)))
+
+    def send_fields(
+        self, address: PeerAddress, fields: Sequence[bytes], datagrams: int, now: float
+    ) -> None:
+        """Send fields in so many datagrams at most, each only while there is a balance."""
+        head = len(sender_field(self._state.table.this))
+        pending = list(fields)
+        for _ in range(datagrams):
+            if not pending or not self.has_balance(now):
+                return
+            size, count = head, 0
+            while count < len(pending) and size + len(pending[count]) <= DATAGRAM_BYTES:
+                size += len(pending[count])
+                count += 1
+            self.send(address, GossipDatagram(), now, pending[:count])
+            del pending[: max(1, count)]
--- /dev/null
+++ b/src/foxwinch/core/membership/state.py
@@ -0,0 +1,174 @@
+"""What one node knows and passes on: members and entries, their news and their digests."""
+
+from collections.abc import Iterable
+
+from foxwinch.core.membership.actions import Action, EntryChanged, MemberChanged, MembershipCounters
+from foxwinch.core.membership.digest import DigestIndex
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.gossip import EntryStore
+from foxwinch.core.membership.member import Member, MemberState
+from foxwinch.core.membership.outbox import Outbox
+from foxwinch.core.membership.parameters import MembershipParameters
+from foxwinch.core.membership.table import MemberTable
+from foxwinch.core.membership.wire import entry_field, member_field
+from foxwinch.identifiers import NodeId, PeerAddress
+
+REGION_TRANSMISSIONS = 2
+"""Other regions that a bridge tells news by itself; digests reach the rest."""
+
+ABSENCE_TRANSMISSIONS = 2
+"""Repetitions of the news that a member is gone, for each record that says otherwise."""
+
+
+class KnowledgeState:
+    """Merges records and keeps outboxes and digests in step with them."""
+
+    def __init__(self, this: Member, parameters: MembershipParameters, now: float) -> None:
+        """Know only this node."""
+        self.parameters = parameters
+        self.table = MemberTable(this)
+        self.store = EntryStore(parameters)
+        self.counters = MembershipCounters()
+        self.outbox = Outbox()
+        self.region_outbox = Outbox()
+        """News for other regions; sent by bridges only."""
+        self.digest = DigestIndex(parameters.bucket_count)
+        self.global_digest = DigestIndex(parameters.bucket_count)
+        self.former: dict[PeerAddress, None] = {}
+        """Addresses of members that are gone, the latest last."""
+        self.actions: list[Action] = []
+        self._fields: dict[str, bytes] = {}
+        self._note_member(this)
+
+    def merge_member(self, member: Member, now: float) -> bool:
+        """Take over a newer record of another member of the region."""
+        if member.node == self.table.this.node:
+            self.refute(member, now)
+            return False
+        held = self.table.get(member.node)
+        if held is None and not member.is_present:
+            self.table.put(member, now)  # kept, so that older gossip does not bring it up
+            self._fields[_member_key(member)] = member_field(member)
+            return False
+        if not self.table.put(member, now):
+            if held is not None and not held.is_present and member.is_present:
+                self._repeat_absence(held)
+            return False
+        self._note_member(member)
+        self.actions.append(MemberChanged(member))
+        if not member.is_present:
+            self._lost(member)
+        return True
+
+    def refute(self, claim: Member, now: float) -> None:
+        """Contradict a record that says something else of this node than it says itself."""
+        this = self.table.this
+        agrees = claim.state is this.state and claim.incarnation == this.incarnation
+        if agrees or claim.incarnation < this.incarnation or this.state is MemberState.LEFT:
+            return
+        if claim.state is MemberState.ALIVE and claim.incarnation == this.incarnation:
+            return
+        self.counters.refutations += 1
+        self.announce(this.state, claim.incarnation + 1, now)
+
+    def announce(self, state: MemberState, incarnation: int, now: float) -> None:
+        """Change this node's own record and spread it."""
+        self._note_member(self.table.set_this(state, incarnation, now))
+        self.actions.append(MemberChanged(self.table.this))
+
+    def merge_entry(self, entry: GossipEntry, now: float) -> bool:
+        """Take over a newer entry."""
+        if entry.owner is not None and self.table.is_absent(entry.owner):
+            return False
+        if not self.store.put(entry, now):
+            return False
+        key, field = _entry_key(entry), entry_field(entry)
+        self._fields[key] = field
+        rank = int(entry.kind)
+        self.outbox.offer(key, rank, field, self.parameters.transmissions[rank])
+        self.digest.put(key, field)
+        if entry.is_global:
+            self.global_digest.put(key, field)
+            self.region_outbox.offer(key, rank, field, REGION_TRANSMISSIONS)
+        self.actions.append(EntryChanged(entry))
+        return True
+
+    def tidy(self, now: float) -> None:
+        """Forget absent members after their time, and entries that belong to nobody."""
+        for member in self.table.forget_before(now - self.parameters.forget_seconds):
+            self._fields.pop(_member_key(member), None)
+        orphans = self.store.drop_orphans(lambda n: self.table.get(n) is not None, now)
+        self._drop(orphans)
+
+    def field(self, key: str) -> bytes:
+        """Return the wire form of what is held under a digest key."""
+        return self._fields[key]
+
+    def entry_field(self, entry: GossipEntry) -> bytes:
+        """Return the wire form of an entry that is held."""
+        return self._fields[_entry_key(entry)]
+
+    def member_field(self, node: NodeId) -> bytes | None:
+        """Return the wire form of a member's record."""
+        return self._fields.get(f"m/{node}")
+
+    def repair_fields(self, keys: Iterable[str], now: float, everything: bool) -> list[bytes]:
+        """Return the fields under digest keys, most important first.
+
+        Without `everything`, entries that are still on their way by gossip are left out.
+        """
+        ranked = []
+        for key in keys:
+            rank, young = self._rank(key, now)
+            if everything or not young:
+                ranked.append((rank, self._fields[key]))
+        return [field for _, field in sorted(ranked, key=lambda pair: pair[0])]
+
+    def _rank(self, key: str, now: float) -> tuple[int, bool]:
+        kind, name = key.split("/", 1)
+        if kind == "m":
+            return int(GossipKind.MEMBERSHIP), False
+        entry = self.store.get(GossipKind(int(kind)), name)
+        assert entry is not None
+        age_seconds = now - self.store.changed_at_seconds(entry)
+        return int(entry.kind), age_seconds < self.parameters.settle_seconds
+
+    def _note_member(self, member: Member) -> None:
+        key, field = _member_key(member), member_field(member)
+        self._fields[key] = field
+        leaving = member.state in (MemberState.LEAVING, MemberState.LEFT)
+        rank = int(GossipKind.LEAVING if leaving else GossipKind.MEMBERSHIP)
+        self.outbox.offer(key, rank, field, self.parameters.transmissions[rank])
+        if member.is_present:
+            self.digest.put(key, field)
+        else:
+            self.digest.remove(key)
+
+    def _repeat_absence(self, held: Member) -> None:
+        """Somebody still believes in a member that is gone."""
+        rank = int(GossipKind.MEMBERSHIP)
+        self.outbox.offer(_member_key(held), rank, member_field(held), ABSENCE_TRANSMISSIONS)
+
+    def _lost(self, member: Member) -> None:
+        self._drop(self.store.drop_owned_by(member.node))
+        self.former.pop(member.address, None)
+        self.former[member.address] = None
+        if len(self.former) > self.parameters.former_addresses:
+            del self.former[next(iter(self.former))]
+
+    def _drop(self, entries: list[GossipEntry]) -> None:
+        for entry in entries:
+            key = _entry_key(entry)
+            self._fields.pop(key, None)
+            self.outbox.drop(key)
+            self.region_outbox.drop(key)
+            self.digest.remove(key)
+            self.global_digest.remove(key)
+
+
+def _member_key(member: Member) -> str:
+    return f"m/{member.node}"
+
+
+def _entry_key(entry: GossipEntry) -> str:
+    return f"{int(entry.kind)}/{entry.key}"
--- /dev/null
+++ b/src/foxwinch/core/membership/wire.py
@@ -0,0 +1,106 @@
+"""Members and entries as protobuf fields of a datagram, and back; refuses what is malformed."""
+
+from google.protobuf.message import DecodeError
+
+from foxwinch._generated.membership_pb2 import GossipDatagram, GossipRecord, MemberRecord
+from foxwinch.core.membership.entry import KEY_BYTES, PAYLOAD_BYTES, GossipEntry, GossipKind
+from foxwinch.core.membership.member import Member, MemberState
+from foxwinch.core.membership.parameters import DATAGRAM_BYTES
+from foxwinch.identifiers import NodeId, PeerAddress, RegionName, ZoneName
+
+_STATES = (
+    MemberState.ALIVE,
+    MemberState.SUSPECT,
+    MemberState.LEAVING,
+    MemberState.LEFT,
+    MemberState.DEAD,
+)
+_SENDER_TAG = b"\x0a"
+_MEMBERS_TAG = b"\x3a"
+_ENTRIES_TAG = b"\x42"
+NAME_BYTES = 80
+"""Longest identity, zone or region name taken from a datagram."""
+HIGHEST_NUMBER = 2**63 - 1
+"""Highest incarnation or version taken from a datagram."""
+
+
+def sender_field(member: Member) -> bytes:
+    """Return a member as the `sender` field."""
+    return _field(_SENDER_TAG, member_record(member).SerializeToString())
+
+
+def member_field(member: Member) -> bytes:
+    """Return a member as one of the `members`."""
+    return _field(_MEMBERS_TAG, member_record(member).SerializeToString())
+
+
+def entry_field(entry: GossipEntry) -> bytes:
+    """Return an entry as one of the `entries`."""
+    record = GossipRecord(
+        kind=int(entry.kind),
+        key=entry.key,
+        version=entry.version,
+        payload=entry.payload,
+        owner=entry.owner or "",
+    )
+    return _field(_ENTRIES_TAG, record.SerializeToString())
+
+
+def parse_datagram(payload: bytes) -> GossipDatagram | None:
+    """Return the datagram, or None when it is malformed."""
+    if len(payload) > DATAGRAM_BYTES:
+        return None
+    try:
+        datagram = GossipDatagram.FromString(payload)
+    except DecodeError:
+        return None
+    return datagram if datagram.HasField("sender") else None
+
+
+def member_record(member: Member) -> MemberRecord:
+    """Return a member as a protobuf message."""
+    return MemberRecord(
+        node=member.node,
+        host=member.address.host,
+        port=member.address.port,
+        zone=member.zone,
+        region=member.region,
+        state=_STATES.index(member.state),  # type: ignore[arg-type]
+        incarnation=member.incarnation,
+    )
+
+
+def read_member(record: MemberRecord) -> Member | None:
+    """Return the member, or None when the record makes no sense to this version."""
+    names = (record.node, record.zone, record.region, record.host)
+    if not all(0 < len(name) <= NAME_BYTES for name in names):
+        return None
+    if not 0 < record.port < 65_536 or record.incarnation > HIGHEST_NUMBER:
+        return None
+    if not 0 <= record.state < len(_STATES):
+        return None
+    return Member(
+        node=NodeId(record.node),
+        address=PeerAddress(record.host, record.port),
+        zone=ZoneName(record.zone),
+        region=RegionName(record.region),
+        state=_STATES[record.state],
+        incarnation=record.incarnation,
+    )
+
+
+def read_entry(record: GossipRecord) -> GossipEntry | None:
+    """Return the entry, or None when its kind is unknown to this version or it is too large."""
+    if record.kind not in GossipKind._value2member_map_ or record.version > HIGHEST_NUMBER:
+        return None
+    if not 0 < len(record.key) <= KEY_BYTES or len(record.payload) > PAYLOAD_BYTES:
+        return None
+    owner = NodeId(record.owner) if record.owner else None
+    return GossipEntry(GossipKind(record.kind), record.key, record.version, record.payload, owner)
+
+
+def _field(tag: bytes, body: bytes) -> bytes:
+    length = len(body)
+    if length < 128:
+        return tag + bytes((length,)) + body
+    return tag + bytes((length & 0x7F | 0x80, length >> 7)) + body
--- a/src/foxwinch/identifiers.py
+++ b/src/foxwinch/identifiers.py
@@ -1,5 +1,6 @@
 """Names and numbers that identify things, as distinct types so that they are not mixed up."""
 
+from dataclasses import dataclass
 from typing import NewType
 
 ProgramId = NewType("ProgramId", str)
@@ -28,3 +29,15 @@
 """A fencing number: the holder of a higher epoch makes every lower one void."""
 Revision = NewType("Revision", int)
 """A monotonic revision of the cluster configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a node's peer side listens (TCP and UDP on the same port)."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return `host:port`."""
+        return f"{self.host}:{self.port}"
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -7,9 +7,11 @@
 from foxwinch.backends.engine_http import HttpEngine
 from foxwinch.identifiers import NodeId
 from foxwinch.node.clock import SystemClock
+from foxwinch.node.membership_service import parse_address
 from foxwinch.node.node import new_node_identity
 from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
+from foxwinch.peer.ports import PeerAddress
 from foxwinch.peer.service import PeerService
 from foxwinch.settings.process import NodeSettings
 
@@ -51,6 +53,14 @@
         clock=clock,
         engine=HttpEngine(session, directory.url_of),
         peers=peers,
-        peer_address=peers.address if peers is not None else NO_PEER_ADDRESS,
+        peer_address=_advertised(settings, peers),
     )
     return OpenPorts(node, ports, directory, session, peers)
+
+
+def _advertised(settings: NodeSettings, peers: PeerService | None) -> PeerAddress:
+    """Return the address that other nodes are told."""
+    if peers is None:
+        return NO_PEER_ADDRESS
+    given = parse_address(settings.peer_advertised) if settings.peer_advertised else None
+    return given or peers.address
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -6,10 +6,13 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import IntEnum, StrEnum
 from typing import Protocol
 
 from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch.core.membership.entry import GossipEntry as GossipEntry
+from foxwinch.core.membership.entry import GossipKind as GossipKind
+from foxwinch.core.membership.member import Member as Member
+from foxwinch.core.membership.member import MemberState as MemberState
 from foxwinch.identifiers import (
     CallId,
     ClassName,
@@ -17,12 +20,10 @@
     ModelName,
     NodeId,
     ProgramId,
-    RegionName,
     Revision,
     ShardNumber,
     TenantName,
     WorkerId,
-    ZoneName,
 )
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerAddress
@@ -54,28 +55,6 @@
 # --- membership ------------------------------------------------------------------------------
 
 
-class MemberState(StrEnum):
-    """State of a node as seen by failure detection."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    LEAVING = "leaving"
-    LEFT = "left"
-    DEAD = "dead"
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """A node as its fellow nodes see it."""
-
-    node: NodeId
-    address: PeerAddress
-    zone: ZoneName
-    region: RegionName
-    state: MemberState
-    incarnation: int
-
-
 class MembershipView(Protocol):
     """Who is there, as far as this node knows."""
 
@@ -95,28 +74,6 @@
 # --- gossip ----------------------------------------------------------------------------------
 
 
-class GossipKind(IntEnum):
-    """What a gossip entry is about; a lower number goes first inside the byte budget."""
-
-    LEAVING = 0
-    MEMBERSHIP = 1
-    CONFIGURATION = 2
-    SHARD = 3
-    STEWARD = 4
-    USAGE = 5
-
-
-@dataclass(frozen=True, slots=True)
-class GossipEntry:
-    """A versioned value; of two versions under one key the higher wins everywhere."""
-
-    kind: GossipKind
-    key: str
-    version: int
-    payload: bytes
-    """Serialized protobuf of the subsystem, a few hundred bytes at most."""
-
-
 class GossipView(Protocol):
     """Spread of small versioned values to the nodes of a region, digests between regions."""
 
--- /dev/null
+++ b/src/foxwinch/node/membership_service.py
@@ -0,0 +1,175 @@
+"""Drives membership and gossip over the peer port."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from typing import TypeVar
+
+from foxwinch.core.membership.actions import (
+    Action,
+    EntryChanged,
+    MemberChanged,
+    RegionState,
+    SendDatagram,
+)
+from foxwinch.core.membership.engine import MembershipEngine
+from foxwinch.core.membership.member import Member, MemberState
+from foxwinch.core.membership.parameters import MembershipParameters
+from foxwinch.identifiers import PeerAddress
+from foxwinch.log import EventLog
+from foxwinch.node.interfaces import Clock, GossipEntry
+from foxwinch.outcomes import Refused
+from foxwinch.peer.ports import PeerPort
+from foxwinch.platform.ports import MachinePort
+
+NODE_KIND = "node"
+Value = TypeVar("Value")
+LIST_ALONE_SECONDS = 5.0
+"""Pause between readings of the platform's list while no other member is known."""
+LIST_SECONDS = 60.0
+"""Pause between readings otherwise; only the few bridges of a region read then."""
+
+
+class MembershipService:
+    """Implements `foxwinch.node.interfaces.MembershipView`; runs from start to stop."""
+
+    def __init__(
+        self,
+        this: Member,
+        peers: PeerPort,
+        clock: Clock,
+        seeds: Iterable[PeerAddress] = (),
+        machines: MachinePort | None = None,
+        parameters: MembershipParameters | None = None,
+    ) -> None:
+        """Join by `seeds` and `machines`, both of which are only hints."""
+        self._parameters = parameters or MembershipParameters()
+        self._this = this
+        self._peers = peers
+        self._clock = clock
+        self._seeds = tuple(seeds)
+        self._machines = machines
+        self._engine: MembershipEngine | None = None
+        self._member_listeners: list[Callable[[Member], None]] = []
+        self._entry_listeners: list[Callable[[GossipEntry], None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._log = EventLog("membership")
+        peers.handle_datagrams(self._receive)
+
+    async def start(self) -> None:
+        """Start probing and looking for other nodes."""
+        engine = self.engine
+        self._tasks = [asyncio.create_task(self._run())]
+        if self._machines is not None:
+            self._tasks.append(asyncio.create_task(self._read_list(self._machines)))
+        this = engine.this_member()
+        self._log.info("membership_started", node=this.node, zone=this.zone, region=this.region)
+
+    async def stop(self) -> None:
+        """Say that this node is gone and stop."""
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            self.apply(self.engine.left(self._clock.monotonic()))
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+
+    def leave(self) -> None:
+        """Announce that this node is about to leave; it goes on answering."""
+        self.apply(self.engine.leave(self._clock.monotonic()))
+
+    @property
+    def engine(self) -> MembershipEngine:
+        """The decision code; made on first use, inside the running loop."""
+        if self._engine is None:
+            seed = int(self._clock.uniform() * 2**53)
+            self._engine = MembershipEngine(
+                self._this, seed, self._clock.monotonic(), self._seeds, self._parameters
+            )
+        return self._engine
+
+    def this_member(self) -> Member:
+        """Return this node itself."""
+        return self._engine.this_member() if self._engine is not None else self._this
+
+    def members(self) -> Sequence[Member]:
+        """Return every known member of the region, this node included."""
+        return self._engine.members() if self._engine is not None else [self._this]
+
+    def regions(self) -> list[RegionState]:
+        """Return what is known of every region, this one first."""
+        return self.engine.regions(self._clock.monotonic())
+
+    def subscribe(self, listener: Callable[[Member], None]) -> None:
+        """Call `listener` with every change of a member."""
+        self._member_listeners.append(listener)
+
+    def subscribe_entries(self, listener: Callable[[GossipEntry], None]) -> None:
+        """Call `listener` with every newer gossip entry."""
+        self._entry_listeners.append(listener)
+
+    def publish(self, entry: GossipEntry) -> None:
+        """Spread a gossip entry."""
+        self.apply(self.engine.publish(entry, self._clock.monotonic()))
+
+    def apply(self, actions: Iterable[Action]) -> None:
+        """Carry out what the decision code asks for."""
+        for action in actions:
+            match action:
+                case SendDatagram(address, payload):
+                    self._peers.send_datagram(address, payload)
+                case MemberChanged(member):
+                    self._member_changed(member)
+                case EntryChanged(entry):
+                    self._notify(self._entry_listeners, entry)
+
+    def _receive(self, source: PeerAddress, payload: bytes) -> None:
+        if self._tasks:
+            self.apply(self.engine.receive(source, payload, self._clock.monotonic()))
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self.apply(self.engine.tick(self._clock.monotonic()))
+            except Exception as error:
+                self._log.error("membership_tick_failed", cause=repr(error))
+            await self._clock.sleep(self._parameters.tick_seconds)
+
+    async def _read_list(self, machines: MachinePort) -> None:
+        while True:
+            alone = self.engine.is_alone()
+            if alone or self.engine.is_bridge():
+                found = await machines.machines()
+                if isinstance(found, Refused):
+                    self._log.info("machine_list_unavailable", cause=found.detail)
+                else:
+                    nodes = (m.address for m in found if m.kind == NODE_KIND)
+                    self.engine.set_listed(filter(None, map(parse_address, nodes)))
+            pause_seconds = LIST_ALONE_SECONDS if alone else LIST_SECONDS
+            await self._clock.sleep(pause_seconds * (0.5 + self._clock.uniform()))
+
+    def _member_changed(self, member: Member) -> None:
+        level = self._log.warning if member.state is MemberState.DEAD else self._log.info
+        level(
+            "member_changed",
+            node=member.node,
+            address=member.address,
+            zone=member.zone,
+            state=member.state,
+            incarnation=member.incarnation,
+        )
+        self._notify(self._member_listeners, member)
+
+    def _notify(self, listeners: list[Callable[[Value], None]], value: Value) -> None:
+        for listener in listeners:
+            try:
+                listener(value)
+            except Exception as error:
+                self._log.error("membership_listener_failed", cause=repr(error))
+
+
+def parse_address(text: str) -> PeerAddress | None:
+    """Read `ip:port`, with brackets around an IPv6 number; None when it is no such thing."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        return None
+    return PeerAddress(host.strip("[]"), int(port))
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -89,6 +89,7 @@
     async def drain(self) -> bool:
         """Refuse new work, finish what runs and hand over; False when the limit came first."""
         self.gate.close()
+        self.parts.membership.announce_leaving()
         log.info("drain_started", node=self.context.node, running=self.gate.running)
         try:
             async with asyncio.timeout(self.context.settings.drain_seconds):
--- a/src/foxwinch/node/parts/membership.py
+++ b/src/foxwinch/node/parts/membership.py
@@ -1,11 +1,16 @@
 """Part: who is there, and the gossip between nodes."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxwinch.identifiers import RegionName, ZoneName
+from foxwinch.node.gossip_service import GossipService
 from foxwinch.node.interfaces import GossipView, Member, MembershipView, MemberState
 from foxwinch.node.local_cluster import LocalGossip, LocalMembership
+from foxwinch.node.membership_metrics import MembershipCollector
+from foxwinch.node.membership_service import MembershipService, parse_address
 from foxwinch.node.parts.context import NodeContext, NodeService
+from foxwinch.peer.ports import PeerPort
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +20,8 @@
     membership: MembershipView
     gossip: GossipView
     services: tuple[NodeService, ...] = ()
+    announce_leaving: Callable[[], None] = lambda: None
+    """Tell the other nodes that this one takes no new work and will go."""
 
 
 def build_membership(context: NodeContext) -> MembershipPart:
@@ -27,4 +34,19 @@
         state=MemberState.ALIVE,
         incarnation=0,
     )
-    return MembershipPart(LocalMembership(member), LocalGossip())
+    if context.ports.peers is None:
+        return MembershipPart(LocalMembership(member), LocalGossip())
+    return _build_distributed(context, member, context.ports.peers)
+
+
+def _build_distributed(context: NodeContext, member: Member, peers: PeerPort) -> MembershipPart:
+    seeds = [parse_address(seed) for seed in context.settings.seeds]
+    membership = MembershipService(
+        member,
+        peers,
+        context.ports.clock,
+        [seed for seed in seeds if seed is not None],
+        context.ports.machines,
+    )
+    MembershipCollector(membership, context.registry)
+    return MembershipPart(membership, GossipService(membership), (membership,), membership.leave)
--- a/src/foxwinch/peer/ports.py
+++ b/src/foxwinch/peer/ports.py
@@ -9,21 +9,10 @@
 from typing import Protocol
 
 from foxwinch.identifiers import NodeId
+from foxwinch.identifiers import PeerAddress as PeerAddress
 from foxwinch.outcomes import Refused
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Where a node's peer side listens (TCP and UDP on the same port)."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return `host:port`."""
-        return f"{self.host}:{self.port}"
-
-
 @dataclass(frozen=True, slots=True)
 class PeerContext:
     """Who sent a request and how long the answer is of use."""
--- a/src/foxwinch/settings/process.py
+++ b/src/foxwinch/settings/process.py
@@ -76,6 +76,8 @@
     caller_port: Port = 0
     operator_port: Port = 0
     peer_port: Port = 0
+    peer_advertised: IpAndPort | None = None
+    """Where other nodes reach the peer side, if that is not `host:peer_port`."""
     seeds: tuple[IpAndPort, ...] = ()
     """Peer addresses `ip:port` to join by; hints only."""
     platform: PlatformSettings = PlatformSettings()
