--- a/src/foxwinch/peer/connections.py
+++ b/src/foxwinch/peer/connections.py
@@ -9,14 +9,17 @@
 from foxwinch.peer.ports import PeerAddress
 from foxwinch.peer.tls import PeerTls
 
+ANY_HOST = frozenset({"0.0.0.0", "::"})
+
 
 class ConnectionPool:
     """Opens, shares and closes connections."""
 
-    def __init__(self, node: NodeId, tls: PeerTls | None) -> None:
-        """Greet as `node`."""
+    def __init__(self, node: NodeId, host: str, tls: PeerTls | None) -> None:
+        """Greet as `node`, from the IP number `host` unless that stands for all of them."""
         self._node = node
         self._tls = tls
+        self._local = None if host in ANY_HOST else (host, 0)
         self._open: dict[PeerAddress, OutboundConnection] = {}
         self._opening: dict[PeerAddress, asyncio.Task[OutboundConnection | Refused]] = {}
         self._refused_until_seconds: dict[PeerAddress, float] = {}
@@ -56,6 +59,7 @@
                     lambda: OutboundConnection(self._node),
                     address.host,
                     address.port,
+                    local_addr=self._local,
                     ssl=self._tls.client if self._tls else None,
                 )
                 if await self._greeted(connection):
--- a/src/foxwinch/peer/service.py
+++ b/src/foxwinch/peer/service.py
@@ -34,7 +34,7 @@
         self._port = port
         self._tls: PeerTls | None = build_peer_tls(tls) if tls else None
         self._handlers = HandlerTable()
-        self._pool = ConnectionPool(node, self._tls)
+        self._pool = ConnectionPool(node, host, self._tls)
         self._inbound: set[InboundConnection] = set()
         self._server: asyncio.Server | None = None
         self._datagrams: DatagramSide | None = None
