Let entries about others outlive the node that published them

Cause: the flag that a worker leaves was dropped with the node that had published it. Change: only shard, steward and usage entries get their publisher as owner. Conclusion: a flag that a worker leaves stays until a newer version says otherwise.

--- a/src/foxwinch/core/membership/engine.py
+++ b/src/foxwinch/core/membership/engine.py
@@ -21,6 +21,7 @@
 from foxwinch.core.membership.draws import Draws
 from foxwinch.core.membership.entry import (
     KEY_BYTES,
+    OWNED_KINDS,
     PAYLOAD_BYTES,
     GossipEntry,
     GossipKind,
@@ -106,7 +107,7 @@
                 f"gossip entry {entry.key!r}: {len(entry.payload)} bytes; "
                 f"allowed: {PAYLOAD_BYTES}, and {KEY_BYTES} of key"
             )
-        if entry.owner is None and not entry.is_global:
+        if entry.owner is None and entry.kind in OWNED_KINDS:
             entry = replace(entry, owner=self.this_member().node)
         self._state.merge_entry(entry, now)
         return self._drain()
--- a/src/foxwinch/core/membership/entry.py
+++ b/src/foxwinch/core/membership/entry.py
@@ -29,7 +29,7 @@
     owner: NodeId | None = None
     """Node that the entry speaks of: it is dropped once that node has left or died.
 
-    `GossipView.publish` fills in this node, except for entries that go to every region."""
+    `GossipView.publish` fills in this node for the kinds in `OWNED_KINDS`."""
 
     @property
     def is_global(self) -> bool:
@@ -38,6 +38,8 @@
 
 
 GLOBAL_KINDS = frozenset({GossipKind.MEMBERSHIP, GossipKind.CONFIGURATION})
+OWNED_KINDS = frozenset({GossipKind.SHARD, GossipKind.STEWARD, GossipKind.USAGE})
+"""Kinds in which a node speaks of itself; others outlive the node that published them."""
 PAYLOAD_BYTES = 700
 """Largest payload: with its key, its owner and the sender it still fits one datagram."""
 KEY_BYTES = 120
--- a/src/foxwinch/node/gossip_service.py
+++ b/src/foxwinch/node/gossip_service.py
@@ -20,7 +20,7 @@
     def publish(self, entry: GossipEntry) -> None:
         """Spread an entry; raises `ValueError` when it fits no datagram.
 
-        Entries without an owner become this node's, except those that go to every region.
+        Entries of the owned kinds become this node's unless they name another owner.
         """
         self._membership.publish(entry)
 
