Drain part by part; print long integers as numbers

Cause: a drain waited for the programs' calls before the shards were handed over, while fellow nodes go on sending calls to a shard's owner; and protobuf's JSON prints 64-bit integers as strings. Conclusion: a part that hands over implements drain.

--- a/src/foxwinch/cli/output.py
+++ b/src/foxwinch/cli/output.py
@@ -3,10 +3,9 @@
 import json
 import sys
 from collections.abc import Sequence
-from typing import NoReturn
+from typing import Any, NoReturn
 
 import cappa
-from google.protobuf.json_format import MessageToDict
 from google.protobuf.message import Message
 from rich.console import Console
 from rich.table import Table
@@ -18,10 +17,17 @@
 
 def print_message(message: Message) -> None:
     """Print a message as one JSON document, absent fields included."""
-    document = MessageToDict(
-        message, always_print_fields_with_no_presence=True, preserving_proto_field_name=True
-    )
-    print(json.dumps(document, indent=2))
+    print(json.dumps(_plain(message), indent=2))
+
+
+def _plain(value: Any) -> Any:
+    """Return a message as plain values; unlike protobuf's own JSON, long integers stay numbers."""
+    if isinstance(value, Message):
+        fields = value.DESCRIPTOR.fields
+        return {field.name: _plain(getattr(value, field.name)) for field in fields}
+    if isinstance(value, (str, int, float)):
+        return value
+    return [_plain(item) for item in value]
 
 
 def print_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -14,7 +14,7 @@
 from foxwinch.node.health import HealthHandlers
 from foxwinch.node.interfaces import Clock, ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
-from foxwinch.node.parts.context import NodeContext, NodeService
+from foxwinch.node.parts.context import DrainingService, NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart, build_grants
 from foxwinch.node.parts.journal import JournalPart, build_journal
 from foxwinch.node.parts.membership import MembershipPart, build_membership
@@ -113,12 +113,17 @@
         return application
 
     async def _hand_over(self) -> None:
-        """Drain the services, the last one first, after the callers' requests have ended."""
+        """Drain part by part, after the requests of the callers at this node have ended.
+
+        Shards go first, each once its calls have ended: as long as this node owns one, fellow
+        nodes send its calls here. Workers go after the last call that was granted here.
+        """
         await self.gate.wait_idle()
-        for service in reversed(self._started):
-            drain = getattr(service, "drain", None)
-            if drain is not None:
-                await drain()
+        parts = self.parts
+        for part in (parts.journal, parts.programs, parts.grants, parts.configuration):
+            for service in part.services:
+                if isinstance(service, DrainingService):
+                    await service.drain()
 
 
 def build_node(
--- a/src/foxwinch/node/parts/context.py
+++ b/src/foxwinch/node/parts/context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from prometheus_client import CollectorRegistry
 
@@ -25,6 +25,7 @@
         ...
 
 
+@runtime_checkable
 class DrainingService(NodeService, Protocol):
     """A service that has something to hand over before a planned stop."""
 
