--- a/src/foxwinch/core/program/__init__.py
+++ b/src/foxwinch/core/program/__init__.py
@@ -1,1 +1,1 @@
-"""One program: its calls in order, its budget and its history."""
+"""Programs and their calls: states, order, budgets, idempotency; pure."""
--- /dev/null
+++ b/src/foxwinch/core/program/budget.py
@@ -0,0 +1,95 @@
+"""Budgets of programs: amounts are reserved before a call and settled after it.
+
+A ledger belongs to one program and counts its child programs too: a child's call is reserved in
+its own ledger and in every ancestor's, all or none.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from foxwinch._generated.journal_pb2 import ProgramBudget, Spending
+
+
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """Tokens, calls and cost, reserved or spent."""
+
+    tokens: int = 0
+    calls: int = 0
+    cost: float = 0.0
+
+    def plus(self, other: "Amount") -> "Amount":
+        """Return the sum."""
+        return Amount(self.tokens + other.tokens, self.calls + other.calls, self.cost + other.cost)
+
+    def minus(self, other: "Amount") -> "Amount":
+        """Return the difference, never below zero."""
+        return Amount(
+            max(0, self.tokens - other.tokens),
+            max(0, self.calls - other.calls),
+            max(0.0, self.cost - other.cost),
+        )
+
+    def to_record(self) -> Spending:
+        """Return the journal's form."""
+        return Spending(tokens=self.tokens, calls=self.calls, cost=self.cost)
+
+    @staticmethod
+    def from_record(spending: Spending) -> "Amount":
+        """Read the journal's form."""
+        return Amount(spending.tokens, spending.calls, spending.cost)
+
+
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """What a reservation lacks."""
+
+    field: str
+    """`tokens`, `calls` or `cost`."""
+    asked: float
+    available: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What one program may spend, has reserved and has spent."""
+
+    budget: ProgramBudget
+    spent: Amount = Amount()
+    reserved: Amount = Amount()
+
+    def shortage(self, amount: Amount) -> Shortage | None:
+        """Return what is missing for a reservation, or None when it fits."""
+        held = self.spent.plus(self.reserved)
+        checks: tuple[tuple[str, float, float], ...] = (
+            ("calls", amount.calls, self.budget.calls - held.calls),
+            ("tokens", amount.tokens, self.budget.tokens - held.tokens),
+            ("cost", amount.cost, self.budget.cost - held.cost),
+        )
+        for field, asked, available in checks:
+            if asked > available:
+                return Shortage(field, asked, max(0, available))
+        return None
+
+
+def reserve(ledgers: Sequence[Ledger], amount: Amount) -> Shortage | None:
+    """Reserve in all ledgers, or in none when one of them lacks something."""
+    for ledger in ledgers:
+        shortage = ledger.shortage(amount)
+        if shortage is not None:
+            return shortage
+    force_reserve(ledgers, amount)
+    return None
+
+
+def force_reserve(ledgers: Sequence[Ledger], amount: Amount) -> None:
+    """Reserve an amount that a committed intent already holds."""
+    for ledger in ledgers:
+        ledger.reserved = ledger.reserved.plus(amount)
+
+
+def settle(ledgers: Sequence[Ledger], reserved: Amount, spent: Amount) -> None:
+    """Give a reservation back and count what was spent."""
+    for ledger in ledgers:
+        ledger.reserved = ledger.reserved.minus(reserved)
+        ledger.spent = ledger.spent.plus(spent)
--- /dev/null
+++ b/src/foxwinch/core/program/recovery.py
@@ -0,0 +1,43 @@
+"""What becomes of calls that an earlier owner admitted and left without an outcome."""
+
+from enum import StrEnum
+
+from foxwinch._generated.journal_pb2 import CallAdmitted, CallOutcome
+from foxwinch.core.program.state import Call, Program
+from foxwinch.outcomes import Reason
+
+RERUN_LIMIT_SECONDS = 600.0
+"""Age of an intent after which nobody waits for its answer any more; also bounds the number of
+times that one call is run again when owners keep failing."""
+
+
+class Recovery(StrEnum):
+    """How such a call ends."""
+
+    RUN_AGAIN = "run_again"
+    """Repeatable, and its caller can come back for the answer by its idempotency key."""
+    UNKNOWN = "unknown"
+    """May have run; it is never run again and never called `not_run`."""
+
+
+def decide(call: Call, now_seconds: float) -> Recovery:
+    """Decide what becomes of a call; `now_seconds` is wall time."""
+    admitted = call.admitted
+    young = now_seconds - admitted.admitted_at_seconds <= RERUN_LIMIT_SECONDS
+    rerun_kind = admitted.kind in (CallAdmitted.MODEL, CallAdmitted.TOOL)
+    if admitted.repeatable and admitted.idempotency_key and young and rerun_kind:
+        return Recovery.RUN_AGAIN
+    return Recovery.UNKNOWN
+
+
+def unknown_outcome(program: Program, call: Call, now_seconds: float) -> CallOutcome:
+    """Return the outcome of a call that may have run; its whole reservation counts as spent."""
+    return CallOutcome(
+        program_id=program.program_id,
+        call_id=call.call_id,
+        result=CallOutcome.FAILED_UNKNOWN,
+        spent=call.reserved.to_record(),
+        reason=Reason.OUTCOME_UNKNOWN.value,
+        detail="the node that ran the call was lost before it recorded an outcome",
+        finished_at_seconds=now_seconds,
+    )
--- /dev/null
+++ b/src/foxwinch/core/program/snapshot.py
@@ -0,0 +1,30 @@
+"""The least records that rebuild programs, for the truncation of journals."""
+
+from collections.abc import Iterable
+
+from foxwinch._generated.journal_pb2 import CallSnapshot, JournalRecord, ProgramSnapshot
+from foxwinch.core.program.state import Program
+
+
+def snapshot_records(programs: Iterable[Program]) -> list[JournalRecord]:
+    """Return one record a program, parents before their children."""
+    return [JournalRecord(program_snapshot=_snapshot(program)) for program in programs]
+
+
+def _snapshot(program: Program) -> ProgramSnapshot:
+    """Return the committed state; calls whose intent is not committed are left out."""
+    return ProgramSnapshot(
+        created=program.created,
+        history=program.history,
+        history_tokens=program.history_tokens,
+        spent=program.ledger.spent.to_record(),
+        last_signature=program.last_signature,
+        repeats=program.repeats,
+        calls=[
+            CallSnapshot(admitted=call.admitted, outcome=call.outcome)
+            for call in program.calls.values()
+            if call.committed
+        ],
+        finished=program.finished,
+        last_active_seconds=program.last_active_seconds,
+    )
--- /dev/null
+++ b/src/foxwinch/core/program/tool_calls.py
@@ -0,0 +1,23 @@
+"""Tool calls that a model asks for: streamed in pieces, merged by their index."""
+
+from collections.abc import Iterable
+from typing import Any
+
+
+def merge_tool_calls(pieces: Iterable[object]) -> list[dict[str, Any]]:
+    """Merge streamed pieces in the chat-completions shape into whole tool calls."""
+    merged: dict[int, dict[str, Any]] = {}
+    for piece in pieces:
+        if not isinstance(piece, dict):
+            continue
+        index = piece.get("index", len(merged))
+        held = merged.setdefault(index, {"id": "", "type": "function", "function": {}})
+        held["id"] = piece.get("id") or held["id"]
+        _merge_function(held["function"], piece.get("function") or {})
+    return [merged[index] for index in sorted(merged)]
+
+
+def _merge_function(held: dict[str, str], piece: dict[str, Any]) -> None:
+    for field in ("name", "arguments"):
+        if piece.get(field):
+            held[field] = held.get(field, "") + piece[field]
--- a/src/foxwinch/core/shard/placement.py
+++ b/src/foxwinch/core/shard/placement.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId, ShardNumber, ZoneName
 
 SHARDS_PER_REGION = 64
@@ -26,8 +27,8 @@
 
 
 def shard_of(program_id: ProgramId, shards: int = SHARDS_PER_REGION) -> ShardNumber:
-    """Return the shard of a program, from 0 to `shards` less one."""
-    return ShardNumber(xxhash.xxh3_64_intdigest(program_id.encode()) % shards)
+    """Return the shard of a program, from 0 to `shards` less one; a child's is its root's."""
+    return ShardNumber(xxhash.xxh3_64_intdigest(root_of(program_id).encode()) % shards)
 
 
 def ranked(resource: str, candidates: Iterable[Candidate]) -> list[Candidate]:
