--- /dev/null
+++ b/src/foxwinch/commands/call_lifecycle.py
@@ -0,0 +1,169 @@
+"""What every call goes through: turn, start, intent, outcome.
+
+The intent is committed before anything is dispatched and the outcome before the caller is told
+the end. A call that is refused before its intent leaves no trace in the journal.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from foxwinch._generated.journal_pb2 import (
+    CallAdmitted,
+    CallOutcome,
+    JournalRecord,
+    ProgramFinished,
+)
+from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.ports import ProgramPorts
+from foxwinch.commands.running_call import FinalEvent, RunningCall
+from foxwinch.core.program.admission import start_call
+from foxwinch.core.program.budget import Amount
+from foxwinch.core.program.requests import CallIntent
+from foxwinch.core.program.state import CallState, Program
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+
+RESULT_OF_RUN_STATE = {
+    RunState.NOT_RUN: CallOutcome.FAILED_NOT_RUN,
+    RunState.RAN: CallOutcome.FAILED_RAN,
+    RunState.UNKNOWN: CallOutcome.FAILED_UNKNOWN,
+}
+RETRY_UNCOMMITTED_SECONDS = 1.0
+"""When a caller whose outcome could not be committed in time should ask again."""
+
+
+@dataclass(slots=True)
+class CallLifecycle:
+    """Takes one call from its arrival to its committed end."""
+
+    ports: ProgramPorts
+    shard: HeldShard
+    running: RunningCall
+    single_call: bool = False
+    admitted: CallAdmitted | None = None
+
+    @property
+    def program(self) -> Program:
+        """Return the program of the call."""
+        return self.running.program
+
+    async def wait_turn(self) -> None:
+        """Wait until every earlier call of the program has ended."""
+        table = self.shard.table
+        if table.next_waiting(self.program) == self.running.call_id:
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self.running.turn = turn
+        with self.running.interruptible():
+            await turn
+
+    def start(self, intent: CallIntent) -> CallAdmitted | Refused:
+        """Check the call against the program's state and reserve its budget."""
+        if self.program.program_id in self.shard.ending:
+            return not_run(Reason.PROGRAM_FINISHED, "the program is being ended")
+        started = start_call(self.program, intent, self.ports.clock.wall())
+        if isinstance(started, Refused):
+            return started
+        self.admitted = started.admitted
+        return started.admitted
+
+    def refuse(self, refused: Refused) -> None:
+        """End a call whose intent was never sent to the journal."""
+        self.shard.table.withdraw(self.program, self.running.call_id)
+        self.running.end(refused)
+
+    async def commit_intent(self, following: list[JournalRecord] | None = None) -> bool:
+        """Commit the intent, with the program's creation where that is still open.
+
+        `following` is committed with it. On False the call has ended and nothing was dispatched.
+        """
+        assert self.admitted is not None
+        creation = self.shard.uncommitted.get(self.program.program_id)
+        records = [creation] if creation is not None else []
+        records += [JournalRecord(call_admitted=self.admitted), *(following or [])]
+        self.running.intent_sent = True
+        refused = await self.shard.commit(records)
+        if refused is None:
+            self.shard.uncommitted.pop(self.program.program_id, None)
+            return True
+        if refused.run_state is RunState.NOT_RUN:
+            self.running.intent_sent = False
+            self.refuse(refused)
+            return False
+        await self._cancel_intent(records, refused)
+        return False
+
+    async def _cancel_intent(self, records: list[JournalRecord], refused: Refused) -> None:
+        """Note that nothing was dispatched, since the intent may be in the journal."""
+        self.running.end(not_run(refused.reason, refused.detail, refused.retry_after_seconds))
+        outcome = self.failed(not_run(refused.reason, refused.detail), Amount())
+        records = [*records, *self._closing_records(outcome)]
+        if await self.shard.commit_until_done(records, lambda _: None):
+            self.shard.uncommitted.pop(self.program.program_id, None)
+
+    def step(self, state: CallState) -> None:
+        """Note a step of the call."""
+        self.shard.table.step(self.program, self.running.call_id, state)
+
+    async def commit_outcome(self, outcome: CallOutcome, final: FinalEvent) -> None:
+        """Commit the outcome, then tell the end."""
+        self.step(CallState.COMMITTING)
+        outcome.finished_at_seconds = self.ports.clock.wall()
+        done = await self.shard.commit_until_done(
+            self._closing_records(outcome), self._tell_uncommitted
+        )
+        if done:
+            self.running.end(final)
+            if self.single_call:
+                self.ports.grants.finish(self.program.program_id)
+
+    def forgive_cancellation(self) -> None:
+        """Let the task go on after `RunningCall.cancel` cut its wait."""
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            task.uncancel()
+
+    def failed(self, refused: Refused, spent: Amount) -> CallOutcome:
+        """Return the outcome of a call that ended without an answer."""
+        return CallOutcome(
+            program_id=self.program.program_id,
+            call_id=self.running.call_id,
+            result=RESULT_OF_RUN_STATE[refused.run_state],
+            spent=spent.to_record(),
+            reason=refused.reason.value,
+            detail=refused.detail,
+        )
+
+    def close(self) -> None:
+        """Let the program's next call go; runs when the call's task ends, however it ends."""
+        shard, program = self.shard, self.program
+        shard.running.pop(self.running.call_id, None)
+        if shard.lost:
+            return
+        shard.advance(program.program_id)
+        creation_open = program.program_id in shard.uncommitted
+        if creation_open and not program.waiting and program.active is None:
+            shard.table.drop_uncommitted(program.program_id)
+            del shard.uncommitted[program.program_id]
+        elif self.single_call and not program.keys:
+            shard.table.forget(program.program_id)
+
+    def _closing_records(self, outcome: CallOutcome) -> list[JournalRecord]:
+        records = [JournalRecord(call_outcome=outcome)]
+        if self.single_call:
+            finished = ProgramFinished(
+                program_id=self.program.program_id,
+                reason="single_call",
+                finished_at_seconds=self.ports.clock.wall(),
+            )
+            records.append(JournalRecord(program_finished=finished))
+        return records
+
+    def _tell_uncommitted(self, refused: Refused) -> None:
+        self.running.end(
+            Refused(
+                refused.reason,
+                RunState.UNKNOWN,
+                "the call has ended but its outcome is not committed: " + refused.detail,
+                RETRY_UNCOMMITTED_SECONDS,
+            )
+        )
--- /dev/null
+++ b/src/foxwinch/commands/end_program.py
@@ -0,0 +1,66 @@
+"""Finish or abandon a program: its calls end, its child programs go, its engine memory is freed."""
+
+import asyncio
+
+from foxwinch._generated.journal_pb2 import JournalRecord, ProgramFinished
+from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.ports import ProgramPorts
+from foxwinch.core.program.lifetime import PARENT_ENDED
+from foxwinch.core.program.state import Program
+from foxwinch.outcomes import Reason, Refused, not_run
+
+BUSY_RETRY_SECONDS = 1.0
+ENDED_CAUSE = "program_ended"
+
+
+async def end_program(
+    ports: ProgramPorts, held: HeldShard, program: Program, abandoned: bool, reason: str
+) -> Refused | None:
+    """End a program; None when it has ended (or had before).
+
+    Finishing waits for nothing: while calls wait or run it is a `CONFLICT`. Abandoning cancels
+    them; a tool call that is running is waited for, since it may take effect.
+    """
+    if program.finished is not None:
+        return None
+    if program.program_id in held.ending:
+        return not_run(Reason.CONFLICT, "the program is being ended", BUSY_RETRY_SECONDS)
+    if not abandoned and (program.active is not None or program.waiting):
+        return not_run(Reason.CONFLICT, "calls of the program are running", BUSY_RETRY_SECONDS)
+    held.ending.add(program.program_id)
+    try:
+        return await _end(ports, held, program, abandoned, reason)
+    finally:
+        held.ending.discard(program.program_id)
+
+
+async def _end(
+    ports: ProgramPorts, held: HeldShard, program: Program, abandoned: bool, reason: str
+) -> Refused | None:
+    await _cancel_calls(held, program)
+    for child_id in list(program.children):
+        child = held.table.find(child_id)
+        if child is not None:
+            await end_program(ports, held, child, abandoned=True, reason=PARENT_ENDED)
+    if held.uncommitted.pop(program.program_id, None) is not None:
+        held.table.drop_uncommitted(program.program_id)
+        return None
+    finished = ProgramFinished(
+        program_id=program.program_id,
+        abandoned=abandoned,
+        reason=reason,
+        finished_at_seconds=ports.clock.wall(),
+    )
+    refused = await held.commit([JournalRecord(program_finished=finished)])
+    if refused is None:
+        ports.grants.finish(program.program_id)
+    return refused
+
+
+async def _cancel_calls(held: HeldShard, program: Program) -> None:
+    calls = [call for call in held.running.values() if call.program is program]
+    for call in calls:
+        call.cancel(ENDED_CAUSE)
+    tasks = [call.task for call in calls if call.task is not None]
+    if tasks:
+        await asyncio.wait(tasks)
--- /dev/null
+++ b/src/foxwinch/commands/forward.py
@@ -0,0 +1,76 @@
+"""Send a request on to the owner of its program, with one hop, and serve what others send on."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+from typing import Any, cast
+
+from foxwinch.commands.forward_codec import (
+    decode_event,
+    decode_request,
+    encode_event,
+    encode_request,
+)
+from foxwinch.commands.requests import ProgramRequest
+from foxwinch.core.program.call_events import FINAL_EVENTS, ProgramEvent
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort
+
+METHOD = "program"
+DEADLINE_SECONDS = 3_600.0
+"""Longest stream of one request; the owner ends calls much earlier by class and budget."""
+UNREACHABLE_RETRY_SECONDS = 1.0
+
+
+class Forwarder:
+    """Both ends of the hop between the node that a caller reached and the owner."""
+
+    def __init__(self, peers: PeerPort) -> None:
+        """Use the streams between nodes."""
+        self._peers = peers
+
+    def serve(self, execute_here: Callable[[ProgramRequest], AsyncIterator[ProgramEvent]]) -> None:
+        """Serve requests that other nodes send on."""
+
+        async def handle(context: PeerContext, payload: bytes) -> AsyncIterator[bytes | Refused]:
+            request = decode_request(payload)
+            if request is None:
+                yield not_run(Reason.INVALID_REQUEST, "the operation is not known to this node")
+                return
+            events = execute_here(request)
+            async with aclosing(cast(Any, events)):
+                async for event in events:
+                    yield encode_event(event)
+
+        self._peers.handle_stream(METHOD, handle)
+
+    async def forward(
+        self, address: PeerAddress, request: ProgramRequest
+    ) -> AsyncIterator[ProgramEvent]:
+        """Send a request to the owner and iterate over the events that come back.
+
+        Closing the iterator closes the stream, so that the owner sees its follower go.
+        """
+        answers = self._peers.stream(address, METHOD, encode_request(request), DEADLINE_SECONDS)
+        async with aclosing(cast(Any, answers)):
+            async for answer in answers:
+                if isinstance(answer, Refused):
+                    yield _lost_hop(answer)
+                    return
+                event = decode_event(answer)
+                if event is None:
+                    continue
+                yield event
+                if isinstance(event, FINAL_EVENTS):
+                    return
+        yield Refused(
+            Reason.PEER_UNREACHABLE,
+            RunState.UNKNOWN,
+            "the owner of the program ended the stream early",
+            UNREACHABLE_RETRY_SECONDS,
+        )
+
+
+def _lost_hop(refused: Refused) -> Refused:
+    """Tell when to come back: another owner will have taken over."""
+    retry = refused.retry_after_seconds or UNREACHABLE_RETRY_SECONDS
+    return Refused(refused.reason, refused.run_state, refused.detail, retry)
--- a/src/foxwinch/gateway/authentication.py
+++ b/src/foxwinch/gateway/authentication.py
@@ -1,8 +1,10 @@
 """Bearer keys of tenants, known to a node only as hashes."""
 
 import hashlib
+from dataclasses import dataclass
 
-from foxwinch.identifiers import TenantName
+from foxwinch.identifiers import Revision, TenantName
+from foxwinch.node.interfaces import ConfigurationSnapshot, ConfigurationView
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.settings.cluster import ClusterConfiguration
 
@@ -14,12 +16,41 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def authenticate(header: str | None, document: ClusterConfiguration) -> TenantName | Refused:
-    """Find the tenant of an `Authorization` header."""
-    if header is None or not header.startswith(BEARER_PREFIX):
-        return not_run(Reason.UNAUTHENTICATED, "a bearer key is required")
-    digest = hash_key(header[len(BEARER_PREFIX) :].strip())
-    for tenant in document.tenants:
-        if digest in tenant.key_hashes:
-            return TenantName(tenant.name)
-    return not_run(Reason.UNAUTHENTICATED, "the bearer key is not known")
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """An authenticated caller and the configuration its request is checked against."""
+
+    tenant: TenantName
+    document: ClusterConfiguration
+
+
+class Authenticator:
+    """Finds tenants by their keys; keys are indexed once for each configuration revision."""
+
+    def __init__(self, configuration: ConfigurationView) -> None:
+        """Use the configuration in force at each request."""
+        self._configuration = configuration
+        self._revision: Revision | None = None
+        self._tenants: dict[str, TenantName] = {}
+
+    def authenticate(self, header: str | None) -> Caller | Refused:
+        """Find the tenant of an `Authorization` header."""
+        snapshot = self._configuration.current()
+        if isinstance(snapshot, Refused):
+            return snapshot
+        if header is None or not header.startswith(BEARER_PREFIX):
+            return not_run(Reason.UNAUTHENTICATED, "a bearer key is required")
+        if snapshot.revision != self._revision:
+            self._index(snapshot)
+        tenant = self._tenants.get(hash_key(header[len(BEARER_PREFIX) :].strip()))
+        if tenant is None:
+            return not_run(Reason.UNAUTHENTICATED, "the bearer key is not known")
+        return Caller(tenant, snapshot.document)
+
+    def _index(self, snapshot: ConfigurationSnapshot) -> None:
+        self._revision = snapshot.revision
+        self._tenants = {
+            digest: TenantName(tenant.name)
+            for tenant in snapshot.document.tenants
+            for digest in tenant.key_hashes
+        }
--- a/src/foxwinch/gateway/chat.py
+++ b/src/foxwinch/gateway/chat.py
@@ -1,190 +1,153 @@
 """`/v1/chat/completions` and `/v1/models` in the widely used shapes."""
 
-import json
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from foxwinch.backends.ports import Message
-from foxwinch.commands.model_call import CallEvent
-from foxwinch.commands.requests import ModelCallRequest
-from foxwinch.core.program.call_events import CallChunk, CallFinished, CallStarted
-from foxwinch.gateway.authentication import authenticate
-from foxwinch.gateway.errors import error_document, error_response
-from foxwinch.identifiers import ModelName, ProgramId, TenantName
-from foxwinch.node.interfaces import ConfigurationView
+from foxwinch.commands.requests import ModelCallRequest, ProgramRequest
+from foxwinch.core.program.call_events import ProgramEvent
+from foxwinch.core.program.identity import keyed_name, scoped, unkeyed_name
+from foxwinch.gateway.authentication import Authenticator, Caller
+from foxwinch.gateway.errors import error_response
+from foxwinch.gateway.headers import (
+    OFFSET_HEADER,
+    append_flag,
+    idempotency_key,
+    offset,
+    program_name,
+)
+from foxwinch.gateway.request_body import ChatBody, check_chat_body, read_json
+from foxwinch.gateway.respond import respond_stream, respond_whole
+from foxwinch.identifiers import ModelName, ProgramId
+from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.settings.process import CallerLimits
 
-PROGRAM_HEADER = "X-Foxwinch-Program"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
-DEFAULT_MAXIMUM_TOKENS = 1_024
-RunModelCall = Callable[[ModelCallRequest], AsyncIterator[CallEvent]]
-PASSED_THROUGH = ("temperature", "top_p", "stop", "seed", "tools", "tool_choice", "response_format")
+MODEL_NOT_FOUND = not_run(Reason.NOT_FOUND, "the model is not known")
+Execute = Callable[[ProgramRequest], AsyncIterator[ProgramEvent]]
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayContext:
+    """What the handlers of the caller side share."""
+
+    authenticator: Authenticator
+    execute: Execute
+    clock: Clock
+    limits: CallerLimits
+    new_program_name: Callable[[str], str]
+    """Returns a fresh name for a tenant's program, owned by this node where that can be."""
+
+    def caller(self, request: web.Request) -> Caller | Refused:
+        """Authenticate a request."""
+        return self.authenticator.authenticate(request.headers.get("Authorization"))
 
 
 class ChatHandlers:
     """Handlers of the chat-completions shape."""
 
-    def __init__(self, configuration: ConfigurationView, run_model_call: RunModelCall) -> None:
-        """Serve calls by `run_model_call` under the configuration in force."""
-        self._configuration = configuration
-        self._run_model_call = run_model_call
+    def __init__(self, context: GatewayContext) -> None:
+        """Serve by the shared context."""
+        self._context = context
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Register the handlers."""
         router.add_post("/v1/chat/completions", self.complete)
         router.add_get("/v1/models", self.models)
+        router.add_get("/v1/models/{model}", self.model)
 
     async def models(self, request: web.Request) -> web.StreamResponse:
         """List the models of the configuration."""
-        snapshot = self._configuration.current()
-        if isinstance(snapshot, Refused):
-            return error_response(snapshot)
-        tenant = authenticate(request.headers.get("Authorization"), snapshot.document)
-        if isinstance(tenant, Refused):
-            return error_response(tenant)
-        data = [
-            {"id": model.name, "object": "model", "created": 0, "owned_by": "foxwinch"}
-            for model in snapshot.document.models
-        ]
+        caller = self._context.caller(request)
+        if isinstance(caller, Refused):
+            return error_response(caller)
+        data = [_model_document(model.name) for model in caller.document.models]
         return web.json_response({"object": "list", "data": data})
 
+    async def model(self, request: web.Request) -> web.StreamResponse:
+        """Show one model."""
+        caller = self._context.caller(request)
+        if isinstance(caller, Refused):
+            return error_response(caller)
+        name = request.match_info["model"]
+        if name not in {model.name for model in caller.document.models}:
+            return error_response(MODEL_NOT_FOUND)
+        return web.json_response(_model_document(name))
+
     async def complete(self, request: web.Request) -> web.StreamResponse:
-        """Run a model call, streamed or whole."""
-        snapshot = self._configuration.current()
-        if isinstance(snapshot, Refused):
-            return error_response(snapshot)
-        tenant = authenticate(request.headers.get("Authorization"), snapshot.document)
-        if isinstance(tenant, Refused):
-            return error_response(tenant)
-        try:
-            body = json.loads(await request.read())
-        except ValueError:
-            return error_response(not_run(Reason.INVALID_REQUEST, "the body is not valid JSON"))
-        call = _parse(tenant, request, body)
-        if isinstance(call, Refused):
-            return error_response(call)
-        events = self._run_model_call(call)
-        if body.get("stream"):
-            return await _stream(request, call, events, _wants_usage(body))
-        return await _whole(call, events)
-
-
-def _parse(
-    tenant: TenantName, request: web.Request, body: dict[str, Any]
+        """Run a model call of the program that the header names, or of a program of one."""
+        caller = self._context.caller(request)
+        if isinstance(caller, Refused):
+            return error_response(caller)
+        name = program_name(request)
+        if isinstance(name, Refused):
+            return error_response(name)
+        return await run_chat(self._context, request, caller, name, append=False)
+
+
+async def run_chat(
+    context: GatewayContext, request: web.Request, caller: Caller, name: str, append: bool
+) -> web.StreamResponse:
+    """Run a model call whose body has the chat-completions shape.
+
+    `append` tells how `messages` is read when the request does not say so itself.
+    """
+    body = await read_json(request, context.limits)
+    if isinstance(body, Refused):
+        return error_response(body)
+    chat = check_chat_body(body, may_be_empty=append)
+    if isinstance(chat, Refused):
+        return error_response(chat)
+    call = _model_call(context, request, caller, name, chat, append)
+    if isinstance(call, Refused):
+        return error_response(call)
+    events = context.execute(call)
+    created = int(context.clock.wall())
+    if chat.stream:
+        first = call.resume_offset == 0
+        return await respond_stream(request, events, created, chat.include_usage, first)
+    return await respond_whole(events, created)
+
+
+def _model_call(
+    context: GatewayContext,
+    request: web.Request,
+    caller: Caller,
+    name: str,
+    chat: ChatBody,
+    append: bool,
 ) -> ModelCallRequest | Refused:
-    try:
-        messages = tuple(
-            Message(
-                m["role"],
-                m.get("content") or "",
-                {k: v for k, v in m.items() if k not in ("role", "content")},
-            )
-            for m in body["messages"]
-        )
-        model = ModelName(body["model"])
-    except (KeyError, TypeError, AttributeError):
-        return not_run(Reason.INVALID_REQUEST, "model and messages are required")
-    program = request.headers.get(PROGRAM_HEADER)
+    key = idempotency_key(request)
+    if isinstance(key, Refused):
+        return key
+    appended = append_flag(request, append)
+    if isinstance(appended, Refused):
+        return appended
+    resume = offset(OFFSET_HEADER, request.headers.get(OFFSET_HEADER, "0"))
+    if isinstance(resume, Refused):
+        return resume
     return ModelCallRequest(
-        tenant=tenant,
-        program_id=ProgramId(program) if program else None,
-        model=model,
-        messages=messages,
-        append=False,
-        maximum_tokens=body.get("max_completion_tokens")
-        or body.get("max_tokens")
-        or DEFAULT_MAXIMUM_TOKENS,
-        idempotency_key=request.headers.get(IDEMPOTENCY_HEADER),
-        parameters={name: body[name] for name in PASSED_THROUGH if name in body},
+        tenant=caller.tenant,
+        program_id=_program_id(context, caller, name, key),
+        model=ModelName(chat.model),
+        messages=chat.messages,
+        append=appended,
+        maximum_tokens=chat.maximum_tokens,
+        idempotency_key=key,
+        resume_offset=resume if chat.stream else 0,
+        parameters_json=chat.parameters_json,
+        single_call=not name,
     )
 
 
-def _wants_usage(body: dict[str, Any]) -> bool:
-    options = body.get("stream_options")
-    return isinstance(options, dict) and bool(options.get("include_usage"))
+def _program_id(context: GatewayContext, caller: Caller, name: str, key: str) -> ProgramId:
+    if name:
+        return scoped(caller.tenant, name)
+    if key:
+        return scoped(caller.tenant, keyed_name(key))
+    return scoped(caller.tenant, unkeyed_name(context.new_program_name(caller.tenant)))
 
 
-async def _stream(
-    request: web.Request,
-    call: ModelCallRequest,
-    events: AsyncIterator[CallEvent],
-    wants_usage: bool,
-) -> web.StreamResponse:
-    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-    started = CallStarted
-    call_id = ""
-    async for event in events:
-        if isinstance(event, Refused):
-            if not response.prepared:
-                return error_response(event)
-            await response.write(_frame(error_document(event)))
-            return response
-        if isinstance(event, started):
-            call_id = event.call_id
-            response.headers[PROGRAM_HEADER] = event.program_id
-            response.headers["X-Foxwinch-Worker"] = event.worker
-            await response.prepare(request)
-        elif isinstance(event, CallChunk):
-            delta = {"role": "assistant", "content": event.text}
-            await response.write(_frame(_chunk(call_id, call.model, delta, None)))
-        else:
-            await response.write(_frame(_chunk(call_id, call.model, {}, event.finish_reason)))
-            if wants_usage:
-                tail = {**_chunk(call_id, call.model, {}, None), "choices": []}
-                await response.write(_frame({**tail, "usage": _usage(event)}))
-    await response.write(b"data: [DONE]\n\n")
-    return response
-
-
-async def _whole(call: ModelCallRequest, events: AsyncIterator[CallEvent]) -> web.StreamResponse:
-    pieces: list[str] = []
-    call_id = ""
-    headers: dict[str, str] = {}
-    async for event in events:
-        if isinstance(event, Refused):
-            return error_response(event)
-        if isinstance(event, CallStarted):
-            call_id = event.call_id
-            headers = {PROGRAM_HEADER: event.program_id, "X-Foxwinch-Worker": event.worker}
-        elif isinstance(event, CallChunk):
-            pieces.append(event.text)
-        else:
-            message = {"role": "assistant", "content": "".join(pieces)}
-            choice = {"index": 0, "message": message, "finish_reason": event.finish_reason}
-            document = {
-                "id": f"chatcmpl-{call_id}",
-                "object": "chat.completion",
-                "created": 0,
-                "model": call.model,
-                "choices": [choice],
-                "usage": _usage(event),
-            }
-            return web.json_response(document, headers=headers)
-    raise AssertionError("a call's events end with finished or refused")
-
-
-def _chunk(
-    call_id: str, model: str, delta: dict[str, str], finish_reason: str | None
-) -> dict[str, Any]:
-    return {
-        "id": f"chatcmpl-{call_id}",
-        "object": "chat.completion.chunk",
-        "created": 0,
-        "model": model,
-        "choices": [{"index": 0, "delta": delta, "finish_reason": finish_reason}],
-    }
-
-
-def _usage(event: CallFinished) -> dict[str, Any]:
-    return {
-        "prompt_tokens": event.prompt_tokens,
-        "completion_tokens": event.completion_tokens,
-        "total_tokens": event.prompt_tokens + event.completion_tokens,
-        "prompt_tokens_details": {"cached_tokens": event.cached_tokens},
-    }
-
-
-def _frame(document: dict[str, Any]) -> bytes:
-    return b"data: " + json.dumps(document, separators=(",", ":")).encode() + b"\n\n"
+def _model_document(name: str) -> dict[str, object]:
+    return {"id": name, "object": "model", "created": 0, "owned_by": "foxwinch"}
--- a/src/foxwinch/gateway/errors.py
+++ b/src/foxwinch/gateway/errors.py
@@ -1,10 +1,12 @@
 """Refusals as typed JSON errors in the widely used shape, with the run state beside."""
 
+import json
 import math
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from foxwinch.outcomes import Reason, Refused
+from foxwinch.outcomes import Reason, Refused, RunState
 
 STATUS_OF_REASON: dict[Reason, int] = {
     Reason.INVALID_REQUEST: 400,
@@ -25,6 +27,25 @@
 DEFAULT_STATUS = 503
 
 
+SHOWN_VALUE_CHARACTERS = 80
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidField(Refused):
+    """A request field that is refused, named in the error's `param`."""
+
+    field: str = ""
+
+
+def invalid_field(field: str, value: object, allowed: str) -> InvalidField:
+    """Return a refusal that names the field, its value and what is allowed."""
+    shown = json.dumps(value, default=repr)
+    if len(shown) > SHOWN_VALUE_CHARACTERS:
+        shown = shown[:SHOWN_VALUE_CHARACTERS] + "..."
+    detail = f"{field} = {shown}: must be {allowed}"
+    return InvalidField(Reason.INVALID_REQUEST, RunState.NOT_RUN, detail, None, field)
+
+
 def error_document(refused: Refused) -> dict[str, dict[str, object]]:
     """Return the JSON body of a refusal."""
     return {
@@ -32,7 +53,7 @@
             "message": refused.detail,
             "type": refused.reason.value,
             "code": refused.reason.value,
-            "param": None,
+            "param": refused.field if isinstance(refused, InvalidField) else None,
             "run_state": refused.run_state.value,
         }
     }
--- /dev/null
+++ b/src/foxwinch/gateway/headers.py
@@ -0,0 +1,54 @@
+"""Headers of the caller side, and their checks."""
+
+from aiohttp import web
+
+from foxwinch.core.program.identity import GIVEN_PATTERN, NAME_RULE
+from foxwinch.gateway.errors import InvalidField, invalid_field
+from foxwinch.outcomes import Refused
+
+PROGRAM_HEADER = "X-Foxwinch-Program"
+"""Names the program of a call; without it a call is a program of one."""
+APPEND_HEADER = "X-Foxwinch-Append"
+"""`true`: `messages` holds only what follows the program's history."""
+OFFSET_HEADER = "X-Foxwinch-Offset"
+"""Chunks that the caller already has of the answer under the idempotency key."""
+CALL_HEADER = "X-Foxwinch-Call"
+WORKER_HEADER = "X-Foxwinch-Worker"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+MAXIMUM_KEY_CHARACTERS = 255
+
+
+def program_name(request: web.Request) -> str | Refused:
+    """Return the program named by the header, or an empty string."""
+    name = request.headers.get(PROGRAM_HEADER, "")
+    return check_name(PROGRAM_HEADER, name) if name else ""
+
+
+def check_name(field: str, name: str) -> str | InvalidField:
+    """Check a program's name as a caller gave it."""
+    if GIVEN_PATTERN.match(name):
+        return name
+    return invalid_field(field, name, NAME_RULE)
+
+
+def append_flag(request: web.Request, default: bool) -> bool | Refused:
+    """Return whether the messages follow the history."""
+    value = request.headers.get(APPEND_HEADER, str(default)).lower()
+    if value in ("true", "false"):
+        return value == "true"
+    return invalid_field(APPEND_HEADER, value, "true or false")
+
+
+def idempotency_key(request: web.Request) -> str | Refused:
+    """Return the idempotency key, or an empty string."""
+    key = request.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) <= MAXIMUM_KEY_CHARACTERS:
+        return key
+    return invalid_field(IDEMPOTENCY_HEADER, key, f"at most {MAXIMUM_KEY_CHARACTERS} characters")
+
+
+def offset(field: str, value: str) -> int | Refused:
+    """Return a number of chunks."""
+    if value.isascii() and value.isdecimal() and len(value) <= 9:
+        return int(value)
+    return invalid_field(field, value, "a number of chunks, 0 or more")
--- /dev/null
+++ b/src/foxwinch/gateway/programs.py
@@ -0,0 +1,212 @@
+"""The program API under `/v1/programs`."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+
+from aiohttp import web
+
+from foxwinch.commands.requests import (
+    AttachRequest,
+    CreateRequest,
+    EndRequest,
+    HistoryRequest,
+    SpawnRequest,
+    ToolCallRequest,
+)
+from foxwinch.core.program.call_events import ProgramDetails, ProgramEvent, ToolFinished
+from foxwinch.core.program.history import canonical_json, from_history
+from foxwinch.core.program.identity import (
+    NAME_PATTERN,
+    NAME_RULE,
+    SINGLE_CALL_PREFIX,
+    named_by_key,
+    scoped,
+)
+from foxwinch.gateway.authentication import Caller
+from foxwinch.gateway.chat import GatewayContext, run_chat
+from foxwinch.gateway.errors import error_response, invalid_field
+from foxwinch.gateway.headers import check_name, idempotency_key, offset
+from foxwinch.gateway.request_body import check_text, read_json
+from foxwinch.gateway.respond import (
+    final_event,
+    program_document,
+    respond_stream,
+    tool_document,
+)
+from foxwinch.identifiers import CallId, ProgramId, ToolName
+from foxwinch.outcomes import Refused
+
+PATH = "/v1/programs"
+ONE = PATH + "/{program}"
+Handler = Callable[[web.Request, Caller, str], Awaitable[web.StreamResponse]]
+
+
+class ProgramHandlers:
+    """Handlers of the program API."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        """Serve by the shared context."""
+        self._context = context
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the handlers."""
+        router.add_post(PATH, self.create)
+        router.add_get(ONE, self._of_program(self._show))
+        router.add_get(ONE + "/history", self._of_program(self._history))
+        router.add_post(ONE + "/calls", self._of_program(self._call))
+        router.add_post(ONE + "/tools", self._of_program(self._tool))
+        router.add_post(ONE + "/spawn", self._of_program(self._spawn))
+        router.add_post(ONE + "/finish", self._of_program(self._finish))
+        router.add_post(ONE + "/abandon", self._of_program(self._abandon))
+        router.add_get(ONE + "/calls/{call}/stream", self._of_program(self._stream))
+
+    async def create(self, request: web.Request) -> web.StreamResponse:
+        """Create a program from a template."""
+        caller = self._context.caller(request)
+        if isinstance(caller, Refused):
+            return error_response(caller)
+        body = await read_json(request, self._context.limits)
+        if isinstance(body, Refused):
+            return error_response(body)
+        template = check_text(body, "template", required=True)
+        if isinstance(template, Refused):
+            return error_response(template)
+        key = idempotency_key(request)
+        if isinstance(key, Refused):
+            return error_response(key)
+        name = self._name_of_new(caller, body, key)
+        if isinstance(name, Refused):
+            return error_response(name)
+        asked = CreateRequest(caller.tenant, scoped(caller.tenant, name), template, key)
+        return _program_response(await self._final(asked), HTTPStatus.CREATED)
+
+    def _of_program(
+        self, handler: Handler
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        """Return a handler that authenticates and checks the program's name first."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            caller = self._context.caller(request)
+            if isinstance(caller, Refused):
+                return error_response(caller)
+            name = check_name("program", request.match_info["program"])
+            if isinstance(name, Refused):
+                return error_response(name)
+            return await handler(request, caller, name)
+
+        return handle
+
+    async def _show(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        return _program_response(await self._final(_history_request(caller, name)))
+
+    async def _history(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        details = await self._final(_history_request(caller, name))
+        if not isinstance(details, ProgramDetails):
+            return _refusal(details)
+        messages = [from_history(message) for message in details.history]
+        return web.json_response({"object": "history", "id": name, "messages": messages})
+
+    async def _call(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        return await run_chat(self._context, request, caller, name, append=True)
+
+    async def _tool(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        body = await read_json(request, self._context.limits)
+        if isinstance(body, Refused):
+            return error_response(body)
+        asked = _tool_call(request, caller, name, body)
+        if isinstance(asked, Refused):
+            return error_response(asked)
+        final = await self._final(asked)
+        if not isinstance(final, ToolFinished):
+            return _refusal(final)
+        return web.json_response(tool_document(final))
+
+    async def _spawn(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        body = await read_json(request, self._context.limits)
+        if isinstance(body, Refused):
+            return error_response(body)
+        template = check_text(body, "template", required=False)
+        if isinstance(template, Refused):
+            return error_response(template)
+        key = idempotency_key(request)
+        if isinstance(key, Refused):
+            return error_response(key)
+        asked = SpawnRequest(caller.tenant, scoped(caller.tenant, name), template, key)
+        return _program_response(await self._final(asked), HTTPStatus.CREATED)
+
+    async def _finish(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        return await self._end(request, caller, name, abandoned=False)
+
+    async def _abandon(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        return await self._end(request, caller, name, abandoned=True)
+
+    async def _end(
+        self, request: web.Request, caller: Caller, name: str, abandoned: bool
+    ) -> web.StreamResponse:
+        program_id = scoped(caller.tenant, name)
+        asked = EndRequest(caller.tenant, program_id, abandoned, "asked by the caller")
+        return _program_response(await self._final(asked))
+
+    async def _stream(self, request: web.Request, caller: Caller, name: str) -> web.StreamResponse:
+        resume = offset("offset", request.query.get("offset", "0"))
+        if isinstance(resume, Refused):
+            return error_response(resume)
+        call_id = CallId(request.match_info["call"])
+        asked = AttachRequest(caller.tenant, scoped(caller.tenant, name), call_id, resume)
+        created = int(self._context.clock.wall())
+        events = self._context.execute(asked)
+        return await respond_stream(request, events, created, True, first=resume == 0)
+
+    async def _final(
+        self, asked: CreateRequest | HistoryRequest | ToolCallRequest | SpawnRequest | EndRequest
+    ) -> ProgramEvent:
+        return await final_event(self._context.execute(asked))
+
+    def _name_of_new(self, caller: Caller, body: dict[str, Any], key: str) -> str | Refused:
+        name = check_text(body, "name", required=False)
+        if isinstance(name, Refused):
+            return name
+        if not name:
+            return named_by_key(key) if key else self._context.new_program_name(caller.tenant)
+        if not NAME_PATTERN.match(name) or name.startswith(SINGLE_CALL_PREFIX):
+            return invalid_field("name", name, f"{NAME_RULE}, not starting with once-")
+        return name
+
+
+def _tool_call(
+    request: web.Request, caller: Caller, name: str, body: dict[str, Any]
+) -> ToolCallRequest | Refused:
+    tool = check_text(body, "tool", required=True)
+    if isinstance(tool, Refused):
+        return tool
+    arguments = body.get("arguments", {})
+    if not isinstance(arguments, dict):
+        return invalid_field("arguments", arguments, "an object")
+    tool_call_id = check_text(body, "tool_call_id", required=False)
+    if isinstance(tool_call_id, Refused):
+        return tool_call_id
+    key = idempotency_key(request)
+    if isinstance(key, Refused):
+        return key
+    program_id = scoped(caller.tenant, name)
+    return ToolCallRequest(
+        caller.tenant, program_id, ToolName(tool), canonical_json(arguments), tool_call_id, key
+    )
+
+
+def _history_request(caller: Caller, name: str) -> HistoryRequest:
+    return HistoryRequest(caller.tenant, ProgramId(scoped(caller.tenant, name)))
+
+
+def _program_response(
+    details: ProgramEvent, status: HTTPStatus = HTTPStatus.OK
+) -> web.StreamResponse:
+    if not isinstance(details, ProgramDetails):
+        return _refusal(details)
+    return web.json_response(program_document(details), status=status)
+
+
+def _refusal(final: ProgramEvent) -> web.StreamResponse:
+    assert isinstance(final, Refused)
+    return error_response(final)
--- /dev/null
+++ b/src/foxwinch/queries/programs.py
@@ -0,0 +1,123 @@
+"""The programs that this node owns, as operators see them: no content of histories."""
+
+from collections.abc import Iterator, Sequence
+
+from foxwinch._generated.journal_pb2 import CallAdmitted
+from foxwinch._generated.operator_pb2 import (
+    CallStatus,
+    ListProgramsRequest,
+    ProgramDetail,
+    ProgramSummary,
+)
+from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.program_owner import ProgramOwner
+from foxwinch.commands.views import state_name
+from foxwinch.core.program.identity import root_of
+from foxwinch.core.program.state import Call, Program, WaitingCall
+from foxwinch.identifiers import NodeId, ProgramId
+from foxwinch.outcomes import Reason, Refused, not_run
+
+DEFAULT_LIMIT = 100
+MAXIMUM_LIMIT = 1_000
+KIND_NAMES = {CallAdmitted.MODEL: "model", CallAdmitted.TOOL: "tool", CallAdmitted.SPAWN: "spawn"}
+TURN_REASON = "behind {count} earlier calls of the program"
+UNGRANTED_REASON = "its budget is reserved; it waits for a worker or for the commit of its intent"
+
+
+class OwnedPrograms:
+    """Implements `foxwinch.queries.facts.ProgramFacts`."""
+
+    def __init__(self, owner: ProgramOwner, node: NodeId) -> None:
+        """Read the owner's shards; `node` is this node."""
+        self._owner = owner
+        self._node = node
+
+    def programs(self, request: ListProgramsRequest) -> Sequence[ProgramSummary]:
+        """Return programs that match, newest first, one more than the limit when there are more."""
+        limit = min(request.limit or DEFAULT_LIMIT, MAXIMUM_LIMIT)
+        matching = [
+            (held, program)
+            for held in self._owner.shards()
+            for program in held.table
+            if _matches(request, program)
+        ]
+        matching.sort(key=lambda found: found[1].created.created_at_seconds, reverse=True)
+        return [self._summary(held, program) for held, program in matching[: limit + 1]]
+
+    async def program(self, program_id: ProgramId) -> ProgramDetail | Refused:
+        """Return one program with its calls and why each waited and went where it did."""
+        held = self._owner.locate(root_of(program_id))
+        if isinstance(held, Refused):
+            return held
+        program = held.table.find(program_id) if isinstance(held, HeldShard) else None
+        if program is None or not isinstance(held, HeldShard):
+            return not_run(Reason.NOT_FOUND, f"program {program_id} is not known")
+        return ProgramDetail(
+            summary=self._summary(held, program),
+            parent_program_id=program.created.parent_program_id,
+            children=program.children,
+            calls=list(_calls(held, program)),
+            epoch=held.epoch,
+            cost=program.ledger.spent.cost,
+        )
+
+    def _summary(self, held: HeldShard, program: Program) -> ProgramSummary:
+        created = program.created
+        return ProgramSummary(
+            program_id=program.program_id,
+            tenant=created.tenant,
+            template=created.template,
+            class_name=created.class_name,
+            state=state_name(program),
+            owner=self._node,
+            shard=held.shard,
+            calls=program.ledger.spent.calls,
+            tokens=program.ledger.spent.tokens,
+            created_at_seconds=created.created_at_seconds,
+        )
+
+
+def _matches(request: ListProgramsRequest, program: Program) -> bool:
+    if request.tenant and program.tenant != request.tenant:
+        return False
+    return not request.state or state_name(program) == request.state
+
+
+def _calls(held: HeldShard, program: Program) -> Iterator[CallStatus]:
+    for call in program.calls.values():
+        yield _call(held, call)
+    for position, waiting in enumerate(program.waiting.values()):
+        yield _waiting(waiting, position + (program.active is not None))
+
+
+def _call(held: HeldShard, call: Call) -> CallStatus:
+    outcome = call.outcome
+    running = held.running.get(call.call_id)
+    started = running.started if running is not None else None
+    status = CallStatus(
+        call_id=call.call_id,
+        kind=KIND_NAMES.get(call.admitted.kind, ""),
+        target=call.admitted.target,
+        state=call.state.value,
+    )
+    if outcome is not None:
+        status.worker = outcome.worker
+        status.prompt_tokens = outcome.prompt_tokens
+        status.cached_tokens = outcome.cached_tokens
+        status.completion_tokens = outcome.completion_tokens
+        status.waited_seconds = outcome.waited_seconds
+        status.latency_seconds = outcome.finished_at_seconds - call.admitted.admitted_at_seconds
+        status.reason = outcome.grant_reason or outcome.detail
+    elif started is not None:
+        status.worker = started.worker
+        status.waited_seconds = started.waited_seconds
+        status.reason = started.reason
+    else:
+        status.reason = UNGRANTED_REASON
+    return status
+
+
+def _waiting(waiting: WaitingCall, ahead: int) -> CallStatus:
+    return CallStatus(
+        call_id=waiting.call_id, state="waiting", reason=TURN_REASON.format(count=ahead)
+    )
--- /dev/null
+++ b/tests/program_fakes.py
@@ -0,0 +1,177 @@
+"""Scripted engine, tool, journal and grants for tests of the program commands."""
+
+import asyncio
+from pathlib import Path
+
+from foxwinch._generated.journal_pb2 import HistoryMessage, JournalRecord
+from foxwinch.backends.ports import GenerateFinished, TokenChunk, ToolResult
+from foxwinch.commands.ports import ProgramPorts
+from foxwinch.commands.program_owner import ProgramOwner
+from foxwinch.commands.requests import ModelCallRequest, ToolCallRequest
+from foxwinch.commands.router import ProgramRouter
+from foxwinch.core.program.call_events import CallChunks
+from foxwinch.core.program.identity import scoped
+from foxwinch.emulator.clock import VirtualClock
+from foxwinch.identifiers import Epoch, ModelName, ShardNumber, TenantName, ToolName, WorkerId
+from foxwinch.node.interfaces import Admitted, Appended, Grant
+from foxwinch.node.local import LocalConfiguration, LocalOwnership
+from foxwinch.outcomes import Reason, Refused, RunState
+from foxwinch.settings.base import check, read_toml
+from foxwinch.settings.cluster import ClusterConfiguration
+
+CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
+TENANT = TenantName("seat-reservations")
+SHARD = ShardNumber(0)
+BROKEN = Refused(Reason.BACKEND_FAILED, RunState.UNKNOWN, "broken")
+
+
+def document() -> ClusterConfiguration:
+    checked = check(ClusterConfiguration, read_toml(CLEDWYN), str(CLEDWYN))
+    assert isinstance(checked, ClusterConfiguration)
+    return checked
+
+
+class FakeEngine:
+    """Answers with `words`, one each `pause_seconds`; `failures` end runs after some chunks."""
+
+    def __init__(self):
+        self.words = ["the ", "next ", "train"]
+        self.pause_seconds = 1.0
+        self.failures: list[tuple[int, Refused]] = []
+        self.orders = []
+        self.cancelled = 0
+
+    async def generate(self, worker, order):
+        self.orders.append(order)
+        failure = self.failures.pop(0) if self.failures else None
+        try:
+            for index in range(order.resume_offset, len(self.words)):
+                if failure is not None and index == failure[0]:
+                    yield failure[1]
+                    return
+                await asyncio.sleep(self.pause_seconds)
+                yield TokenChunk(self.words[index], 1)
+            yield GenerateFinished("stop", 7, 0, len(self.words))
+        except (asyncio.CancelledError, GeneratorExit):
+            self.cancelled += 1
+            raise
+
+
+class FakeTools:
+    """Runs a tool in a second; `answers` overrides the results in order."""
+
+    def __init__(self):
+        self.orders = []
+        self.answers: list[ToolResult | Refused] = []
+
+    async def call(self, order):
+        self.orders.append(order)
+        await asyncio.sleep(1.0)
+        return self.answers.pop(0) if self.answers else ToolResult("held")
+
+
+class FakeJournal:
+    """Keeps records; `refusals` are given in turn, None letting an append through."""
+
+    def __init__(self):
+        self.records: list[JournalRecord] = []
+        self.refusals: list[Refused | None] = []
+        self.kept_when_unknown = False
+
+    async def append(self, shard, epoch, records):
+        await asyncio.sleep(0.001)
+        refused = self.refusals.pop(0) if self.refusals else None
+        if refused is None or (self.kept_when_unknown and refused.run_state is RunState.UNKNOWN):
+            for record in records:
+                copied = JournalRecord()
+                copied.CopyFrom(record)
+                self.records.append(copied)
+        return refused or Appended(len(self.records))
+
+
+class FakeGrants:
+    """Grants at once; `refusal` refuses; notes what is settled and finished."""
+
+    def __init__(self):
+        self.refusal: Refused | None = None
+        self.requests = []
+        self.settled = []
+        self.finished = []
+        self.paused = []
+
+    async def acquire(self, request):
+        self.requests.append(request)
+        if self.refusal is not None:
+            return self.refusal
+        worker = WorkerId(f"w{len(self.requests)}")
+        return Grant(request.call_id, worker, "http://x", Epoch(1), 0, 0, 0.25, "free worker")
+
+    def settle(self, grant, usage):
+        self.settled.append(usage)
+
+    def pause(self, program_id, tool):
+        self.paused.append((program_id, tool))
+
+    def finish(self, program_id):
+        self.finished.append(program_id)
+
+
+class FakeLimits:
+    """Admits all; counts what is held."""
+
+    def __init__(self):
+        self.held = 0
+
+    def admit(self, tenant, class_name, estimated_tokens):
+        self.held += 1
+        return Admitted(tenant, estimated_tokens)
+
+    def settle(self, admitted, used_tokens):
+        self.held -= 1
+
+
+class Rig:
+    """One owner of one shard on fakes."""
+
+    def __init__(self, ownership=None, forwarder=None, seed=1):
+        self.clock = VirtualClock(seed)
+        self.engine, self.tools = FakeEngine(), FakeTools()
+        self.journal, self.grants, self.limits = FakeJournal(), FakeGrants(), FakeLimits()
+        self.ports = ProgramPorts(
+            self.clock, LocalConfiguration(document()), ownership or LocalOwnership(),
+            self.journal, self.grants, self.limits, self.engine, self.tools,
+        )  # fmt: skip
+        self.owner = ProgramOwner(self.ports)
+        self.router = ProgramRouter(self.owner, forwarder)
+
+    def load(self, records=(), epoch=1):
+        self.owner.load_shard(SHARD, Epoch(epoch), records)
+        return self
+
+    def program(self, name="p"):
+        held = next(self.owner.shards())
+        return held.table.find(scoped(TENANT, name))
+
+    def model(self, text="hello", name="p", **fields):
+        message = HistoryMessage(role="user", content=text)
+        base = {"append": True, "maximum_tokens": 16, **fields}
+        return self.router.execute(
+            ModelCallRequest(
+                TENANT, scoped(TENANT, name), ModelName("rail-chat"), (message,), **base
+            )
+        )
+
+    def tool(self, tool="timetable", name="p", **fields):
+        return self.router.execute(
+            ToolCallRequest(TENANT, scoped(TENANT, name), ToolName(tool), "{}", **fields)
+        )
+
+
+async def collect(events):
+    """Return the text of all chunks and the last event."""
+    text, last = "", None
+    async for event in events:
+        if isinstance(event, CallChunks):
+            text += "".join(chunk.text for chunk in event.chunks)
+        last = event
+    return text, last
--- /dev/null
+++ b/tests/test_program_commands.py
@@ -0,0 +1,400 @@
+"""Commands of programs on virtual time: what callers see, what is run, and what is recorded."""
+
+import asyncio
+
+import pytest
+
+from foxwinch._generated.journal_pb2 import CallOutcome, HistoryMessage
+from foxwinch._generated.operator_pb2 import ListProgramsRequest
+from foxwinch.commands.abandon_program import AbandonCommand
+from foxwinch.commands.forward import Forwarder
+from foxwinch.commands.operator import Accepted
+from foxwinch.commands.requests import (
+    AttachRequest,
+    CreateRequest,
+    EndRequest,
+    HistoryRequest,
+    SpawnRequest,
+)
+from foxwinch.commands.sweep import RECONNECT_SECONDS, ProgramSweeper
+from foxwinch.core.program.call_events import (
+    CallChunks,
+    CallFinished,
+    CallStarted,
+    ProgramDetails,
+    ToolFinished,
+)
+from foxwinch.core.program.identity import scoped
+from foxwinch.emulator.network import MemoryNetwork, addresses
+from foxwinch.identifiers import CallId, Epoch, NodeId, TenantName
+from foxwinch.node.interfaces import OwnedBy, OwnedHere
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.queries.programs import OwnedPrograms
+from program_fakes import BROKEN, SHARD, TENANT, Rig, collect
+
+pytestmark = [pytest.mark.looptime]
+PROGRAM = scoped(TENANT, "p")
+TEXT = "the next train"
+
+
+@pytest.fixture
+def rig():
+    return Rig().load()
+
+
+def create(rig, template="journey-planner", program=PROGRAM):
+    return collect(rig.router.execute(CreateRequest(TENANT, program, template)))
+
+
+def end(rig, abandoned, program=PROGRAM):
+    return collect(rig.router.execute(EndRequest(TENANT, program, abandoned, "test")))
+
+
+def results(rig):
+    records = (r for r in rig.journal.records if r.HasField("call_outcome"))
+    return [(r.call_outcome.result, r.call_outcome.reason) for r in records]
+
+
+async def test_intent_goes_before_dispatch_and_outcome_before_the_end(rig):
+    events = rig.model()
+    assert isinstance(await anext(events), CallStarted)
+    kinds = [record.WhichOneof("record") for record in rig.journal.records]
+    assert kinds == ["program_created", "call_admitted"]
+    text, last = await collect(events)
+    assert text == TEXT
+    assert isinstance(last, CallFinished)
+    assert results(rig) == [(CallOutcome.SUCCEEDED, "")]
+    assert [m.content for m in rig.program().history] == ["hello", TEXT]
+    assert rig.limits.held == 0
+
+
+async def test_calls_of_a_program_run_one_by_one_in_order_of_arrival(rig):
+    calls = [asyncio.create_task(collect(rig.model(f"turn {n}"))) for n in range(4)]
+    await asyncio.gather(*calls)
+    asked = [m.content for m in rig.program().history if m.role == "user"]
+    assert asked == [f"turn {n}" for n in range(4)]
+    assert [len(order.messages) for order in rig.engine.orders] == [1, 3, 5, 7]
+
+
+async def test_a_refused_grant_leaves_no_trace(rig):
+    rig.grants.refusal = not_run(Reason.OVERLOADED, "busy", 2.0)
+    _, last = await collect(rig.model())
+    assert last == rig.grants.refusal
+    assert rig.journal.records == []
+    assert rig.program() is None
+
+
+async def test_an_intent_that_is_not_committed_is_never_dispatched(rig):
+    rig.journal.refusals = [not_run(Reason.NO_QUORUM, "no replicas", 1.0)]
+    _, last = await collect(rig.model())
+    assert (last.reason, last.run_state) == (Reason.NO_QUORUM, RunState.NOT_RUN)
+    assert rig.engine.orders == []
+    assert rig.grants.settled[0].not_run
+
+
+async def test_an_intent_that_may_be_committed_is_cancelled_in_the_journal(rig):
+    rig.journal.kept_when_unknown = True
+    rig.journal.refusals = [Refused(Reason.NO_QUORUM, RunState.UNKNOWN, "lost answer")]
+    _, last = await collect(rig.model())
+    assert last.run_state is RunState.NOT_RUN
+    await rig.owner.wait_idle()
+    assert rig.engine.orders == []
+    assert results(rig) == [(CallOutcome.FAILED_NOT_RUN, "no_quorum")]
+    text, _ = await collect(rig.model())
+    assert text == TEXT
+
+
+async def test_repeat_after_a_lost_answer_gets_the_first_answer(rig):
+    first = rig.model(idempotency_key="k")
+    await anext(first)
+    await first.aclose()
+    running = await collect(rig.model(idempotency_key="k"))
+    ended = await collect(rig.model(idempotency_key="k"))
+    assert running[0] == ended[0] == TEXT
+    assert len(rig.engine.orders) == 1
+    _, other = await collect(rig.model("something else", idempotency_key="k"))
+    assert other.reason is Reason.CONFLICT
+
+
+async def test_reconnect_goes_on_from_the_offset(rig):
+    first = rig.model(idempotency_key="k")
+    started = await anext(first)
+    assert isinstance(await anext(first), CallChunks)
+    await first.aclose()
+    asked = AttachRequest(TENANT, PROGRAM, started.call_id, 1)
+    while_running, _ = await collect(rig.router.execute(asked))
+    when_ended, last = await collect(rig.router.execute(asked))
+    assert while_running == when_ended == "next train"
+    assert isinstance(last, CallFinished)
+
+
+async def test_a_client_that_goes_cancels_the_engine_and_frees_what_was_reserved(rig):
+    events = rig.model()
+    await anext(events)
+    await anext(events)
+    await events.aclose()
+    await rig.owner.wait_idle()
+    assert rig.engine.cancelled == 1
+    assert results(rig) == [(CallOutcome.FAILED_RAN, "cancelled")]
+    assert rig.program().ledger.reserved.tokens == 0
+    assert rig.program().history == []
+    assert (rig.limits.held, len(rig.grants.settled)) == (0, 1)
+
+
+async def test_a_keyed_call_is_cancelled_when_nobody_comes_back(rig):
+    rig.engine.pause_seconds = 10 * RECONNECT_SECONDS
+    sweeper = ProgramSweeper(rig.owner)
+    await sweeper.start()
+    events = rig.model(idempotency_key="k")
+    await anext(events)
+    await events.aclose()
+    await rig.owner.wait_idle()
+    await sweeper.stop()
+    assert rig.engine.cancelled == 1
+    assert asyncio.get_running_loop().time() < 2 * RECONNECT_SECONDS
+
+
+async def test_a_broken_stream_is_resumed_on_another_worker_without_doubling(rig):
+    rig.engine.failures = [(2, BROKEN)]
+    text, last = await collect(rig.model())
+    assert text == TEXT
+    assert isinstance(last, CallFinished)
+    assert [order.resume_offset for order in rig.engine.orders] == [0, 2]
+    assert [usage.failed for usage in rig.grants.settled] == [True, False]
+
+
+async def test_retries_are_bounded_and_the_failure_says_that_it_ran(rig):
+    rig.engine.failures = [(1, BROKEN)] * 9
+    _, last = await collect(rig.model())
+    assert (last.reason, last.run_state) == (Reason.BACKEND_FAILED, RunState.RAN)
+    assert len(rig.engine.orders) == 3
+    assert rig.program().ledger.reserved.tokens == 0
+
+
+async def test_an_outcome_that_cannot_be_committed_is_told_unknown_then_found(rig):
+    lost = Refused(Reason.NO_QUORUM, RunState.UNKNOWN, "no replicas")
+    rig.journal.refusals = [None, *[lost] * 10]
+    _, last = await collect(rig.model(idempotency_key="k"))
+    assert (last.run_state, last.retry_after_seconds) == (RunState.UNKNOWN, 1.0)
+    await rig.owner.wait_idle()
+    text, last = await collect(rig.model(idempotency_key="k"))
+    assert text == TEXT
+    assert len(rig.engine.orders) == 1
+
+
+async def test_a_tool_that_may_have_run_is_not_run_again(rig):
+    await create(rig)
+    rig.tools.answers = [Refused(Reason.TOOL_TIMEOUT, RunState.UNKNOWN, "hung")]
+    _, last = await collect(rig.tool("confirm-seats", idempotency_key="k"))
+    _, again = await collect(rig.tool("confirm-seats", idempotency_key="k"))
+    assert last.run_state is again.run_state is RunState.UNKNOWN
+    assert len(rig.tools.orders) == 1
+
+
+async def test_a_repeatable_tool_is_retried_and_its_result_ends_the_history(rig):
+    await create(rig)
+    rig.tools.answers = [Refused(Reason.TOOL_TIMEOUT, RunState.UNKNOWN, "hung")]
+    _, last = await collect(rig.tool("timetable", tool_call_id="t1"))
+    assert isinstance(last, ToolFinished)
+    assert len(rig.tools.orders) == 2
+    expected = HistoryMessage(role="tool", content="held", extra_json='{"tool_call_id":"t1"}')
+    assert list(rig.program().history) == [expected]
+    assert rig.grants.paused == [(PROGRAM, "timetable")]
+
+
+async def test_a_tool_call_goes_on_when_its_caller_goes(rig):
+    await create(rig)
+    events = rig.tool("hold-seats")
+    await anext(events)
+    await events.aclose()
+    await rig.owner.wait_idle()
+    assert results(rig) == [(CallOutcome.SUCCEEDED, "")]
+
+
+async def take_over(rig):
+    """Lose the first owner in the middle of a call; return the next one."""
+    rig.owner.drop_shard(SHARD)
+    return Rig(seed=2).load(rig.journal.records, epoch=2)
+
+
+async def test_takeover_reports_a_tool_without_outcome_as_unknown_and_never_runs_it(rig):
+    await create(rig)
+    call = asyncio.create_task(collect(rig.tool("confirm-seats", idempotency_key="k")))
+    await asyncio.sleep(0.5)
+    later = await take_over(rig)
+    _, told = await call
+    assert (told.reason, told.run_state) == (Reason.NOT_OWNER, RunState.UNKNOWN)
+    _, last = await collect(later.tool("confirm-seats", idempotency_key="k"))
+    assert (last.reason, last.run_state) == (Reason.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+    assert later.tools.orders == []
+
+
+async def test_takeover_runs_a_keyed_model_call_again_and_its_caller_finds_it(rig):
+    call = asyncio.create_task(collect(rig.model(idempotency_key="k")))
+    await asyncio.sleep(1.5)
+    later = await take_over(rig)
+    await call
+    _, mixed = await collect(later.model(idempotency_key="k", resume_offset=1))
+    assert mixed.reason is Reason.CONFLICT
+    text, last = await collect(later.model(idempotency_key="k"))
+    assert (text, isinstance(last, CallFinished)) == (TEXT, True)
+    assert len(later.engine.orders) == 1
+    assert [m.content for m in later.program().history] == ["hello", TEXT]
+
+
+async def test_a_late_end_of_a_lost_shard_changes_nothing(rig):
+    call = asyncio.create_task(collect(rig.model()))
+    await asyncio.sleep(1.5)
+    records = len(rig.journal.records)
+    rig.owner.drop_shard(SHARD)
+    await call
+    await asyncio.sleep(60)
+    assert len(rig.journal.records) == records
+
+
+async def test_snapshot_rebuilds_answers_for_the_next_owner(rig):
+    await collect(rig.model(idempotency_key="k"))
+    later = Rig(seed=2).load(rig.owner.snapshot_records(SHARD), epoch=2)
+    text, _ = await collect(later.model(idempotency_key="k", resume_offset=1))
+    assert text == "next train"
+    assert later.engine.orders == []
+
+
+async def test_child_has_its_own_history_and_its_parents_budget(rig):
+    await create(rig)
+    asked = SpawnRequest(TENANT, PROGRAM, "itinerary", "k")
+    _, child = await collect(rig.router.execute(asked))
+    _, again = await collect(rig.router.execute(asked))
+    assert isinstance(child, ProgramDetails)
+    assert again.program_id == child.program_id
+    assert child.parent_program_id == PROGRAM
+    name = child.program_id.partition("/")[2]
+    await collect(rig.model("in the child", name=name))
+    assert rig.program().history == []
+    assert rig.program().ledger.spent.tokens == 10
+    deeper = SpawnRequest(TENANT, child.program_id, "itinerary")
+    _, refused = await collect(rig.router.execute(deeper))
+    assert refused.reason is Reason.BUDGET_EXHAUSTED
+
+
+async def test_finish_is_refused_while_a_call_runs_and_abandon_ends_it(rig):
+    await create(rig)
+    _, child = await collect(rig.router.execute(SpawnRequest(TENANT, PROGRAM, "itinerary")))
+    call = asyncio.create_task(collect(rig.model()))
+    waiting = asyncio.create_task(collect(rig.model("second")))
+    await asyncio.sleep(1.5)
+    _, refused = await end(rig, abandoned=False)
+    assert (refused.reason, refused.run_state) == (Reason.CONFLICT, RunState.NOT_RUN)
+    _, ended = await end(rig, abandoned=True)
+    assert ended.state == "abandoned"
+    assert (await call)[1].reason is Reason.CANCELLED
+    assert (await waiting)[1].run_state is RunState.NOT_RUN
+    assert rig.grants.finished == [child.program_id, PROGRAM]
+    _, late = await collect(rig.model("third"))
+    assert late.reason is Reason.PROGRAM_FINISHED
+
+
+async def test_idle_programs_are_abandoned_and_later_forgotten(rig):
+    sweeper = ProgramSweeper(rig.owner)
+    await sweeper.start()
+    await create(rig, "itinerary")
+    await asyncio.sleep(700)
+    assert rig.grants.finished == [PROGRAM]
+    assert rig.program().finished.abandoned
+    await asyncio.sleep(700)
+    assert rig.program() is None
+    await sweeper.stop()
+
+
+async def test_another_tenants_program_looks_like_one_that_is_not_there(rig):
+    await create(rig)
+    other = TenantName("other")
+    asked = [HistoryRequest(other, scoped(other, name)) for name in ("p", "q")]
+    answers = [(await collect(rig.router.execute(request)))[1] for request in asked]
+    assert answers[0] == answers[1]
+    assert answers[0].reason is Reason.NOT_FOUND
+
+
+class Owners:
+    """An ownership view that a test sets."""
+
+    def __init__(self, located):
+        self.located = located
+
+    def locate(self, program_id):
+        return self.located
+
+
+def networked():
+    """Return a node that forwards to an owner, and the owner."""
+    network = MemoryNetwork(seed=3)
+    near, far = addresses(2)
+    ports = [network.join(NodeId("near"), near), network.join(NodeId("far"), far)]
+    here = OwnedHere(SHARD, Epoch(1))
+    first = Rig(Owners(OwnedBy(SHARD, NodeId("far"), far)), Forwarder(ports[0]), seed=4)
+    owner = Rig(Owners(here), Forwarder(ports[1]), seed=5).load()
+    return network, near, far, first, owner
+
+
+async def test_a_program_owned_elsewhere_is_served_by_one_hop():
+    _, _, _, first, owner = networked()
+    text, last = await collect(first.model())
+    assert (text, isinstance(last, CallFinished)) == (TEXT, True)
+    _, details = await collect(first.router.execute(HistoryRequest(TENANT, PROGRAM)))
+    assert [m.content for m in details.history] == ["hello", TEXT]
+    assert first.engine.orders == []
+    assert len(owner.engine.orders) == 1
+
+
+async def test_a_client_that_goes_at_the_first_node_is_seen_by_the_owner():
+    _, _, _, first, owner = networked()
+    events = first.model()
+    await anext(events)
+    await events.aclose()
+    await asyncio.sleep(0.1)
+    await owner.owner.wait_idle()
+    assert owner.engine.cancelled == 1
+
+
+async def test_a_request_is_never_sent_on_twice():
+    _, near, _, first, owner = networked()
+    owner.ports.ownership.located = OwnedBy(SHARD, NodeId("near"), near)
+    _, last = await collect(first.model())
+    assert (last.reason, last.run_state) == (Reason.NOT_OWNER, RunState.NOT_RUN)
+    assert last.retry_after_seconds is not None
+
+
+async def test_a_lost_hop_is_told_as_unknown_with_a_time_to_come_back():
+    network, near, far, first, _ = networked()
+    call = asyncio.create_task(collect(first.model()))
+    await asyncio.sleep(1.5)
+    network.kill(far)
+    _, last = await call
+    assert last.run_state is RunState.UNKNOWN
+    assert last.retry_after_seconds is not None
+    network.cut_both(near, far)
+
+
+async def test_operators_see_why_a_call_waited_and_can_abandon_its_program(rig):
+    facts = OwnedPrograms(rig.owner, NodeId("n"))
+    calls = [asyncio.create_task(collect(rig.model(f"turn {n}"))) for n in range(2)]
+    await asyncio.sleep(1.5)
+    detail = await facts.program(PROGRAM)
+    assert [call.reason for call in detail.calls] == [
+        "free worker",
+        "behind 1 earlier calls of the program",
+    ]
+    assert detail.calls[0].waited_seconds == 0.25
+    assert [p.program_id for p in facts.programs(ListProgramsRequest(state="live"))] == [PROGRAM]
+    assert isinstance(await AbandonCommand(rig.owner).abandon(PROGRAM), Accepted)
+    await asyncio.gather(*calls)
+    assert facts.programs(ListProgramsRequest(state="live")) == []
+    found = facts.programs(ListProgramsRequest(tenant=TENANT))
+    assert [p.state for p in found] == ["abandoned"]
+
+
+async def test_unknown_calls_and_programs_are_not_found(rig):
+    await create(rig)
+    asked = AttachRequest(TENANT, PROGRAM, CallId("nothing"), 0)
+    assert (await collect(rig.router.execute(asked)))[1].reason is Reason.NOT_FOUND
+    assert (await collect(rig.tool(name="q")))[1].reason is Reason.NOT_FOUND
