Bound callers' connections and test the caller side over HTTP

Cause: aiohttp accepts any number of connections and gives untyped errors. Change: a site with a bounded number of connections, header and arrival limits from the settings, typed JSON for the library's own errors; tests by the openai client, raw sockets and the program API.

--- a/src/foxwinch/commands/call_lifecycle.py
+++ b/src/foxwinch/commands/call_lifecycle.py
@@ -83,7 +83,6 @@
         self.running.intent_sent = True
         refused = await self.shard.commit(records)
         if refused is None:
-            self.shard.uncommitted.pop(self.program.program_id, None)
             return True
         if refused.run_state is RunState.NOT_RUN:
             self.running.intent_sent = False
@@ -97,8 +96,7 @@
         self.running.end(not_run(refused.reason, refused.detail, refused.retry_after_seconds))
         outcome = self.failed(not_run(refused.reason, refused.detail), Amount())
         records = [*records, *self._closing_records(outcome)]
-        if await self.shard.commit_until_done(records, lambda _: None):
-            self.shard.uncommitted.pop(self.program.program_id, None)
+        await self.shard.commit_until_done(records, lambda _: None)
 
     def step(self, state: CallState) -> None:
         """Note a step of the call."""
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_shard.py
@@ -82,6 +82,9 @@
     def apply(self, records: Sequence[JournalRecord]) -> None:
         """Apply committed records; a dropped one leaves a log line."""
         for record in records:
+            created = ProgramId(record.program_created.program_id)
+            if self.uncommitted.pop(created, None) is not None:
+                continue  # applied when its first call arrived
             applied = self.table.apply(record)
             if isinstance(applied, Dropped):
                 self._log.warning("record_dropped", shard=self.shard, cause=applied.cause)
--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -17,7 +17,7 @@
 from foxwinch.core.program.admission import remaining_wall_seconds
 from foxwinch.core.program.budget import Amount
 from foxwinch.core.program.call_events import CallChunk, CallFinished, CallStarted
-from foxwinch.core.program.history import canonical_json, from_history
+from foxwinch.core.program.history import canonical_json
 from foxwinch.core.program.requests import CallIntent
 from foxwinch.core.program.state import CallState
 from foxwinch.core.program.tool_calls import merge_tool_calls
@@ -292,7 +292,6 @@
 
 
 def _engine_message(message: HistoryMessage) -> Message:
-    if not message.extra_json:
-        return Message(message.role, message.content)
-    document = from_history(message)
-    return Message(document.pop("role"), document.pop("content"), document)
+    """Return a message for the engine; content that is not text comes with the further fields."""
+    extra = json.loads(message.extra_json) if message.extra_json else {}
+    return Message(message.role, message.content, extra)
--- /dev/null
+++ b/src/foxwinch/gateway/typed_errors.py
@@ -0,0 +1,31 @@
+"""Errors that the HTTP library or a fault raises, as typed JSON like every other refusal."""
+
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+
+from foxwinch.gateway.errors import error_document
+from foxwinch.log import EventLog
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+
+log = EventLog("gateway")
+INTERNAL = Refused(Reason.INTERNAL, RunState.UNKNOWN, "an internal error; see the node's log")
+
+
+def typed_errors() -> Middleware:
+    """Return the middleware."""
+
+    @web.middleware
+    async def apply(request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            reason = Reason.NOT_FOUND if error.status == 404 else Reason.INVALID_REQUEST
+            document = error_document(not_run(reason, f"{request.method}: {error.reason}"))
+            return web.json_response(document, status=error.status)
+        except ConnectionResetError:
+            raise
+        except Exception as error:
+            log.error("request_failed", path=request.path, error=repr(error))
+            return web.json_response(error_document(INTERNAL), status=500)
+
+    return apply
--- a/src/foxwinch/node/http_service.py
+++ b/src/foxwinch/node/http_service.py
@@ -6,6 +6,9 @@
 from aiohttp import web
 from aiomisc import Service
 
+from foxwinch.gateway.connections import CallerSite, server_options
+from foxwinch.settings.process import CallerLimits
+
 SHUTDOWN_SECONDS = 2.0
 """For handlers still running when the service stops; a drain has let them finish before."""
 
@@ -16,25 +19,28 @@
     host: str = "127.0.0.1"
     port: int = 0
     tls: ssl.SSLContext | None = None
+    limits: CallerLimits | None = None
     bound_port: int = 0
 
     def __init__(self, application: web.Application, **kwargs: Any) -> None:
-        """Serve `application`; `host`, `port` and `tls` may be given by name."""
+        """Serve `application`; `host`, `port`, `tls` and `limits` may be given by name."""
         super().__init__(**kwargs)
         self._application = application
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Bind and serve."""
+        limits = self.limits or CallerLimits()
         self._runner = web.AppRunner(
             self._application,
             access_log=None,
             handle_signals=False,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_SECONDS,
+            **server_options(limits),
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, self.port, ssl_context=self.tls)
+        site = CallerSite(self._runner, self.host, self.port, limits.connections, self.tls)
         await site.start()
         self.bound_port = self._runner.addresses[0][1]
 
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from foxwinch.backends.engine_http import HttpEngine
+from foxwinch.gateway.typed_errors import typed_errors
 from foxwinch.identifiers import NodeId
 from foxwinch.log import EventLog
 from foxwinch.node.clock import SystemClock
@@ -104,7 +105,7 @@
         """Return the caller side."""
         limits = self.context.settings.caller_limits
         application = web.Application(
-            client_max_size=limits.body_bytes, middlewares=[self.gate.middleware()]
+            client_max_size=limits.body_bytes, middlewares=[self.gate.middleware(), typed_errors()]
         )
         HealthHandlers(
             self.context.registry, self.parts.operator.readiness.not_ready_because
--- a/src/foxwinch/node/process.py
+++ b/src/foxwinch/node/process.py
@@ -57,6 +57,7 @@
             host=settings.host,
             port=settings.caller_port,
             tls=server_context(settings.caller_tls, CALLER_PROTOCOLS),
+            limits=settings.caller_limits,
         )
         await self._callers.start()
         self._operators = OperatorServer(
--- a/tests/program_fakes.py
+++ b/tests/program_fakes.py
@@ -62,11 +62,12 @@
 
     def __init__(self):
         self.orders = []
+        self.pause_seconds = 1.0
         self.answers: list[ToolResult | Refused] = []
 
     async def call(self, order):
         self.orders.append(order)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(self.pause_seconds)
         return self.answers.pop(0) if self.answers else ToolResult("held")
 
 
