--- /dev/null
+++ b/src/foxwinch/core/limits/circuit.py
@@ -0,0 +1,101 @@
+"""Circuit state of one back end: closed, open, half open.
+
+An open circuit sends nothing for a time with jitter; then a single call tries whether the back end
+works again. Time and random numbers are given from outside.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+
+from foxwinch.core.limits.backoff import Backoff
+
+WINDOW_SECONDS = 10.0
+"""Over which failures are counted."""
+CALLS_MINIMUM = 5
+"""Fewer calls in the window say nothing about the back end."""
+FAILURE_FRACTION = 0.5
+OPEN_BACKOFF = Backoff(base_seconds=1.0, cap_seconds=30.0)
+OPEN_SECONDS_MINIMUM = 0.5
+"""Full jitter alone could reopen at once."""
+TRIAL_SECONDS = 30.0
+"""A trial call that is not settled within this counts as forgotten, and another one may try."""
+
+
+class CircuitState(StrEnum):
+    """What may be sent to the back end."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@dataclass(frozen=True, slots=True)
+class _Observed:
+    at: float
+    failed: bool
+
+
+class Circuit:
+    """Circuit of one back end; callers ask before each call and tell how it went."""
+
+    def __init__(self) -> None:
+        """Start closed."""
+        self._state = CircuitState.CLOSED
+        self._observed: deque[_Observed] = deque()
+        self._openings = 0
+        self._open_until = 0.0
+        self._trial_at: float | None = None
+
+    def state(self, now: float) -> CircuitState:
+        """Return the state at `now`."""
+        if self._state is CircuitState.OPEN and now >= self._open_until:
+            self._state, self._trial_at = CircuitState.HALF_OPEN, None
+        return self._state
+
+    def try_call(self, now: float) -> bool:
+        """Tell whether a call may be sent; when half open, one call at a time."""
+        state = self.state(now)
+        if state is CircuitState.CLOSED:
+            return True
+        if state is CircuitState.OPEN:
+            return False
+        if self._trial_at is not None and now - self._trial_at < TRIAL_SECONDS:
+            return False
+        self._trial_at = now
+        return True
+
+    def wait_seconds(self, now: float) -> float:
+        """Return when to come back; 0 when a call may be sent."""
+        state = self.state(now)
+        if state is CircuitState.OPEN:
+            return self._open_until - now
+        return OPEN_SECONDS_MINIMUM if self._trial_at is not None else 0.0
+
+    def succeeded(self, now: float) -> None:
+        """Take note of a call that the back end answered, also with a refusal of its own."""
+        if self.state(now) is CircuitState.HALF_OPEN:
+            self._state, self._openings, self._trial_at = CircuitState.CLOSED, 0, None
+            self._observed.clear()
+        self._observe(False, now)
+
+    def failed(self, now: float, random_number: float) -> None:
+        """Take note of a call that the back end did not answer."""
+        state = self.state(now)
+        self._observe(True, now)
+        if state is CircuitState.HALF_OPEN or (state is CircuitState.CLOSED and self._is_bad()):
+            wait = OPEN_BACKOFF.wait_seconds(self._openings, random_number)
+            self._open_until = now + OPEN_SECONDS_MINIMUM + wait
+            self._openings += 1
+            self._state, self._trial_at = CircuitState.OPEN, None
+            self._observed.clear()
+
+    def _observe(self, failed: bool, now: float) -> None:
+        self._observed.append(_Observed(now, failed))
+        while self._observed[0].at < now - WINDOW_SECONDS:
+            self._observed.popleft()
+
+    def _is_bad(self) -> bool:
+        failures = sum(entry.failed for entry in self._observed)
+        count = len(self._observed)
+        return count >= CALLS_MINIMUM and failures >= FAILURE_FRACTION * count
--- a/src/foxwinch/settings/cluster.py
+++ b/src/foxwinch/settings/cluster.py
@@ -38,6 +38,10 @@
     """0 is the most urgent; the last to be refused under overload."""
     deadline_seconds: PositiveSeconds
     """Goal for the latency of one whole program of this class, tool pauses not counted."""
+    requests_per_second: Annotated[float, Field(gt=0)] | None = None
+    """Over all tenants and nodes; None sets no limit."""
+    tokens_per_second: Annotated[float, Field(gt=0)] | None = None
+    """Over all tenants and nodes; None sets no limit."""
 
 
 class ModelSettings(StrictModel):
