Share the limits of tenants and classes among nodes by leased shares

Cause: limits were not enforced, and nothing bounded repeats. Change: shares from told demand (raise late, cut at once, leases, freeze without a majority), a limiter with ranks, usage digests by gossip, class limits in the configuration, retry budgets, circuits, back-off with full jitter; an experiment of a back end that returns; wired into the node. Conclusion: the bound in docs/design/limits.md holds in the stateful test; hedging is left out.

--- a/src/foxwinch/core/limits/circuit.py
+++ b/src/foxwinch/core/limits/circuit.py
@@ -15,7 +15,7 @@
 CALLS_MINIMUM = 5
 """Fewer calls in the window say nothing about the back end."""
 FAILURE_FRACTION = 0.5
-OPEN_BACKOFF = Backoff(base_seconds=1.0, cap_seconds=30.0)
+OPEN_BACKOFF = Backoff(base_seconds=1.0, cap_seconds=4.0)
 OPEN_SECONDS_MINIMUM = 0.5
 """Full jitter alone could reopen at once."""
 TRIAL_SECONDS = 30.0
--- a/src/foxwinch/core/limits/shares.py
+++ b/src/foxwinch/core/limits/shares.py
@@ -127,9 +127,11 @@
         if now - self._updated_at > LEASE_SECONDS:
             return 0.0
         share = self._fresh_share(name, now)
-        if self._cut_off:
-            return min(share, self._frozen.get(name, self._frozen_idle))
-        return share
+        return min(share, self.highest_share(name))
+
+    def highest_share(self, name: int) -> float:
+        """Return what the share may rise to: 1, or while cut off the share before the cut."""
+        return self._frozen.get(name, self._frozen_idle) if self._cut_off else 1.0
 
     def _fresh_share(self, name: int, now: float) -> float:
         own = self._lowest_own(name, now)
--- a/src/foxwinch/node/parts/configuration.py
+++ b/src/foxwinch/node/parts/configuration.py
@@ -6,6 +6,7 @@
 from foxwinch.identifiers import ZoneName
 from foxwinch.node.configuration_service import ConfigurationService, ConfigurationServicePorts
 from foxwinch.node.interfaces import ConfigurationView, LimitView
+from foxwinch.node.limits_service import LimitsPorts, LimitsService
 from foxwinch.node.local import LocalConfiguration, LocalLimits
 from foxwinch.node.local_cluster import NoPeers
 from foxwinch.node.parts.context import NodeContext, NodeService
@@ -38,7 +39,10 @@
         membership=membership.membership,
     )
     service = ConfigurationService(ports, context.registry, context.proposed)
-    return ConfigurationPart(service, LocalLimits(), service, (service,))
+    limits = LimitsService(
+        LimitsPorts(ports.clock, ports.gossip, ports.membership, service), context.registry
+    )
+    return ConfigurationPart(service, limits, service, (service, limits))
 
 
 def _fixed(context: NodeContext, document: ClusterConfiguration) -> ConfigurationPart:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from foxwinch.bench.retry_storm import Policy, Scenario, run_policy
 from foxwinch.core.limits.backoff import Backoff
 from foxwinch.core.limits.circuit import Circuit, CircuitState
 from foxwinch.core.limits.limiter import Limit, Limited, Limiter, Passed
 from foxwinch.core.limits.retry_budget import RetryBudget, RetryKey
-from foxwinch.core.limits.shares import LEASE_SECONDS, SPREAD_SECONDS, ShareTable
+from foxwinch.core.limits.shares import LEASE_SECONDS, ShareTable
 from foxwinch.core.limits.usage import (
     DemandMeter,
     UsageDigest,
@@ -22,11 +23,16 @@
     quantize,
 )
 
-LIMIT = Limit("tenant:one", 100.0, 1e9, 5.0)
+LIMIT = Limit("tenant:one", 40.0, 1e9, 4.0)
+LOADS = [0.0, 4.0, 30.0, 120.0]
 NAME = key_hash(LIMIT.key)
 STEP_SECONDS = 0.25
 GOSSIP_SECONDS = 3.0
 DETECTION_SECONDS = 2.0
+SEEN_SECONDS = 1.25
+"""One update and one step."""
+SHIFT_SECONDS = GOSSIP_SECONDS + SEEN_SECONDS + 1.0
+"""After which a node that was away knows the demand of all others."""
 
 
 class ModelNode:
@@ -70,7 +76,7 @@
     def __init__(self, seed):
         self.random, self.now = random.Random(seed), 0.0
         self.nodes, self.messages, self.numbers = [], [], 0
-        self.cut, self.cut_changed_at = set(), -100.0
+        self.cut, self.cut_before, self.cut_changed_at = set(), set(), -100.0
         self.gone = {}
         self.newest = {}
 
@@ -110,26 +116,30 @@
 
 
 class LimitMachine(RuleBasedStateMachine):
-    """Oracle: a leaky bucket over all nodes; see "Bound" in docs/design/limits.md."""
+    """Oracle: a leaky bucket over all nodes, and the sum of the shares; see docs/design/limits.md.
+
+    A node that starts or wakes learns the demand of the others within `SHIFT_SECONDS`.
+    """
 
     @initialize(nodes=st.integers(1, 6), seed=st.integers(0, 999))
     def begin(self, nodes, seed):
         self.fleet = Fleet(seed)
-        self.level, self.allowance, self.cut_drain = 0.0, 0.0, 0.0
-        self.fleet.cut_before = set()
-        self.drain_until = -1.0
+        self.level, self.allowance = 0.0, float(nodes)
+        self.cut_share, self.cut_at, self.shifting_until = 0.0, 0.0, 1.0
         for _ in range(nodes):
-            self.join()
+            self.fleet.join()
 
     @precondition(lambda self: len(self.fleet.nodes) < 7)
-    @rule()
-    def join(self):
-        self.fleet.join()
+    @rule(offered=st.sampled_from(LOADS))
+    def join(self, offered):
+        self.fleet.join().offered = offered
         self.allow_start()
 
     def allow_start(self):
-        rate = LIMIT.requests_per_second / len(self.fleet.nodes)
-        self.allowance += 1.0 + rate * (DETECTION_SECONDS + SPREAD_SECONDS)
+        """One request, and an equal share until the node knows the others' demand."""
+        equal = LIMIT.requests_per_second / len(self.fleet.nodes)
+        self.allowance += 1.0 + equal * SHIFT_SECONDS
+        self.shifting_until = self.fleet.now + SHIFT_SECONDS
 
     @precondition(lambda self: len(self.fleet.nodes) > 1)
     @rule(choice=st.integers(0, 9))
@@ -137,11 +147,16 @@
         node = self.fleet.nodes.pop(choice % len(self.fleet.nodes))
         self.fleet.gone[node.name] = self.fleet.now
 
-    @rule(choice=st.integers(0, 9), offered=st.sampled_from([0.0, 5.0, 50.0, 400.0]))
+    @rule(choice=st.integers(0, 9), offered=st.sampled_from(LOADS))
     def load(self, choice, offered):
         self.fleet.nodes[choice % len(self.fleet.nodes)].offered = offered
 
-    @rule(choice=st.integers(0, 9), seconds=st.sampled_from([3.0, 30.0]))
+    @rule(offered=st.sampled_from(LOADS))
+    def load_everywhere(self, offered):
+        for node in self.fleet.nodes:
+            node.offered = offered
+
+    @rule(choice=st.integers(0, 9), seconds=st.sampled_from([5.0, 30.0]))
     def pause_and_wake(self, choice, seconds):
         node = self.fleet.nodes[choice % len(self.fleet.nodes)]
         node.paused, node.paused_at = True, self.fleet.now
@@ -149,41 +164,61 @@
         node.paused = False
         self.allow_start()
 
-    @precondition(lambda self: not self.fleet.cut and len(self.fleet.nodes) > 2)
-    @rule(size=st.integers(1, 2), seconds=st.sampled_from([5.0, 60.0]))
-    def cut_and_heal(self, size, seconds):
+    @precondition(lambda self: len(self.fleet.nodes) > 2)
+    @rule(seconds=st.sampled_from([5.0, 40.0]), offered=st.sampled_from(LOADS))
+    def cut_and_heal(self, seconds, offered):
+        self.advance(SHIFT_SECONDS)
         fleet = self.fleet
-        minority = fleet.nodes[:size] if 2 * size < len(fleet.nodes) else fleet.nodes[:1]
-        share = sum(node.table.share(NAME, fleet.now) for node in minority)
+        minority = fleet.nodes[: (len(fleet.nodes) - 1) // 2]
+        for node in minority:
+            node.offered = offered
+        self.cut_at = fleet.now
         fleet.set_cut({node.name for node in minority})
-        self.cut_drain = share * LIMIT.requests_per_second
         self.advance(seconds)
         fleet.set_cut(set())
-        self.allowance += share * LIMIT.requests_per_second * LIMIT.burst_seconds
+        # What the smaller side saved, and an equal share until both sides see each other.
+        self.allowance += self.cut_share * LIMIT.requests_per_second * LIMIT.burst_seconds
         for _ in minority:
             self.allow_start()
-        self.advance(DETECTION_SECONDS + SPREAD_SECONDS)
-        self.cut_drain = 0.0
+        self.shifting_until = fleet.now + DETECTION_SECONDS + SHIFT_SECONDS
+        self.advance(DETECTION_SECONDS + SHIFT_SECONDS)
+        self.cut_share = 0.0
 
-    @rule(seconds=st.sampled_from([1.0, 20.0]))
+    @rule(seconds=st.sampled_from([1.0, 10.0]))
     def advance(self, seconds):
-        burst = LIMIT.requests_per_second * LIMIT.burst_seconds
+        rate = LIMIT.requests_per_second
         for _ in range(int(seconds / STEP_SECONDS)):
             admitted = self.fleet.step()
-            drained = (LIMIT.requests_per_second + self.cut_drain) * STEP_SECONDS
+            self.check_shares()
+            drained = rate * (1.0 + self.cut_share) * STEP_SECONDS
             self.level = max(0.0, self.level - drained) + admitted
-            assert self.level <= burst + drained + self.allowance
+            if self.level == 0.0 and not self.fleet.cut and self.fleet.now > self.shifting_until:
+                self.allowance = float(len(self.fleet.nodes))
+            assert self.level <= rate * LIMIT.burst_seconds + drained + self.allowance
+
+    def check_shares(self):
+        fleet = self.fleet
+        running = [node for node in fleet.nodes if not node.paused]
+        share = {node.name: node.table.share(NAME, fleet.now) for node in running}
+        inside = sum(value for name, value in share.items() if name in fleet.cut)
+        outside = sum(value for name, value in share.items() if name not in fleet.cut)
+        if fleet.now <= self.shifting_until:
+            return
+        if fleet.cut and fleet.now <= self.cut_at + DETECTION_SECONDS + SEEN_SECONDS:
+            highest = [node.table.highest_share(NAME) for node in running if node.name in fleet.cut]
+            self.cut_share = min(1.0, sum(highest))
+        assert outside <= 1.0 + 1e-6
+        assert inside <= self.cut_share + 1e-6
 
 
 TestLimitMachine = LimitMachine.TestCase
 TestLimitMachine.settings = settings(
-    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+    max_examples=30, stateful_step_count=20, deadline=None, derandomize=True
 )
 
 
 def run_fleet(offered, seconds, nodes=None):
     fleet = Fleet(seed=7)
-    fleet.cut_before = set()
     for load in offered:
         fleet.join().offered = load
     return fleet, [fleet.step() for _ in range(int(seconds / STEP_SECONDS))]
@@ -192,7 +227,7 @@
 def test_shares_follow_demand_and_the_limit_is_used_up():
     _, admitted = run_fleet([400.0, 0.0, 0.0], 60.0)
     last_seconds = admitted[-80:]
-    assert 0.9 * 100.0 * 20.0 <= sum(last_seconds) <= 100.0 * 20.0 * 1.05
+    assert 0.9 * 40.0 * 20.0 <= sum(last_seconds) <= 40.0 * 20.0 * 1.05
 
 
 def test_idle_tenant_passes_at_any_node_at_once():
@@ -213,6 +248,17 @@
     assert majority == pytest.approx(1.0)
 
 
+def test_share_stays_with_a_silent_node_for_its_lease():
+    table = ShareTable("a", 0.0)
+    table.tell("b", UsageDigest({NAME: 1.0}), 0.0)
+    table.update(["b", "c"], 0.0)
+    while_alive = table.share(NAME, 0.0)
+    table.update(["c"], LEASE_SECONDS - 1.0)
+    assert table.share(NAME, LEASE_SECONDS - 1.0) == while_alive
+    table.update(["c"], LEASE_SECONDS + 1.0)
+    assert table.share(NAME, LEASE_SECONDS + 1.0) > 4 * while_alive
+
+
 def test_node_paused_past_its_lease_has_no_share():
     fleet, _ = run_fleet([400.0], 10.0)
     table = fleet.nodes[0].table
@@ -226,15 +272,29 @@
     for rank in passed:
         while isinstance(limiter.admit((LIMIT,), rank, 1.0, 100.0), Passed):
             passed[rank] += 1
-    assert passed[2] == pytest.approx(500 * 0.84, abs=2)
-    assert passed[1] == pytest.approx(500 * 0.08, abs=2)
-    assert passed[0] == pytest.approx(500 * 0.08, abs=2)
+    assert passed[2] == pytest.approx(160 * 0.84, abs=2)
+    assert passed[1] == pytest.approx(160 * 0.08, abs=2)
+    assert passed[0] == pytest.approx(160 * 0.08, abs=2)
     outcome = limiter.admit((LIMIT,), 0, 1.0, 100.0)
     assert isinstance(outcome, Limited)
     later = 100.0 + outcome.wait_seconds
     assert limiter.admit((LIMIT,), 0, 1.0, later) == Passed()
 
 
+def test_node_that_has_just_started_has_saved_nothing():
+    limiter = Limiter(lambda key, at: 1.0, 100.0)
+    assert limiter.admit((LIMIT,), 0, 1.0, 100.0) == Passed()
+    assert isinstance(limiter.admit((LIMIT,), 0, 1.0, 100.0), Limited)
+
+
+def test_no_storm_after_the_back_end_returns():
+    small = Scenario(calls_per_second=16.0, served_per_second=20.0, end=130.0, clients=3)
+    fixed, budget = (run_policy(small, policy, 3) for policy in (Policy.FIXED, Policy.BUDGET))
+    assert budget.attempts_per_call_after_return <= 1.11
+    assert budget.peak_attempts_per_second < fixed.peak_attempts_per_second / 2
+    assert budget.seconds_to_recover <= 5.0
+
+
 def test_tokens_are_settled_by_what_was_used():
     limit = Limit("tenant:one", 100.0, 1_000.0, 5.0)
     limiter = Limiter(lambda key, at: 1.0, 0.0)
