--- a/src/foxwinch/commands/program_owner.py
+++ b/src/foxwinch/commands/program_owner.py
@@ -139,6 +139,11 @@
         while self.running_calls():
             await self.ports.clock.sleep(IDLE_POLL_SECONDS)
 
+    def running_in(self, shard: ShardNumber) -> int:
+        """Return the number of calls of a shard that have not ended."""
+        held = self._shards.get(shard)
+        return 0 if held is None else len(held.running)
+
     def running_calls(self) -> int:
         """Return the number of calls that have not ended."""
         return sum(len(held.running) for held in self._shards.values())
--- a/src/foxwinch/node/journal_service.py
+++ b/src/foxwinch/node/journal_service.py
@@ -37,6 +37,10 @@
 reads at most about this much beside the state itself."""
 
 
+RunningCalls = Callable[[ShardNumber], int]
+"""Number of calls of a shard that have not ended."""
+
+
 class ShardLoader(Protocol):
     """Who holds the programs of a shard while this node owns it."""
 
@@ -101,6 +105,7 @@
         self._store = store
         self._owned: dict[ShardNumber, OwnedShard] = {}
         self._loader: ShardLoader | None = None
+        self._running_calls: RunningCalls = lambda shard: 0
         self._commit_seconds = Histogram(
             "foxwinch_journal_commit_seconds",
             "Time from append to commit",
@@ -113,9 +118,10 @@
         owned = Gauge("foxwinch_shards_owned_count", "Shards served here", registry=registry)
         owned.set_function(lambda: len(self._owned))
 
-    def attach(self, loader: ShardLoader) -> None:
-        """Give recovered records to `loader` from now on."""
+    def attach(self, loader: ShardLoader, running_calls: RunningCalls) -> None:
+        """Give recovered records to `loader`, and ask `running_calls` before a reload."""
         self._loader = loader
+        self._running_calls = running_calls
 
     def owned(self) -> Iterator[tuple[ShardNumber, OwnedShard]]:
         """Iterate over the shards served here."""
@@ -229,6 +235,8 @@
             if not owned.settled or not owned.ready.is_set():
                 continue
             if owned.dirty:
+                if self._running_calls(shard):
+                    continue
                 log.warning("shard_reloaded", shard=shard, epoch=owned.epoch)
                 self._load(shard, owned)
             else:
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -36,7 +36,7 @@
     OwnedBy,
     OwnedHere,
 )
-from foxwinch.node.journal_service import JournalService
+from foxwinch.node.journal_service import JournalService, RunningCalls
 from foxwinch.node.replication_codec import (
     decode_configuration,
     encode_configuration,
@@ -62,8 +62,6 @@
     MemberState.LEAVING: Presence.LEAVING,
 }
 
-RunningCalls = Callable[[ShardNumber], int]
-
 
 @dataclass(frozen=True, slots=True)
 class OwnershipPorts:
--- a/src/foxwinch/node/parts/journal.py
+++ b/src/foxwinch/node/parts/journal.py
@@ -67,7 +67,7 @@
     flush = FlushService(ports.clock, journals, store, client, context.registry)
 
     def attach(loader: ShardLoader, running_calls: Callable[[ShardNumber], int]) -> None:
-        journals.attach(loader)
+        journals.attach(loader, running_calls)
         ownership.attach(running_calls)
 
     return JournalPart(
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -97,6 +97,7 @@
 
     if isinstance(journal.ownership, LocalOwnership):
         owner.load_shard(ShardNumber(0), LOCAL_EPOCH, ())
+    journal.attach_programs(owner, owner.running_in)
     facts = OwnedPrograms(owner, context.node)
     return ProgramsPart(
         add_caller_routes, owner, facts, AbandonCommand(owner), (ProgramService(owner),)
