Compare scheduling policies on virtual time

Cause: the policy must be measured against baselines on the same arrivals. Urgent calls gather on few workers; cache left behind by moved programs is released. Conclusion: the quiet lane on every worker idled most of the pool; gathering urgent calls mends it.

--- /dev/null
+++ b/src/foxwinch/bench/schedule/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with scheduling policies on the model of the engines, on virtual time."""
--- /dev/null
+++ b/src/foxwinch/bench/schedule/clairvoyant.py
@@ -0,0 +1,46 @@
+"""A policy that knows each program's remaining work and each answer's length.
+
+It is a reference, not a proven bound: shortest remaining work first within a class, with the
+placement of foxwinch and exact lengths. No policy without that knowledge can order as well.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from foxwinch.core.steward.actions import PoolAction
+from foxwinch.core.steward.calls import PoolCall
+from foxwinch.core.steward.events import CallArrived, PoolEvent
+from foxwinch.core.steward.policy import Features, policy_for
+from foxwinch.core.steward.programs import ProgramState
+from foxwinch.core.steward.scheduler import PoolScheduler
+from foxwinch.identifiers import CallId, ClassName
+
+CLASS_STEP_SECONDS = 1_000.0
+"""More than any program's remaining work: class first, then remaining work."""
+
+
+class Clairvoyant(PoolScheduler):
+    """Shortest remaining program first within its class."""
+
+    remaining_seconds: Callable[[CallId], float]
+    answer_tokens: Callable[[CallId], int]
+
+    def __init__(self, objective: str) -> None:
+        """Use the placement of foxwinch without admission, which it needs less than others."""
+        chosen = "cache" if objective == "cache" else "latency"
+        super().__init__(policy_for(chosen, Features(admission=False)))  # type: ignore[arg-type]
+
+    def handle(self, event: PoolEvent, now: float) -> list[PoolAction]:
+        """Replace the asked bound on the answer by its true length."""
+        if isinstance(event, CallArrived):
+            tokens = self.answer_tokens(event.call.call_id)
+            own_class = ClassName(event.call.call_id)
+            exact = replace(event.call, output_tokens=tokens, class_name=own_class)
+            event = CallArrived(exact)
+        return super().handle(event, now)
+
+    def order_key(
+        self, call: PoolCall, family: ProgramState, expected_seconds: float, now: float
+    ) -> float:
+        """Order by class, then by remaining work."""
+        return CLASS_STEP_SECONDS * call.class_rank + self.remaining_seconds(call.call_id)
--- /dev/null
+++ b/src/foxwinch/bench/schedule/experiment.py
@@ -0,0 +1,135 @@
+"""Runs of policies side by side on the same arrivals, in up to four processes."""
+
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
+from typing import Any
+
+from foxwinch.bench.schedule.clairvoyant import Clairvoyant
+from foxwinch.bench.schedule.deployments import DEPLOYMENTS
+from foxwinch.bench.schedule.figures import (
+    ClassFigures,
+    latency_figures,
+    mean_over_seeds,
+    measured_latencies,
+    run_figures,
+)
+from foxwinch.bench.schedule.plans import program_alone_seconds
+from foxwinch.bench.schedule.policies import build_policy
+from foxwinch.bench.schedule.simulation import (
+    RELEASE_LAG_SECONDS,
+    Simulation,
+    SimulationResult,
+    TimelinePoint,
+)
+from foxwinch.bench.schedule.workload import (
+    STANDARD_WINDOW,
+    Window,
+    Workload,
+    build_workload,
+)
+from foxwinch.core.steward.policy import Objective
+from foxwinch.emulator.engine_parameters import load_engine_parameters
+
+PROCESSES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One run: one policy on one workload."""
+
+    deployment: str
+    load: float
+    seed: int
+    policy: str
+    keep_samples: bool = False
+    window: Window = STANDARD_WINDOW
+
+
+@dataclass(frozen=True, slots=True)
+class TrialResult:
+    """Figures of one run, and with `keep_samples` what plots need."""
+
+    trial: Trial
+    classes: dict[str, ClassFigures]
+    utilization: float
+    release_bound_token_seconds: float
+    """What the lag of one release takes for all tokens held when their programs ended."""
+    samples: dict[str, list[float]] = field(default_factory=dict)
+    timeline: list[TimelinePoint] = field(default_factory=list)
+
+
+def run_trial(trial: Trial) -> TrialResult:
+    """Run one trial; the same trial gives the same result."""
+    parameters = load_engine_parameters()
+    shape = DEPLOYMENTS[trial.deployment]
+    workload = build_workload(shape, trial.load, trial.seed, parameters, trial.window)
+    objective: Objective = "cache" if shape.objective == "cache" else "latency"
+    policy = build_policy(trial.policy, objective)
+    simulation = Simulation(workload, parameters, policy, trial.keep_samples)
+    if isinstance(policy, Clairvoyant):
+        policy.remaining_seconds = simulation.remaining_seconds
+        policy.answer_tokens = simulation.answer_tokens
+    result = simulation.run()
+    end = max(run.ended_at_seconds or 0.0 for run in result.runs)
+    return TrialResult(
+        trial=trial,
+        classes=run_figures(workload, result),
+        utilization=result.busy_seconds / (shape.engines * end),
+        release_bound_token_seconds=result.ended_tokens * RELEASE_LAG_SECONDS,
+        samples=_samples(workload, result) if trial.keep_samples else {},
+        timeline=result.timeline,
+    )
+
+
+def _samples(workload: Workload, result: SimulationResult) -> dict[str, list[float]]:
+    samples = {}
+    for shape in workload.deployment.classes:
+        runs = [run for run in result.runs if run.plan.class_name == shape.name]
+        samples[shape.name] = measured_latencies(workload, runs)
+    return samples
+
+
+def run_trials(
+    trials: Sequence[Trial], progress: Callable[[TrialResult], None], processes: int = PROCESSES
+) -> list[TrialResult]:
+    """Run trials in parallel; results come back in the order of the trials."""
+    found: dict[Trial, TrialResult] = {}
+    with ProcessPoolExecutor(max_workers=processes) as pool:
+        for future in as_completed([pool.submit(run_trial, trial) for trial in trials]):
+            result = future.result()
+            found[result.trial] = result
+            progress(result)
+    return [found[trial] for trial in trials]
+
+
+def unloaded_figures(deployment: str, seeds: Sequence[int]) -> dict[str, Any]:
+    """Return each class's latency on idle engines with every history cached, over all seeds."""
+    parameters = load_engine_parameters()
+    shape = DEPLOYMENTS[deployment]
+    latencies: dict[str, list[float]] = {s.name: [] for s in shape.classes}
+    for seed in seeds:
+        workload = build_workload(shape, 0.5, seed, parameters)
+        for plan in workload.programs:
+            if not plan.loops and plan.abandoned_after is None:
+                alone = program_alone_seconds(parameters, plan)
+                latencies[plan.class_name].append(alone)
+    return {name: latency_figures(values) for name, values in latencies.items()}
+
+
+def summarize(results: Sequence[TrialResult]) -> dict[str, Any]:
+    """Return load -> policy -> class -> figures, means over seeds."""
+    grouped: dict[tuple[float, str], list[TrialResult]] = {}
+    for result in results:
+        grouped.setdefault((result.trial.load, result.trial.policy), []).append(result)
+    document: dict[str, Any] = {}
+    for (load, policy), members in grouped.items():
+        classes = {
+            name: mean_over_seeds([member.classes[name] for member in members])
+            for name in members[0].classes
+        }
+        classes["all"]["utilization"] = sum(m.utilization for m in members) / len(members)
+        bound = sum(m.release_bound_token_seconds for m in members) / len(members)
+        classes["all"]["release_bound_token_seconds"] = bound
+        document.setdefault(f"{load:g}", {})[policy] = classes
+    return document
--- /dev/null
+++ b/src/foxwinch/bench/schedule/policies.py
@@ -0,0 +1,46 @@
+"""The policies of an experiment by name, and the variants of foxwinch for the ablation."""
+
+from collections.abc import Callable
+from dataclasses import fields, replace
+
+from foxwinch.bench.schedule.baselines import (
+    ClassPriority,
+    LeastLoaded,
+    PrefixAffinity,
+    RoundRobin,
+)
+from foxwinch.bench.schedule.clairvoyant import Clairvoyant
+from foxwinch.bench.schedule.simulation import Policy
+from foxwinch.core.steward.policy import Features, Objective, policy_for
+from foxwinch.core.steward.scheduler import PoolScheduler
+
+FOXWINCH = "foxwinch"
+CLAIRVOYANT = "clairvoyant"
+BASELINES: dict[str, Callable[[], Policy]] = {
+    "round-robin": RoundRobin,
+    "least-loaded": LeastLoaded,
+    "prefix-affinity": PrefixAffinity,
+    "class-priority": ClassPriority,
+}
+POLICY_NAMES = (FOXWINCH, *BASELINES, CLAIRVOYANT)
+WITHOUT = "without-"
+FEATURES = tuple(field.name for field in fields(Features))
+ABLATIONS = tuple(WITHOUT + feature.replace("_", "-") for feature in FEATURES)
+OBJECTIVES = ("objective-latency", "objective-cache")
+
+
+def build_policy(name: str, objective: Objective) -> Policy:
+    """Return a fresh policy; `without-FEATURE` is foxwinch with that feature turned off."""
+    if name in BASELINES:
+        return BASELINES[name]()
+    if name == CLAIRVOYANT:
+        return Clairvoyant(objective)
+    if name == "objective-latency":
+        return PoolScheduler(policy_for("latency"))
+    if name == "objective-cache":
+        return PoolScheduler(policy_for("cache"))
+    features = Features()
+    if name.startswith(WITHOUT):
+        off = name.removeprefix(WITHOUT).replace("-", "_")
+        features = replace(features, **{off: False})
+    return PoolScheduler(policy_for(objective, features))
--- a/src/foxwinch/core/steward/placement.py
+++ b/src/foxwinch/core/steward/placement.py
@@ -11,7 +11,6 @@
 )
 from foxwinch.core.steward.policy import PolicySettings
 from foxwinch.core.steward.workers import WorkerState
-from foxwinch.identifiers import WorkerId
 
 SMALLEST_TRANSFER_BLOCKS = 2
 """Fewer blocks are not worth the round trip of an export and an import."""
@@ -22,6 +21,14 @@
 PREEMPTION_SECONDS = 0.05
 """Cost of preempting: two steps until the batch changes."""
 
+QUIET_PREFILL_TOKENS = 256
+"""Beside urgent calls at most one step's prefill is started at a time."""
+QUIET_SLOTS_SHARE = 0.5
+"""And at most this share of the places is filled with other calls: a step of half a batch is
+within a tenth of that of a single call."""
+NEW_LANE_SECONDS = 0.15
+"""Cost of making one more worker quiet; below it urgent calls gather on few workers."""
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -47,29 +54,28 @@
     estimates: Estimates,
 ) -> Placement | None:
     """Return the placement of least predicted cost; None when no worker may take the call now."""
-    usable = [w for w in workers if _may_use(w, call)]
+    usable = [worker for worker in workers if _may_use(worker, call)]
     if not usable:
         return None
-    cached = {w.description.worker: w.index.cached_prefix(call.prefix_hashes) for w in usable}
-    source = max(usable, key=lambda w: cached[w.description.worker])
-    best: Placement | None = None
+    choice = _Choice(call, waited_seconds, now, policy, estimates, usable)
+    best: WorkerState | None = None
+    best_cost = best_wait = 0.0
     for worker in usable:
-        wait = _wait_seconds(worker, call, waited_seconds, now, policy, estimates)
+        wait = choice.wait_seconds(worker)
         if wait is None:
             continue
-        held = cached[worker.description.worker]
-        found = _cheapest(worker, call, wait, held, source, cached, now, policy, estimates)
-        if best is None or found.cost_seconds < best.cost_seconds:
-            best = found
-    return best
+        cost = wait + choice.cost_seconds(worker)
+        if best is None or cost < best_cost:
+            best, best_cost, best_wait = worker, cost, wait
+    if best is None:
+        return None
+    return choice.placement(best, best_cost, best_wait)
 
 
-def private_blocks(call: PoolCall, worker: WorkerState, estimates: Estimates) -> int:
+def private_blocks(call: PoolCall, block_tokens: int, answer_tokens: float) -> int:
     """Return the blocks that the answer and the prompt's last, partial block will need."""
-    size = worker.description.block_tokens
-    answer = estimates.answer_tokens(call.class_name, call.output_tokens)
-    rest = max(0, call.prompt_tokens - len(call.prefix_hashes) * size)
-    return int((rest + answer) / size) + 1
+    rest = max(0, call.prompt_tokens - len(call.prefix_hashes) * block_tokens)
+    return int((rest + answer_tokens) / block_tokens) + 1
 
 
 def _may_use(worker: WorkerState, call: PoolCall) -> bool:
@@ -81,57 +87,103 @@
     )
 
 
-def _wait_seconds(
-    worker: WorkerState,
-    call: PoolCall,
-    waited_seconds: float,
-    now: float,
-    policy: PolicySettings,
-    estimates: Estimates,
-) -> float | None:
-    """Return the predicted wait for a place: 0 when there is one, None when it may not wait."""
-    features = policy.features
-    urgent = call.class_rank == 0
-    quiet = features.quiet_lane and worker.urgent > 0 and not urgent
-    free = worker.free_slots > 0 and worker.fits(call, private_blocks(call, worker, estimates))
-    if free and not quiet:
-        return 0.0
-    if urgent and features.preemption and worker.urgent < worker.description.slots:
-        return 0.0
-    if not features.wait_for_cache or waited_seconds > LONGEST_CACHE_WAIT_SECONDS:
-        return None
-    return max(SHORTEST_WAIT_SECONDS, worker.next_place_seconds(now))
-
-
-def _cheapest(
-    worker: WorkerState,
-    call: PoolCall,
-    wait: float,
-    held: int,
-    source: WorkerState,
-    cached: dict[WorkerId, int],
-    now: float,
-    policy: PolicySettings,
-    estimates: Estimates,
-) -> Placement:
-    """Return the cheaper of computing the missing prefix and copying it."""
-    beside = len(worker.placed)
-    answer = estimates.answer_tokens(call.class_name, call.output_tokens)
-    others = 0.0 if call.class_rank == 0 else policy.others_weight * beside
-    base = wait + answer * SEQUENCE_SECONDS * beside * (1.0 + policy.others_weight)
-    if call.class_rank == 0:
-        base += max(0.0, worker.prefill_until_seconds - now)
-        base += PREEMPTION_SECONDS if worker.free_slots <= 0 else 0.0
-    size = worker.description.block_tokens
-    counted = held if policy.features.cache_placement else 0
-    prefill = (call.prompt_tokens - counted * size) * PREFILL_TOKEN_SECONDS * (1.0 + others)
-    computed = Placement(worker, base + prefill, wait, held)
-    more = cached[source.description.worker] - held
-    if not policy.features.transfers or more < SMALLEST_TRANSFER_BLOCKS:
-        return computed
-    transfer = more * estimates.transfer_block_seconds.value
-    saved = more * size * PREFILL_TOKEN_SECONDS * (1.0 + others)
-    if transfer >= saved * policy.transfer_margin:
-        return computed
-    cost = base + prefill - saved + transfer
-    return Placement(worker, cost, wait, held + more, source, more)
+class _Choice:
+    """What the choice for one call has in common for all workers."""
+
+    def __init__(
+        self,
+        call: PoolCall,
+        waited_seconds: float,
+        now: float,
+        policy: PolicySettings,
+        estimates: Estimates,
+        usable: list[WorkerState],
+    ) -> None:
+        self._call = call
+        self._now = now
+        self._policy = policy
+        self._features = policy.features
+        self._urgent = call.class_rank == 0
+        self._answer = estimates.answer_tokens(call.class_name, call.output_tokens)
+        self._copy_seconds = estimates.transfer_block_seconds.value
+        self._cached = [worker.index.cached_prefix(call.prefix_hashes) for worker in usable]
+        self._held = dict(zip((w.description.worker for w in usable), self._cached, strict=True))
+        self._source = usable[max(range(len(usable)), key=self._cached.__getitem__)]
+        self._source_blocks = max(self._cached)
+        self._may_wait = (
+            self._features.wait_for_cache and waited_seconds <= LONGEST_CACHE_WAIT_SECONDS
+        )
+
+    def wait_seconds(self, worker: WorkerState) -> float | None:
+        """Return the predicted wait for a place: 0 for a free one, None when it may not wait."""
+        if worker.free_slots > 0 and not self._disturbs(worker) and self._fits(worker):
+            return 0.0
+        if self._urgent and self._features.preemption and worker.urgent < worker.description.slots:
+            return 0.0
+        if not self._may_wait:
+            return None
+        return max(SHORTEST_WAIT_SECONDS, worker.next_place_seconds(self._now))
+
+    def _disturbs(self, worker: WorkerState) -> bool:
+        """Tell whether the call would slow urgent calls that run there."""
+        if self._urgent or worker.urgent == 0 or not self._features.quiet_lane:
+            return False
+        if len(worker.placed) >= QUIET_SLOTS_SHARE * worker.description.slots:
+            return True
+        held = self._held[worker.description.worker] * worker.description.block_tokens
+        too_long = self._call.prompt_tokens - held > QUIET_PREFILL_TOKENS
+        return too_long or worker.prefill_until_seconds > self._now
+
+    def _fits(self, worker: WorkerState) -> bool:
+        size = worker.description.block_tokens
+        return worker.fits(self._call, private_blocks(self._call, size, self._answer))
+
+    def cost_seconds(self, worker: WorkerState) -> float:
+        """Return the predicted cost of running there, the wait apart."""
+        beside = len(worker.placed)
+        weight = self._policy.others_weight
+        cost = self._answer * SEQUENCE_SECONDS * beside * (1.0 + weight)
+        if self._urgent:
+            cost += max(0.0, worker.prefill_until_seconds - self._now)
+            cost += PREEMPTION_SECONDS if worker.free_slots <= 0 else 0.0
+            cost += NEW_LANE_SECONDS if worker.urgent == 0 else 0.0
+        held = self._held[worker.description.worker] if self._features.cache_placement else 0
+        missing = self._call.prompt_tokens - held * worker.description.block_tokens
+        prefill = missing * self._prefill_seconds(worker)
+        cost += self._eviction_seconds(worker)
+        return cost + prefill - self._gain_of_copying(worker)
+
+    def _eviction_seconds(self, worker: WorkerState) -> float:
+        """Return the cost of computing again what the call's new blocks will evict."""
+        if not self._features.memory_placement:
+            return 0.0
+        age = worker.index.oldest_use_seconds(self._now)
+        if age is None:
+            return 0.0
+        size = worker.description.block_tokens
+        new_blocks = len(self._call.prefix_hashes) - self._held[worker.description.worker]
+        new_blocks += private_blocks(self._call, size, self._answer)
+        wanted = self._policy.reuse_seconds / (self._policy.reuse_seconds + age)
+        return new_blocks * size * self._prefill_seconds(worker) * wanted
+
+    def _prefill_seconds(self, worker: WorkerState) -> float:
+        """Return the cost of one prompt token: its own time and the delay of the calls beside."""
+        others = 0.0 if self._urgent else self._policy.others_weight * len(worker.placed)
+        return PREFILL_TOKEN_SECONDS * (1.0 + others)
+
+    def _gain_of_copying(self, worker: WorkerState) -> float:
+        """Return what copying the missing prefix saves; 0 where computing it is cheaper."""
+        more = self._source_blocks - self._held[worker.description.worker]
+        if not self._features.transfers or more < SMALLEST_TRANSFER_BLOCKS:
+            return 0.0
+        saved = more * worker.description.block_tokens * self._prefill_seconds(worker)
+        transfer = more * self._copy_seconds
+        return saved - transfer if transfer < saved * self._policy.transfer_margin else 0.0
+
+    def placement(self, worker: WorkerState, cost: float, wait: float) -> Placement:
+        """Return the placement on the chosen worker."""
+        held = self._held[worker.description.worker]
+        if self._gain_of_copying(worker) <= 0.0:
+            return Placement(worker, cost, wait, held)
+        more = self._source_blocks - held
+        return Placement(worker, cost, wait, held + more, self._source, more)
--- a/src/foxwinch/core/steward/policy.py
+++ b/src/foxwinch/core/steward/policy.py
@@ -23,6 +23,8 @@
     """Calls of parallel sub-agents are ordered by when their common step began."""
     cache_placement: bool = True
     """Placement weighs cached prefixes."""
+    memory_placement: bool = True
+    """Placement weighs what new blocks will evict."""
     transfers: bool = True
     """Prefixes are copied between workers where that is cheaper than computing them again."""
     wait_for_cache: bool = True
@@ -31,6 +33,8 @@
     """Cache of programs in a long pause is dropped when memory is short."""
     release_ended: bool = True
     """Cache of ended programs is freed at once."""
+    release_moved: bool = True
+    """Cache left behind by a program that has moved is freed at once."""
     preemption: bool = True
     """Urgent calls preempt others on a full worker."""
     quiet_lane: bool = True
@@ -52,6 +56,8 @@
     """Service beyond this no longer moves a program back: the bound on starvation."""
     others_weight: float = 1.0
     """Weight of the delay that a call's prefill causes to the calls beside it, against its own."""
+    reuse_seconds: float = 60.0
+    """Age at which half of the idle blocks are still wanted: pauses last about 20 to 60 s."""
     transfer_margin: float = 1.0
     """A transfer must cost less than this share of the prefill that it saves."""
     memory_pressure: float = 0.9
--- a/src/foxwinch/core/steward/scheduler.py
+++ b/src/foxwinch/core/steward/scheduler.py
@@ -55,6 +55,9 @@
 PREFILL_SHARE_SECONDS = 0.00007
 """Each prefilled token's share of the fixed part of a step: 18 ms over 256 tokens."""
 
+NO_PLACE_FREED = (CacheChanged, ProgramPaused, ProgramEnded, ReleaseAnswered, LoadReported)
+"""Events after which no waiting call can get a place that it could not get before."""
+
 
 class PoolScheduler:
     """Decides for one pool."""
@@ -90,7 +93,9 @@
     def handle(self, event: PoolEvent, now: float) -> list[PoolAction]:
         """Take in an event and return what is to be done, in order."""
         actions = self._handlers[type(event)](event, now)
-        return actions + self._place_waiting(now)
+        if len(self._waiting) > 0 and not isinstance(event, NO_PLACE_FREED):
+            actions += self._place_waiting(now)
+        return actions
 
     @property
     def waiting_calls(self) -> int:
@@ -131,13 +136,18 @@
         if family.active_calls == 0:
             family.step_began_at_seconds = now
         family.active_calls += 1
-        key = order_key(
-            self.policy, call, now, family.step_began_at_seconds, family.service_seconds, expected
-        )
+        key = self.order_key(call, family, expected, now)
         self._sequence += 1
         self._waiting.add(WaitingCall(call, key, self._sequence, now, expected))
         return []
 
+    def order_key(
+        self, call: PoolCall, family: ProgramState, expected_seconds: float, now: float
+    ) -> float:
+        """Return a call's place in the order; an experiment may order otherwise."""
+        began, service = family.step_began_at_seconds, family.service_seconds
+        return order_key(self.policy, call, now, began, service, expected_seconds)
+
     def _admit(self, call: PoolCall, now: float) -> RefuseCall | None:
         known = self._programs.get(call.family) is not None or call.service_seconds > 0
         if known or not self.policy.features.admission:
@@ -317,7 +327,7 @@
                 self.estimates,
             )
             if placement is not None and placement.wait_seconds == 0.0:
-                actions.append(self._place(waiting, placement, now))
+                actions += self._place(waiting, placement, now)
         return actions
 
     def _may_have_place(self, waiting: WaitingCall) -> bool:
@@ -325,12 +335,13 @@
             return True
         return any(w.free_slots > 0 and not w.leaving for w in self._workers.values())
 
-    def _place(self, waiting: WaitingCall, placement: Placement, now: float) -> PoolAction:
+    def _place(self, waiting: WaitingCall, placement: Placement, now: float) -> list[PoolAction]:
         call, worker = waiting.call, placement.worker
         self._waiting.remove(call.call_id)
         cached = placement.cached_blocks * worker.description.block_tokens
         uncached = max(0, call.prompt_tokens - cached)
         seconds = self.estimates.call_seconds(call.class_name, uncached, call.output_tokens)
+        answer = self.estimates.answer_tokens(call.class_name, call.output_tokens)
         placed = PlacedCall(
             call=call,
             worker=worker,
@@ -338,8 +349,9 @@
             arrived_at_seconds=waiting.arrived_at_seconds,
             expected_cached_tokens=cached,
             expected_end_seconds=now + seconds,
-            private_blocks=private_blocks(call, worker, self.estimates),
+            private_blocks=private_blocks(call, worker.description.block_tokens, answer),
             reason=_reason(waiting, placement, cached, now),
+            copied_blocks=placement.copied_blocks,
         )
         self._placed[call.call_id] = placed
         worker.place(placed)
@@ -347,7 +359,7 @@
         if program is not None:
             program.workers[worker.description.worker] = None
         if placement.source is not None:
-            return self._copy(placed, placement)
+            return [self._copy(placed, placement)]
         return self._dispatch(placed, now)
 
     def _copy(self, placed: PlacedCall, placement: Placement) -> PoolAction:
@@ -366,18 +378,21 @@
         placed = self._placed.get(event.call_id)
         if placed is None or placed.dispatched_at_seconds is not None:
             return []
+        if event.done and placed.copied_blocks:
+            seconds = (now - placed.placed_at_seconds) / placed.copied_blocks
+            self.estimates.transfer_block_seconds.observe(seconds)
         if not event.done:
             placed.expected_cached_tokens = 0
-        return [self._dispatch(placed, now)]
+        return self._dispatch(placed, now)
 
-    def _dispatch(self, placed: PlacedCall, now: float) -> Dispatch:
+    def _dispatch(self, placed: PlacedCall, now: float) -> list[PoolAction]:
         placed.dispatched_at_seconds = now
         call, worker = placed.call, placed.worker
         uncached = max(0, call.prompt_tokens - placed.expected_cached_tokens)
         work = uncached * (PREFILL_TOKEN_SECONDS + PREFILL_SHARE_SECONDS)
         worker.prefill_until_seconds = max(now, worker.prefill_until_seconds) + work
         worker.index.use(call.prefix_hashes, call.program_id, now)
-        return Dispatch(
+        dispatch = Dispatch(
             call.call_id,
             worker.description.worker,
             call.class_rank,
@@ -385,6 +400,16 @@
             now - placed.arrived_at_seconds,
             placed.reason,
         )
+        return [dispatch, *self._release_elsewhere(placed)]
+
+    def _release_elsewhere(self, placed: PlacedCall) -> list[PoolAction]:
+        """Free what other workers hold of a program that now runs here: it will not go back."""
+        program = self._programs.get(placed.call.program_id)
+        if program is None or not self.policy.features.release_moved:
+            return []
+        here = placed.worker.description.worker
+        others = [w for w in program.workers if w != here and w in self._workers]
+        return [self._release(worker, program) for worker in others]
 
 
 def _reason(waiting: WaitingCall, placement: Placement, cached_tokens: int, now: float) -> str:
--- a/src/foxwinch/core/steward/workers.py
+++ b/src/foxwinch/core/steward/workers.py
@@ -7,7 +7,7 @@
 from foxwinch.identifiers import CallId
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PlacedCall:
     """A call that holds a place on a worker: running, or waiting there for its prefix to arrive."""
 
@@ -20,11 +20,12 @@
     private_blocks: int
     """Blocks for the answer and the last, partial block of the prompt."""
     reason: str
+    copied_blocks: int = 0
     dispatched_at_seconds: float | None = None
     """None while its prefix is being copied."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class WorkerState:
     """One worker."""
 
--- a/src/foxwinch/emulator/block_cache.py
+++ b/src/foxwinch/emulator/block_cache.py
@@ -6,6 +6,9 @@
 
 from foxwinch.identifiers import ProgramId
 
+SHARED_OWNERS = 4
+"""A block that so many programs have used, such as a system prompt, is held for no one program."""
+
 
 @dataclass(slots=True)
 class CacheLedger:
@@ -14,6 +17,9 @@
     known: set[int] = field(default_factory=set)
     """Every block that any engine has computed."""
     held_dead_token_seconds: dict[ProgramId, float] = field(default_factory=dict)
+    """By one of the ended programs that the tokens were held for."""
+    ended_tokens: int = 0
+    """Tokens that were held only for programs at the moment they ended."""
 
 
 @dataclass(slots=True)
@@ -21,8 +27,8 @@
     """One cached block."""
 
     pins: int
-    owner: ProgramId | None
-    """The only program that has used it, or None once a second one has."""
+    owners: dict[ProgramId, None] | None
+    """Programs that have used it, or None for good once there were `SHARED_OWNERS` of them."""
     dead_since_seconds: float | None = None
 
 
@@ -76,16 +82,24 @@
             block = self._blocks[block_hash]
             block.pins += 1
             self._idle.pop(block_hash, None)
-            if block.owner is not None and block.owner != program_id:
-                self._share(block_hash, block, now)
+            if block.owners is not None and program_id not in block.owners:
+                self._add_owner(block_hash, block, program_id, now)
 
-    def unpin(self, hashes: Sequence[int]) -> None:
-        """Let blocks be evicted again, the deepest of the prefix first."""
+    def unpin(self, hashes: Sequence[int], now: float) -> None:
+        """Let blocks be evicted again, the deepest first; free those of released programs."""
+        freed = []
         for block_hash in reversed(hashes):
             block = self._blocks[block_hash]
             block.pins -= 1
-            if block.pins == 0:
+            if block.pins > 0:
+                continue
+            if block.owners is None or block.owners:
                 self._idle[block_hash] = None
+            else:
+                freed.append(block_hash)
+                self._forget(block_hash, now)
+        if freed:
+            self._publish("removed", tuple(freed), now)
 
     def reserve(self, blocks: int, now: float) -> None:
         """Take room for blocks that will be computed, evicting the least recently used."""
@@ -111,7 +125,7 @@
                 self.pin((block_hash,), program_id, now)
                 continue
             dead = now if program_id in self._dead else None
-            self._blocks[block_hash] = Block(1, program_id, dead)
+            self._blocks[block_hash] = Block(1, {program_id: None}, dead)
             self._owned.setdefault(program_id, {})[block_hash] = None
             fresh.append(block_hash)
         self._ledger.known.update(fresh)
@@ -119,47 +133,61 @@
             self._publish("stored", tuple(fresh), now)
 
     def release(self, program_id: ProgramId, now: float) -> None:
-        """Free the idle blocks that only this program has used."""
-        owned = self._owned.get(program_id, {})
-        freed = [h for h in owned if self._blocks[h].pins == 0]
-        for block_hash in freed:
-            del self._idle[block_hash]
-            self._forget(block_hash, now)
+        """Free the blocks that no other program has used; pinned ones once they are idle."""
+        freed = []
+        for block_hash in self._owned.pop(program_id, {}):
+            block = self._blocks[block_hash]
+            assert block.owners is not None
+            if len(block.owners) == 1:
+                self._account(block, now)
+            del block.owners[program_id]
+            if not block.owners and block.pins == 0:
+                freed.append(block_hash)
+                del self._idle[block_hash]
+                self._forget(block_hash, now)
         if freed:
             self._publish("removed", tuple(freed), now)
 
     def program_ended(self, program_id: ProgramId, now: float) -> None:
-        """Measure from now on what is held for this program only."""
+        """Measure from now on what is held for ended programs only."""
         self._dead.add(program_id)
         for block_hash in self._owned.get(program_id, {}):
             block = self._blocks[block_hash]
-            if block.dead_since_seconds is None:
+            owners = block.owners or {}
+            if block.dead_since_seconds is None and all(o in self._dead for o in owners):
                 block.dead_since_seconds = now
+                self._ledger.ended_tokens += self._block_tokens
 
     def close_measurement(self, now: float) -> None:
         """Account for the blocks that are still held for ended programs."""
         for block in self._blocks.values():
             self._account(block, now)
 
-    def _share(self, block_hash: int, block: Block, now: float) -> None:
+    def _add_owner(self, block_hash: int, block: Block, program_id: ProgramId, now: float) -> None:
         self._account(block, now)
-        if block.owner is not None:
-            self._owned[block.owner].pop(block_hash, None)
-        block.owner = None
+        assert block.owners is not None
+        block.owners[program_id] = None
+        self._owned.setdefault(program_id, {})[block_hash] = None
+        if len(block.owners) >= SHARED_OWNERS:
+            self._disown(block_hash, block)
+            block.owners = None
+
+    def _disown(self, block_hash: int, block: Block) -> None:
+        for owner in block.owners or {}:
+            owned = self._owned[owner]
+            del owned[block_hash]
+            if not owned:
+                del self._owned[owner]
 
     def _forget(self, block_hash: int, now: float) -> None:
         block = self._blocks.pop(block_hash)
         self._account(block, now)
-        if block.owner is not None:
-            owned = self._owned[block.owner]
-            del owned[block_hash]
-            if not owned:
-                del self._owned[block.owner]
+        self._disown(block_hash, block)
 
     def _account(self, block: Block, now: float) -> None:
-        if block.dead_since_seconds is None or block.owner is None:
+        since, block.dead_since_seconds = block.dead_since_seconds, None
+        owner = next(iter(block.owners or ()), None)
+        if since is None or owner is None:
             return
-        held = (now - block.dead_since_seconds) * self._block_tokens
-        ledger = self._ledger.held_dead_token_seconds
-        ledger[block.owner] = ledger.get(block.owner, 0.0) + held
-        block.dead_since_seconds = None
+        held = self._ledger.held_dead_token_seconds
+        held[owner] = held.get(owner, 0.0) + (now - since) * self._block_tokens
--- a/src/foxwinch/emulator/engine_batch.py
+++ b/src/foxwinch/emulator/engine_batch.py
@@ -1,11 +1,11 @@
 """Calls in a modelled engine and the tokens that each step gives them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from foxwinch.emulator.engine_events import Submit
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class EngineCall:
     """A call inside the engine, waiting or running."""
 
@@ -21,7 +21,7 @@
     """Leading blocks that this call pins in the cache."""
     reserved: int = 0
     """Blocks reserved and not yet stored."""
-    first_token_sent: bool = field(default=False)
+    running: bool = False
 
     @property
     def rank(self) -> tuple[int, int]:
--- a/src/foxwinch/emulator/engine_model.py
+++ b/src/foxwinch/emulator/engine_model.py
@@ -12,8 +12,8 @@
 
 `handle` first brings the engine to `now`, then applies the input; `now` must never go back, and
 may be later than `next_event_time()` (all steps until then are carried out, each output bearing
-its own `at_seconds`). Equal steps are joined into one event on virtual time; a real-time server
-passes `steps_per_event=1` to get each token when it is due.
+its own `at_seconds`). Equal steps are joined into one event on virtual time and `TokensProduced`
+is left out; a real-time server passes `steps_per_event=1` to get each token when it is due.
 
 Scheduling inside the engine: calls enter the batch by priority (lower first), then by arrival,
 when a batch slot and memory for prompt and answer are free. A waiting call that does not fit
@@ -84,7 +84,7 @@
         self._segment: Segment | None = None
         self._timers: list[tuple[float, int, LoadModel | ExportBlocks | ImportBlocks]] = []
         self._sequence = 0
-        self._load_history: deque[tuple[float, LoadReport]] = deque()
+        self._load_history: deque[tuple[float, int, int, int]] = deque()
         self.prefill_tokens: dict[str, int] = {}
         """Measurement: prompt tokens computed, by program."""
         self.wasted_prefill_tokens: dict[str, int] = {}
@@ -117,12 +117,12 @@
     def load_report(self, now: float) -> LoadReport:
         """Return the load as it was one lag ago."""
         visible = now - self._parameters.load_lag_seconds
-        latest = LoadReport(0, 0, 0, self._parameters.cache_blocks, self._models())
-        for at, report in self._load_history:
+        running = waiting = used = 0
+        for at, *load in self._load_history:
             if at > visible:
                 break
-            latest = report
-        return latest
+            running, waiting, used = load
+        return LoadReport(running, waiting, used, self._parameters.cache_blocks, self._models())
 
     def cache_events(self, after: int, now: float) -> CacheEventPage:
         """Return the cache events after a sequence number; after 0 a snapshot of all blocks."""
@@ -212,7 +212,7 @@
         fresh = event.block_hashes[start : start + room]
         self.cache.reserve(room, now)
         self.cache.store(fresh, event.program_id, now)
-        self.cache.unpin(head + fresh)
+        self.cache.unpin(head + fresh, now)
         return len(fresh)
 
     # --- time --------------------------------------------------------------------------------
@@ -235,15 +235,15 @@
         self._segment = None
         self.busy_seconds += at - segment.start_seconds
         for call, tokens in segment.prefill:
-            self._prefilled(call, tokens, at, outputs)
+            if call.running:
+                self._prefilled(call, tokens, at, outputs)
         for call in segment.decoding:
-            self._produced(call, segment.steps, at, outputs)
+            if call.running:
+                self._produced(call, segment.steps, at, outputs)
 
     def _prefilled(
         self, call: EngineCall, tokens: int, at: float, outputs: list[EngineOutput]
     ) -> None:
-        if call not in self._running:
-            return
         before = call.context_tokens - call.prefill_left
         call.prefill_left -= tokens
         self._count_prefill(call, before, tokens)
@@ -254,11 +254,10 @@
     def _produced(
         self, call: EngineCall, tokens: int, at: float, outputs: list[EngineOutput]
     ) -> None:
-        if call not in self._running:
-            return
         call.produced += tokens
-        outputs.append(TokensProduced(call.order.call_id, tokens, at))
-        if call.output_left > 0:
+        if self._steps_per_event < UNBOUNDED_STEPS:
+            outputs.append(TokensProduced(call.order.call_id, tokens, at))
+        if call.produced < call.order.output_tokens:
             return
         self._leave_batch(call, at)
         order = call.order
@@ -338,6 +337,7 @@
         if call.cached_tokens is None:
             call.cached_tokens = min(cached, call.order.prompt_tokens)
         self._running.append(call)
+        call.running = True
 
     def _preempt(self, call: EngineCall, now: float) -> None:
         self._leave_batch(call, now)
@@ -347,7 +347,8 @@
     def _leave_batch(self, call: EngineCall, now: float) -> None:
         self._store_blocks(call, call.context_tokens - call.prefill_left, now)
         self._running.remove(call)
-        self.cache.unpin(call.order.block_hashes[: call.pinned])
+        call.running = False
+        self.cache.unpin(call.order.block_hashes[: call.pinned], now)
         self.cache.unreserve(call.reserved)
         call.pinned = call.reserved = 0
 
@@ -363,7 +364,7 @@
     def _finished_early(self) -> bool:
         """Tell whether the segment holds a call that has left the batch."""
         segment = self._segment
-        return segment is not None and any(c not in self._running for c in segment.decoding)
+        return segment is not None and any(not call.running for call in segment.decoding)
 
     # --- load --------------------------------------------------------------------------------
 
@@ -371,15 +372,11 @@
         return tuple(ModelName(model) for model, adapter in self._loaded if not adapter)
 
     def _record_load(self, now: float) -> None:
-        report = LoadReport(
-            len(self._running),
-            len(self._waiting),
-            self.cache.used_blocks,
-            self._parameters.cache_blocks,
-            self._models(),
-        )
         history = self._load_history
-        history.append((now, report))
+        running, waiting = len(self._running), len(self._waiting)
+        if history and history[-1][1] == running and history[-1][2] == waiting:
+            return
+        history.append((now, running, waiting, self.cache.used_blocks))
         visible = now - self._parameters.load_lag_seconds
         while len(history) > 1 and history[1][0] <= visible:
             history.popleft()
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -43,7 +43,7 @@
 
 
 def test_single_stream_latency_is_the_closed_form() -> None:
-    engine = EngineModel(PARAMETERS, [MODEL])
+    engine = EngineModel(PARAMETERS, [MODEL], steps_per_event=1)
     outputs = engine.handle(order("a", 1000, 100), 0.0) + drain(engine)
     p = PARAMETERS
     expected = (
@@ -92,7 +92,8 @@
 
 
 def test_urgent_call_preempts_and_the_preempted_one_ends_whole() -> None:
-    engine = EngineModel(replace(PARAMETERS, maximum_running=1), [MODEL])
+    parameters = replace(PARAMETERS, maximum_running=1)
+    engine = EngineModel(parameters, [MODEL], steps_per_event=1)
     outputs = engine.handle(order("low", 100, 200, priority=5), 0.0)
     outputs += engine.handle(order("high", 100, 10, priority=0), 1.0) + drain(engine)
     done = completions(outputs)
