--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -4,6 +4,7 @@
 
 import cappa
 
+from foxwinch.cli.bench import BenchCommand
 from foxwinch.cli.config import ConfigCommand
 from foxwinch.cli.dev import DevCommand
 from foxwinch.cli.node import NodeCommand
@@ -28,6 +29,7 @@
         | WorkersCommand
         | ShardsCommand
         | SettingsCommand
+        | BenchCommand
     ]
 
 
