Say in nodes list which regions a node is cut off from

Cause: an operator could not see that a region was cut off. Change: the membership's view of regions goes into each node's status.

--- a/src/foxwinch/node/parts/membership.py
+++ b/src/foxwinch/node/parts/membership.py
@@ -1,8 +1,9 @@
 """Part: who is there, and the gossip between nodes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from foxwinch.core.membership.actions import RegionState
 from foxwinch.identifiers import RegionName, ZoneName
 from foxwinch.node.gossip_service import GossipService
 from foxwinch.node.interfaces import GossipView, Member, MembershipView, MemberState
@@ -22,6 +23,8 @@
     services: tuple[NodeService, ...] = ()
     announce_leaving: Callable[[], None] = lambda: None
     """Tell the other nodes that this one takes no new work and will go."""
+    regions: Callable[[], Sequence[RegionState]] = tuple
+    """What is known of every region, for operators."""
 
 
 def build_membership(context: NodeContext) -> MembershipPart:
@@ -49,4 +52,10 @@
         context.ports.machines,
     )
     MembershipCollector(membership, context.registry)
-    return MembershipPart(membership, GossipService(membership), (membership,), membership.leave)
+    return MembershipPart(
+        membership,
+        GossipService(membership),
+        (membership,),
+        membership.leave,
+        membership.regions,
+    )
--- a/src/foxwinch/node/parts/operator.py
+++ b/src/foxwinch/node/parts/operator.py
@@ -1,9 +1,11 @@
 """Part: the operators' queries and commands over the other parts."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from foxwinch._generated.operator_pb2 import NodeStatus
 from foxwinch.commands.operator import LocalCommands, OperatorCommands
+from foxwinch.core.membership.actions import RegionState
 from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext
@@ -21,10 +23,15 @@
     """Whether this node takes new work, and its own status for operators."""
 
     def __init__(
-        self, context: NodeContext, configuration: ConfigurationView, shards: ShardFacts
+        self,
+        context: NodeContext,
+        configuration: ConfigurationView,
+        shards: ShardFacts,
+        regions: Callable[[], Sequence[RegionState]],
     ) -> None:
         """Read the gate of `context` and the given parts."""
         self._context = context
+        self._regions = regions
         self._configuration = configuration
         self._shards = shards
 
@@ -45,6 +52,7 @@
             running_requests=self._context.gate.running,
             owned_shards=len(self._shards.shards()),
             not_ready_because=self.not_ready_because() or "",
+            cut_off_regions=[state.region for state in self._regions() if state.cut_off],
         )
 
 
@@ -65,7 +73,7 @@
     programs: ProgramsPart,
 ) -> OperatorPart:
     """Build the part over the facts and commands of the others."""
-    readiness = Readiness(context, configuration.configuration, journal.facts)
+    readiness = Readiness(context, configuration.configuration, journal.facts, membership.regions)
     queries = ClusterQueries(
         membership.membership,
         journal.ownership,
