--- a/src/foxwinch/commands/operator.py
+++ b/src/foxwinch/commands/operator.py
@@ -6,6 +6,7 @@
 
 from foxwinch.commands.apply_configuration import ApplyConfiguration
 from foxwinch.core.configuration.change import ChangeAccepted
+from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId, WorkerId, ZoneName
 from foxwinch.log import EventLog
 from foxwinch.node.interfaces import MembershipView, MemberState, OwnedBy, OwnershipView
@@ -133,7 +134,7 @@
 
     async def abandon_program(self, program_id: ProgramId) -> Accepted | Refused:
         """Abandon a program at its owner."""
-        owner = self._ownership.locate(program_id)
+        owner = self._ownership.locate(root_of(program_id))
         if isinstance(owner, Refused):
             return owner
         if isinstance(owner, OwnedBy):
--- a/src/foxwinch/node/dev.py
+++ b/src/foxwinch/node/dev.py
@@ -35,6 +35,7 @@
         process = NodeProcess(settings, _for_dev(document, base_url, caller_key), alone=True)
         loop.run_until_complete(process.start())
         try:
+            loop.run_until_complete(process.wait_ready())
             keys = {"caller_key": caller_key, "operator_key": operator_key}
             announce({**process.addresses(), **keys})
             whole = loop.run_until_complete(process.run())
--- a/src/foxwinch/node/parts/operator.py
+++ b/src/foxwinch/node/parts/operator.py
@@ -6,13 +6,14 @@
 from foxwinch._generated.operator_pb2 import NodeStatus
 from foxwinch.commands.operator import LocalCommands, OperatorCommands
 from foxwinch.core.membership.actions import RegionState
-from foxwinch.node.interfaces import ConfigurationView
+from foxwinch.node.interfaces import ConfigurationView, OwnershipView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext
 from foxwinch.node.parts.grants import GrantsPart
 from foxwinch.node.parts.journal import JournalPart
 from foxwinch.node.parts.membership import MembershipPart
 from foxwinch.node.parts.programs import ProgramsPart
+from foxwinch.node.shard_readiness import ShardReadiness
 from foxwinch.operator.handlers import OperatorHandlers
 from foxwinch.outcomes import Refused
 from foxwinch.queries.cluster import ClusterQueries, LocalFacts
@@ -28,10 +29,12 @@
         configuration: ConfigurationView,
         shards: ShardFacts,
         regions: Callable[[], Sequence[RegionState]],
+        ownership: OwnershipView,
     ) -> None:
         """Read the gate of `context` and the given parts."""
         self._context = context
         self._regions = regions
+        self._ownership = ShardReadiness(ownership)
         self._configuration = configuration
         self._shards = shards
 
@@ -40,7 +43,10 @@
         if self._context.gate.closed:
             return "draining"
         snapshot = self._configuration.current()
-        return snapshot.detail if isinstance(snapshot, Refused) else None
+        if isinstance(snapshot, Refused):
+            return snapshot.detail
+        missing = self._ownership.missing()
+        return f"{missing} shards have had no owner yet" if missing else None
 
     def status(self) -> NodeStatus:
         """Return what this node says of itself."""
@@ -73,7 +79,13 @@
     programs: ProgramsPart,
 ) -> OperatorPart:
     """Build the part over the facts and commands of the others."""
-    readiness = Readiness(context, configuration.configuration, journal.facts, membership.regions)
+    readiness = Readiness(
+        context,
+        configuration.configuration,
+        journal.facts,
+        membership.regions,
+        journal.ownership,
+    )
     queries = ClusterQueries(
         membership.membership,
         journal.ownership,
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -1,6 +1,6 @@
 """Part: the programs that this node owns, and the way to the owners of the others."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -11,8 +11,10 @@
 from foxwinch.commands.operator import ProgramAbandons
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.commands.program_owner import ProgramOwner
+from foxwinch.commands.requests import ProgramRequest
 from foxwinch.commands.router import ProgramRouter
 from foxwinch.commands.sweep import ProgramSweeper
+from foxwinch.core.program.call_events import ProgramEvent
 from foxwinch.gateway.authentication import Authenticator
 from foxwinch.gateway.chat import ChatHandlers, GatewayContext
 from foxwinch.gateway.programs import ProgramHandlers
@@ -33,6 +35,8 @@
 
     add_caller_routes: Callable[[web.UrlDispatcher], None]
     owner: ProgramOwner
+    execute: Callable[[ProgramRequest], AsyncIterator[ProgramEvent]]
+    """Carries a caller's request out, here or at the owner."""
     facts: ProgramFacts
     abandons: ProgramAbandons
     services: tuple[NodeService, ...] = ()
@@ -100,5 +104,10 @@
     journal.attach_programs(owner, owner.running_in)
     facts = OwnedPrograms(owner, context.node)
     return ProgramsPart(
-        add_caller_routes, owner, facts, AbandonCommand(owner), (ProgramService(owner),)
+        add_caller_routes,
+        owner,
+        router.execute,
+        facts,
+        AbandonCommand(owner),
+        (ProgramService(owner),),
     )
--- a/src/foxwinch/node/process.py
+++ b/src/foxwinch/node/process.py
@@ -19,6 +19,9 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 CALLER_PROTOCOLS = ("http/1.1",)
 OPERATOR_PROTOCOLS = ("h2",)
+READY_SECONDS = 20.0
+"""A node that is not ready by then announces its addresses anyway: operators may need to ask it."""
+READY_POLL_SECONDS = 0.05
 log = EventLog("process")
 
 
@@ -81,6 +84,18 @@
             "peer_address": str(self._open.ports.peer_address),
         }
 
+    async def wait_ready(self) -> None:
+        """Return when the node takes work; after a bound also when it does not."""
+        assert self._node is not None
+        not_ready_because = self._node.parts.operator.readiness.not_ready_because
+        clock = self._node.context.ports.clock
+        try:
+            async with asyncio.timeout(READY_SECONDS):
+                while not_ready_because() is not None:
+                    await clock.sleep(READY_POLL_SECONDS)
+        except TimeoutError:
+            log.warning("not_ready", cause=not_ready_because())
+
     async def run(self) -> bool:
         """Wait for a signal or an operator's drain, then drain; False when work was cut."""
         assert self._node is not None
@@ -115,6 +130,7 @@
     loop = uvloop.new_event_loop()
     # A loop of our own: the entry point would otherwise start a pool of threads.
     with entrypoint(process, loop=loop, log_config=False, catch_signals=()):
+        loop.run_until_complete(process.wait_ready())
         announce(process.addresses())
         whole = loop.run_until_complete(process.run())
     loop.close()
--- a/src/foxwinch/queries/cluster.py
+++ b/src/foxwinch/queries/cluster.py
@@ -14,6 +14,7 @@
     NodeStatus,
     ProgramDetail,
 )
+from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId
 from foxwinch.node.interfaces import (
     Member,
@@ -105,7 +106,7 @@
 
     async def program(self, program_id: ProgramId) -> ProgramDetail | Refused:
         """Return one program, asked of its owner."""
-        owner = self._ownership.locate(program_id)
+        owner = self._ownership.locate(root_of(program_id))
         if isinstance(owner, Refused):
             return owner
         if not isinstance(owner, OwnedBy) or self._peers is None:
--- /dev/null
+++ b/tests/test_virtual_cluster.py
@@ -0,0 +1,110 @@
+"""Whole nodes form one cluster: members, one configuration, one steward a worker, calls."""
+
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from foxwinch._generated.journal_pb2 import HistoryMessage
+from foxwinch.commands.requests import ModelCallRequest
+from foxwinch.core.program.call_events import CallFinished
+from foxwinch.emulator.virtual_cluster import VirtualCluster
+from foxwinch.identifiers import ModelName, ProgramId, TenantName
+from foxwinch.node.interfaces import MemberState
+from foxwinch.settings.load import load_cluster_configuration
+
+PHYSIO = load_cluster_configuration(Path(__file__).parents[1] / "examples" / "physio.toml")
+TENANT = TenantName("ward-discharge")
+
+pytestmark = [pytest.mark.looptime]
+
+
+@asynccontextmanager
+async def cluster_of(count, seed=1):
+    cluster = VirtualCluster(PHYSIO, seed)
+    try:
+        await cluster.add(count)
+        yield cluster
+    finally:
+        await cluster.stop()
+
+
+async def until(cluster, condition, seconds=60.0):
+    """Wait in virtual time until a condition holds."""
+    ends_at = cluster.clock.monotonic() + seconds
+    while not condition():
+        assert cluster.clock.monotonic() < ends_at
+        await cluster.clock.sleep(0.1)
+
+
+def everyone_sees(cluster, state=MemberState.ALIVE):
+    expected = set(cluster.nodes)
+
+    def seen(virtual):
+        members = virtual.node.parts.membership.membership.members()
+        return {member.node for member in members if member.state is state}
+
+    return all(seen(virtual) == expected for virtual in cluster.nodes.values())
+
+
+def stewards(cluster):
+    """Return the stewards of each worker."""
+    found = {}
+    for virtual in cluster.nodes.values():
+        for status in virtual.node.parts.grants.facts.workers():
+            if status.steward == virtual.identity:
+                found.setdefault(status.worker, []).append(virtual.identity)
+    return found
+
+
+def settled(cluster):
+    """Tell whether all nodes know each other and are ready, and each worker has one steward."""
+    found = stewards(cluster)
+    ready = [n.node.parts.operator.readiness.not_ready_because() for n in cluster.nodes.values()]
+    return (
+        everyone_sees(cluster)
+        and not any(ready)
+        and set(found) == set(cluster.engines)
+        and all(len(stewarding) == 1 for stewarding in found.values())
+    )
+
+
+async def call(virtual, name, text="hello"):
+    """Run one call of a program to its last event."""
+    request = ModelCallRequest(
+        tenant=TENANT,
+        program_id=ProgramId(f"{TENANT}/{name}"),
+        model=ModelName("plan-llm"),
+        messages=(HistoryMessage(role="user", content=text),),
+        append=True,
+        maximum_tokens=4,
+    )
+    return [event async for event in virtual.execute(request)][-1]
+
+
+@pytest.mark.parametrize("count", [1, 3, 12])
+async def test_nodes_form_one_cluster_and_each_serves(count):
+    async with cluster_of(count) as cluster:
+        await until(cluster, lambda: settled(cluster))
+        for number, virtual in enumerate(list(cluster.nodes.values())):
+            assert virtual.node.configuration.current().revision == 1
+            assert isinstance(await call(virtual, f"program-{number}"), CallFinished)
+
+
+async def test_a_drained_node_leaves_and_its_workers_go_on():
+    async with cluster_of(3) as cluster:
+        await until(cluster, lambda: settled(cluster))
+        leaving = next(iter(cluster.nodes.values()))
+        assert await cluster.drain(leaving)
+        await until(cluster, lambda: settled(cluster))
+        for virtual in list(cluster.nodes.values()):
+            assert isinstance(await call(virtual, "after"), CallFinished)
+
+
+async def test_a_killed_node_is_found_dead_and_its_workers_are_taken_over():
+    async with cluster_of(3) as cluster:
+        await until(cluster, lambda: settled(cluster))
+        await cluster.kill(next(iter(cluster.nodes.values())))
+        await until(cluster, lambda: settled(cluster))
+        for virtual in list(cluster.nodes.values()):
+            assert isinstance(await call(virtual, "after"), CallFinished)
