Send large journals in parts and search deeper for lost records

Cause: a log larger than one frame could not be handed to a replica; long random histories rarely reached diverging logs; a leaving node took its replicas away before they were replaced. Change: requests above 512 KiB go in parts and reads come as streams; random histories cut nodes off and let them race; the oracle compares an owner only with commits of epochs up to the highest that ever was active (two false alarms before); a leaving node waits until its replicas are retired. Conclusion: recovery from a cold restart and compaction under split messages are tested.

--- a/src/foxwinch/core/journal/log.py
+++ b/src/foxwinch/core/journal/log.py
@@ -31,6 +31,7 @@
     def __init__(self, snapshot: Snapshot = EMPTY_SNAPSHOT, entries: Sequence[Entry] = ()) -> None:
         """Start from a snapshot and the entries that follow on it."""
         self.snapshot = snapshot
+        self._snapshot_bytes = snapshot.size_bytes()
         self._entries: list[Entry] = []
         self._entry_bytes = 0
         self.extend(entries)
@@ -45,6 +46,11 @@
         """Chain at the last record."""
         return self._entries[-1].chain if self._entries else self.snapshot.chain
 
+    @property
+    def snapshot_bytes(self) -> int:
+        """Memory of the snapshot."""
+        return self._snapshot_bytes
+
     @property
     def entry_bytes(self) -> int:
         """Memory of the entries after the snapshot."""
@@ -52,7 +58,7 @@
 
     def size_bytes(self) -> int:
         """Return the memory of the whole log."""
-        return self._entry_bytes + self.snapshot.size_bytes()
+        return self._entry_bytes + self._snapshot_bytes
 
     def chain_at(self, index: int) -> int | None:
         """Return the chain at an index, or None when the log does not reach it or cut it off."""
@@ -107,6 +113,7 @@
             return False
         rest = self._entries[snapshot.index - self.snapshot.index :]
         self.snapshot = snapshot
+        self._snapshot_bytes = snapshot.size_bytes()
         self._entries = []
         self._entry_bytes = 0
         self.extend(rest)
--- a/src/foxwinch/node/journal_service.py
+++ b/src/foxwinch/node/journal_service.py
@@ -103,6 +103,7 @@
         self._replicas = replicas
         self._client = client
         self._store = store
+        self.compact_bytes = COMPACT_BYTES
         self._owned: dict[ShardNumber, OwnedShard] = {}
         self._loader: ShardLoader | None = None
         self._running_calls: RunningCalls = lambda shard: 0
@@ -244,7 +245,7 @@
 
     def _compact(self, shard: ShardNumber, owned: OwnedShard, has_objects: bool) -> None:
         journal = owned.journal
-        limit = max(COMPACT_BYTES, 2 * journal.log.snapshot.size_bytes())
+        limit = max(self.compact_bytes, 2 * journal.log.snapshot_bytes)
         if self._loader is None or journal.log.entry_bytes < limit:
             return
         index, chain = journal.log.last_index, journal.log.last_chain
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -37,6 +37,7 @@
     OwnedHere,
 )
 from foxwinch.node.journal_service import JournalService, RunningCalls
+from foxwinch.node.replica_service import ReplicaService
 from foxwinch.node.replication_codec import (
     decode_configuration,
     encode_configuration,
@@ -56,6 +57,9 @@
 IDLE_SECONDS = 20.0
 """A handover that is not urgent waits so long for the shard's running calls, then tries later."""
 IDLE_POLL_SECONDS = 0.05
+RETIRE_SECONDS = 10.0
+"""Longest wait of a leaving node for its replicas to be replaced; while the table is down they
+cannot be."""
 _PRESENCE = {
     MemberState.ALIVE: Presence.LIVE,
     MemberState.SUSPECT: Presence.LIVE,
@@ -73,6 +77,7 @@
     peers: PeerPort | None
     takeover: TakeoverService
     journals: JournalService
+    replicas: ReplicaService
 
 
 class OwnershipService:
@@ -113,11 +118,18 @@
             await self._ports.journals.close(shard)
 
     async def drain(self) -> None:
-        """Hand every shard over; returns when none is left or nobody could take them."""
+        """Hand every shard over; returns when none is left or nobody could take them.
+
+        Then waits a while until the other owners have replaced the replicas kept here, so that a
+        rolling replacement never takes two replicas of a shard at once.
+        """
         self._leaving = True
         self._on_members()
         while any(True for _ in self._ports.journals.owned()) and self._successors():
             await self._ports.clock.sleep(TICK_SECONDS)
+        until = self._ports.clock.monotonic() + RETIRE_SECONDS
+        while self._ports.replicas.held_logs() and self._ports.clock.monotonic() < until:
+            await self._ports.clock.sleep(TICK_SECONDS)
 
     def locate(self, program_id: ProgramId) -> OwnedHere | OwnedBy | Refused:
         """Find the owner of a program's shard."""
--- a/src/foxwinch/node/parts/journal.py
+++ b/src/foxwinch/node/parts/journal.py
@@ -62,6 +62,7 @@
             ports.peers,
             takeover,
             journals,
+            replicas,
         )
     )
     flush = FlushService(ports.clock, journals, store, client, context.registry)
--- a/src/foxwinch/node/replica_client.py
+++ b/src/foxwinch/node/replica_client.py
@@ -5,6 +5,7 @@
     InstallRequest,
     ReadRequest,
     ReplicaReply,
+    RequestPart,
     RetireRequest,
     SealRequest,
 )
@@ -22,6 +23,7 @@
 from foxwinch.node.replica_service import (
     APPEND,
     INSTALL,
+    PART,
     READ,
     RETIRE,
     SEAL,
@@ -53,6 +55,7 @@
         self._this = this
         self._replicas = replicas
         self._peers = peers
+        self._transfers = 0
 
     async def seal(
         self, shard: ShardNumber, member: GroupMember, epoch: Epoch
@@ -70,29 +73,18 @@
         """Read the whole log of a replica that was sealed under `epoch`."""
         if member.node == self._this:
             return self._replicas.replica(shard).log.copy()
-        log: JournalLog | None = None
-        while True:
-            request = ReadRequest(
-                target_node=member.node,
-                shard=shard,
-                epoch=epoch,
-                after_index=0 if log is None else log.last_index,
-            )
-            reply = await self._call(member, READ, request.SerializeToString(), READ_SECONDS)
-            if reply is None or ReplicaStatus(reply.status) is not ReplicaStatus.ACCEPTED:
+        if self._peers is None:
+            return not_run(Reason.NO_QUORUM, "no fellow nodes", 0.5)
+        request = ReadRequest(target_node=member.node, shard=shard, epoch=epoch)
+        pieces: list[bytes] = []
+        answers = self._peers.stream(
+            peer_address(member), READ, request.SerializeToString(), READ_SECONDS
+        )
+        async for piece in answers:
+            if isinstance(piece, Refused):
                 return not_run(Reason.NO_QUORUM, "the sealed replica could not be read", 0.5)
-            entries = decode_batch(reply.entries)
-            snapshot = decode_snapshot(reply.snapshot)
-            if isinstance(entries, CorruptFrames) or (
-                log is None and isinstance(snapshot, CorruptFrames)
-            ):
-                return not_run(Reason.INTERNAL, "the replica's records are damaged", 0.5)
-            if log is None:
-                assert not isinstance(snapshot, CorruptFrames)
-                log = JournalLog(snapshot)
-            log.extend(entries)
-            if log.last_index >= reply.last_index:
-                return log
+            pieces.append(piece)
+        return _log_of(ReplicaReply.FromString(b"".join(pieces)))
 
     async def write(
         self, shard: ShardNumber, member: GroupMember, message: WriterMessage
@@ -102,9 +94,35 @@
             method, payload = INSTALL, _install_request(shard, member, message)
         else:
             method, payload = APPEND, _append_request(shard, member, message)
-        reply = await self._call(member, method, payload, WRITE_SECONDS)
+        if len(payload) > self._replicas.part_bytes:
+            reply = await self._send_parts(shard, member, method, payload)
+        else:
+            reply = await self._call(member, method, payload, WRITE_SECONDS)
         return None if reply is None else decode_answer(reply)
 
+    async def _send_parts(
+        self, shard: ShardNumber, member: GroupMember, method: str, payload: bytes
+    ) -> ReplicaReply | None:
+        """Send a large request piece by piece; returns the answer to the whole."""
+        size = self._replicas.part_bytes
+        pieces = [payload[i : i + size] for i in range(0, len(payload), size)]
+        reply: ReplicaReply | None = None
+        self._transfers += 1
+        for number, data in enumerate(pieces):
+            part = RequestPart(
+                target_node=member.node,
+                shard=shard,
+                method=method,
+                transfer=f"{self._this}/{self._transfers}",
+                number=number,
+                count=len(pieces),
+                data=data,
+            )
+            reply = await self._call(member, PART, part.SerializeToString(), WRITE_SECONDS)
+            if reply is None or ReplicaStatus(reply.status) is not ReplicaStatus.ACCEPTED:
+                return reply
+        return reply
+
     async def retire(self, shard: ShardNumber, member: GroupMember, epoch: Epoch) -> None:
         """Tell a former replica to forget the shard; when it misses it, it only keeps memory."""
         if member.node == self._this:
@@ -122,6 +140,20 @@
         return None if isinstance(reply, Refused) else ReplicaReply.FromString(reply)
 
 
+def _log_of(reply: ReplicaReply) -> JournalLog | Refused:
+    """Return the log in an answer to a read, after checking every checksum."""
+    if ReplicaStatus(reply.status) is not ReplicaStatus.ACCEPTED:
+        return not_run(Reason.NO_QUORUM, "the replica has been sealed again", 0.5)
+    snapshot = decode_snapshot(reply.snapshot)
+    entries = decode_batch(reply.entries)
+    if isinstance(snapshot, CorruptFrames) or isinstance(entries, CorruptFrames):
+        return not_run(Reason.INTERNAL, "the replica's records are damaged", 0.5)
+    log = JournalLog(snapshot, entries)
+    if log.last_index != reply.last_index:
+        return not_run(Reason.INTERNAL, "the replica's records are not complete", 0.5)
+    return log
+
+
 def _install_request(shard: ShardNumber, member: GroupMember, message: InstallMessage) -> bytes:
     request = InstallRequest(
         target_node=member.node,
--- a/src/foxwinch/node/replica_service.py
+++ b/src/foxwinch/node/replica_service.py
@@ -1,5 +1,8 @@
 """Replicas of shards kept by this node, served to their owners over the peer port."""
 
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+
 from prometheus_client import CollectorRegistry, Gauge
 
 from foxwinch._generated.replication_pb2 import (
@@ -7,6 +10,7 @@
     InstallRequest,
     ReadRequest,
     ReplicaReply,
+    RequestPart,
     RetireRequest,
     SealRequest,
 )
@@ -35,8 +39,21 @@
 RETIRE = "journal.retire"
 MEMORY_BYTES = 64 * 1024 * 1024
 """Bound on the memory of all replicas here, a quarter of what a node may use."""
-READ_BYTES = 2 * 1024 * 1024
-"""Entries in one answer to a read; below the largest frame."""
+PART = "journal.part"
+PART_BYTES = 512 * 1024
+"""Longest request or piece of an answer sent as one frame; larger ones would hold up others."""
+
+
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """Parts of one large request that have arrived."""
+
+    name: str
+    pieces: list[bytes]
+
+    def fits(self, part: RequestPart) -> bool:
+        """Tell whether a part is the next one of this transfer."""
+        return part.transfer == self.name and part.number == len(self.pieces)
 
 
 class ReplicaService:
@@ -53,16 +70,19 @@
         self._this = this
         self._memory_bytes = memory_bytes
         self._replicas: dict[ShardNumber, ShardReplica] = {}
+        self.part_bytes = PART_BYTES
+        self._transfers: dict[ShardNumber, Transfer] = {}
         gauge = Gauge(
             "foxwinch_replica_memory_bytes", "Memory of the journal replicas", registry=registry
         )
         gauge.set_function(self.memory_bytes)
         if peers is not None:
             peers.handle(SEAL, self._seal)
-            peers.handle(READ, self._read)
+            peers.handle_stream(READ, self._read)
             peers.handle(INSTALL, self._install)
             peers.handle(APPEND, self._append)
             peers.handle(RETIRE, self._retire)
+            peers.handle(PART, self._part)
 
     async def start(self) -> None:
         """Nothing runs in the background."""
@@ -74,6 +94,10 @@
         """Return the replica of a shard, a new one when there is none."""
         return self._replicas.setdefault(shard, ShardReplica())
 
+    def held_logs(self) -> int:
+        """Return how many shards have a log here."""
+        return sum(1 for replica in self._replicas.values() if replica.accepted)
+
     def memory_bytes(self) -> int:
         """Return the memory of all replicas."""
         return sum(replica.log.size_bytes() for replica in self._replicas.values())
@@ -93,23 +117,42 @@
         )
         return _reply(answer)
 
-    async def _read(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+    async def _read(
+        self, context: PeerContext, payload: bytes
+    ) -> AsyncGenerator[bytes | Refused, None]:
         request = ReadRequest.FromString(payload)
         if request.target_node != self._this:
-            return _other_node()
+            yield _other_node()
+            return
         replica = self.replica(ShardNumber(request.shard))
         if replica.promised != request.epoch:
-            return _reply(replica.answer(ReplicaStatus.FENCED))
+            yield _reply(replica.answer(ReplicaStatus.FENCED))
+            return
         message = encode_answer(replica.answer(ReplicaStatus.ACCEPTED))
-        start = request.after_index
-        if start < replica.log.snapshot.index or not start:
-            message.snapshot.CopyFrom(encode_snapshot(replica.log.snapshot))
-            start = replica.log.snapshot.index
-        chain = replica.log.chain_at(start)
-        if chain is None:
-            return not_run(Reason.INVALID_REQUEST, "the log does not reach the index")
-        message.entries.CopyFrom(encode_batch(replica.log.after(start, READ_BYTES), chain))
-        return message.SerializeToString()
+        snapshot = replica.log.snapshot
+        message.snapshot.CopyFrom(encode_snapshot(snapshot))
+        message.entries.CopyFrom(encode_batch(replica.log.after(snapshot.index), snapshot.chain))
+        data = message.SerializeToString()
+        for start in range(0, len(data), self.part_bytes):
+            yield data[start : start + self.part_bytes]
+
+    async def _part(self, context: PeerContext, payload: bytes) -> bytes | Refused:
+        """Gather the parts of a large request; one transfer of a shard at a time."""
+        request = RequestPart.FromString(payload)
+        if request.target_node != self._this:
+            return _other_node()
+        shard = ShardNumber(request.shard)
+        if request.number == 0:
+            self._transfers[shard] = Transfer(request.transfer, [])
+        transfer = self._transfers.get(shard)
+        if transfer is None or not transfer.fits(request):
+            return not_run(Reason.INVALID_REQUEST, "parts arrived out of order", 0.1)
+        transfer.pieces.append(request.data)
+        if len(transfer.pieces) < request.count:
+            return _reply(self.replica(shard).answer(ReplicaStatus.ACCEPTED))
+        del self._transfers[shard]
+        handler = self._install if request.method == INSTALL else self._append
+        return await handler(context, b"".join(transfer.pieces))
 
     async def _install(self, context: PeerContext, payload: bytes) -> bytes | Refused:
         request = InstallRequest.FromString(payload)
--- a/tests/journal_world.py
+++ b/tests/journal_world.py
@@ -72,6 +72,7 @@
         self.store = JournalLog()
         self.committed: dict[int, int] = {}
         self.payloads = 0
+        self.highest_active = 0
         self.writes = 0
         self.sent: deque[Message] = deque(maxlen=60)
         self.open_writes: set[int] = set()
@@ -173,7 +174,9 @@
         node.attempt = None
         node.writer = None
         node.table_epoch = None
-        self.check_recovered(log)
+        if attempt.epoch > self.highest_active:
+            # A slower attempt than one that is active already reads less, and is fenced.
+            self.check_recovered(log)
         if attempt.place is CommitPlace.TABLE:
             self._activate_in_table(node, attempt, log)
             return
@@ -347,6 +350,7 @@
         if message.source in self.nodes and number in self.open_writes:
             self.open_writes.remove(number)
             writer.on_answer(message.target, body, answer)
+            self._note_active()
 
     # --- oracle --------------------------------------------------------------------------
 
@@ -368,12 +372,16 @@
             chain = log.chain_at(position)
             if chain is not None:
                 assert self.committed.setdefault(position, chain) == chain, "conflicting commits"
+        self._note_active()
         for other in self.nodes.values():
-            if other.writer is not None and other.writer.active and not other.writer.fenced:
-                self._agree_active(other)
-
-    def _agree_active(self, other):
-        """An active owner of the newest epoch holds every committed record."""
-        epochs = [n.writer.epoch for n in self.nodes.values() if n.writer and n.writer.active]
-        if other.writer.epoch == max(epochs) and other.replica.accepted == other.writer.epoch:
-            self._agree(other.replica.log)
+            writer = other.writer
+            newest = writer is not None and writer.epoch == self.highest_active
+            if newest and other.replica.accepted == writer.epoch:
+                self._agree(other.replica.log)
+
+    def _note_active(self):
+        """Remember the highest epoch that ever was active: its owner holds every commit."""
+        for node in self.nodes.values():
+            if node.writer is not None and node.writer.active:
+                self.highest_active = max(self.highest_active, node.writer.epoch)
+            self.highest_active = max(self.highest_active, node.table_epoch or 0)
--- a/tests/shard_cluster.py
+++ b/tests/shard_cluster.py
@@ -114,9 +114,10 @@
         for zone in zones:
             self.add(zone)
 
-    def add(self, zone):
+    def add(self, zone, number=None):
+        """Add a node; a `number` used before is a new life at the same address."""
         seeds = [node.address for node in self.nodes[:2]]
-        node = ClusterNode(self, self.lives, zone, seeds)
+        node = ClusterNode(self, self.lives if number is None else number, zone, seeds)
         self.lives += 1
         self.nodes.append(node)
         return node
@@ -179,6 +180,14 @@
         self.network.resume(node.address)
         node.clock.resume()
 
+    def compact_after(self, limit_bytes):
+        for node in self.nodes:
+            node.part.journal.compact_bytes = limit_bytes
+
+    def split_messages_after(self, limit_bytes):
+        for node in self.nodes:
+            node.part.services[1].part_bytes = limit_bytes
+
     def set_table(self, **faults):
         for node in self.nodes:
             node.table.gate.faults = ServiceFaults(**faults)
--- a/tests/test_journal_protocol.py
+++ b/tests/test_journal_protocol.py
@@ -16,9 +16,9 @@
 WALK_STEPS = 500
 
 
-def deliver_all_of(world, name):
+def deliver_all_of(world, name, reaches=lambda message: True):
     for _ in range(40):
-        mine = [i for i, m in enumerate(world.messages) if m.source == name]
+        mine = [i for i, m in enumerate(world.messages) if m.source == name and reaches(m)]
         if not mine:
             return
         world.deliver(mine[0])
@@ -150,8 +150,11 @@
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.world = World()
+        self.cut = set()
+        """Slots whose node is paused or cut off: it keeps what it has, and hears nothing."""
         self.steps = {
             self.append: 8,
+            self.cut_or_heal: 1.0,
             self.transmit: 12,
             self.deliver: 16,
             self.deliver_copy: 2,
@@ -159,8 +162,9 @@
             self.lose: 1,
             self.run_owner: 3,
             self.run_attempt: 2,
-            self.raise_in_table: 0.5,
-            self.raise_on_replicas: 0.7,
+            self.raise_in_table: 0.7,
+            self.raise_on_replicas: 1.2,
+            self.race_on_replicas: 0.5,
             self.settle: 0.5,
             self.give_up: 0.2,
             self.crash: 0.5,
@@ -186,17 +190,31 @@
         return self.random.choice(owners) if owners else self.name()
 
     def zones(self):
-        return self.random.sample(range(4), self.random.choice([2, 4, 4, 4]))
+        return self.random.sample(range(4), self.random.choice([2, 2, 4, 4, 4]))
+
+    def is_cut(self, name):
+        return name in self.world.slots and self.world.slots.index(name) in self.cut
+
+    def reaches(self, message):
+        return not self.is_cut(message.source) and not self.is_cut(message.target)
+
+    def cut_or_heal(self):
+        self.cut ^= {self.random.randrange(4)}
+        if len(self.cut) > 2:
+            self.cut.clear()
 
     def append(self):
-        self.world.append(self.owner())
+        owner = self.owner()
+        for _ in range(self.random.choice([1, 1, 3])):
+            self.world.append(owner)
 
     def transmit(self):
         self.world.transmit(self.owner(), self.name())
 
     def deliver(self, keep_copy=False):
-        if self.world.messages:
-            self.world.deliver(self.random.randrange(len(self.world.messages)), keep_copy)
+        reachable = [i for i, m in enumerate(self.world.messages) if self.reaches(m)]
+        if reachable:
+            self.world.deliver(self.random.choice(reachable), keep_copy)
 
     def deliver_copy(self):
         self.deliver(keep_copy=True)
@@ -209,20 +227,32 @@
             self.world.lose(self.random.randrange(len(self.world.messages)))
 
     def run_owner(self):
-        run_owner(self.world, self.owner(), rounds=1)
+        owner = self.owner()
+        for replica in self.world.slots:
+            self.world.transmit(owner, replica)
+        deliver_all_of(self.world, owner, self.reaches)
 
     def run_attempt(self):
         attempting = [n for n in self.world.slots if self.world.nodes[n].attempt is not None]
         if attempting:
-            deliver_all_of(self.world, self.random.choice(attempting))
+            deliver_all_of(self.world, self.random.choice(attempting), self.reaches)
 
     def raise_in_table(self):
-        size = self.random.choice([1, 2, 4, 4, 4])
+        size = self.random.choice([1, 2, 2, 4, 4, 4])
         zones = self.random.sample(range(4), size)
-        self.world.raise_in_table(self.name(), zones, self.random.random() < 0.2)
+        name = self.name()
+        if not self.is_cut(name):
+            self.world.raise_in_table(name, zones, self.random.random() < 0.2)
 
     def raise_on_replicas(self):
-        self.world.raise_on_replicas(self.name())
+        name = self.name()
+        if not self.is_cut(name):
+            self.world.raise_on_replicas(name)
+
+    def race_on_replicas(self):
+        """Let several nodes raise the step at once, as when a link between them is cut."""
+        for name in self.random.sample(self.world.slots, 3):
+            self.world.raise_on_replicas(name)
 
     def settle(self):
         self.world.settle(self.name())
@@ -234,6 +264,7 @@
         slot = self.random.randrange(4)
         if self.world.may_crash(slot):
             self.world.crash(slot)
+            self.cut.discard(slot)
 
     def switch_table(self):
         self.world.table_up = self.random.random() < 0.7
--- a/tests/test_shard_cluster.py
+++ b/tests/test_shard_cluster.py
@@ -138,7 +138,9 @@
 
     calling = asyncio.create_task(call_all_the_time())
     await asyncio.sleep(0.2)
+    owner.membership.announce_leaving()
     await owner.drain()
+    assert owner.part.services[1].held_logs() == 0
     assert list(owner.part.journal.owned()) == []
     await calling
     successor = cluster.owner_of(PROGRAM)
@@ -185,3 +187,41 @@
     await joined.start()
     await cluster.until(lambda: len(list(joined.part.journal.owned())) >= 8, 120)
     await cluster.settle()
+
+
+@on_three_nodes
+async def test_restart_of_every_node_recovers_what_the_table_holds(cluster):
+    owner = cluster.owner_of(PROGRAM)
+    await append_many(owner, 0, 10)
+    flush = owner.part.services[2]
+    await cluster.until(lambda: flush.backlog_records() == 0)
+    zones = [node.membership.membership.this_member().zone for node in cluster.nodes]
+    for node in list(cluster.nodes):
+        await cluster.kill(node)
+    for number, zone in enumerate(zones):
+        cluster.add(zone, number)
+    await cluster.start()
+    assert cluster.owner_of(PROGRAM).numbers(PROGRAM) == list(range(10))
+
+
+@on_three_nodes
+async def test_long_journals_are_compacted_and_recovered(cluster):
+    cluster.compact_after(20_000)
+    cluster.split_messages_after(1_000)
+    owner = cluster.owner_of(PROGRAM)
+    await append_many(owner, 0, 400)
+    shard = owner.part.ownership.locate(PROGRAM).shard
+
+    def compacted():
+        journal = owner.part.journal.get(shard).journal
+        stored = journal.stored
+        return stored is not None and stored.record.snapshot_index > 0
+
+    await cluster.until(compacted)
+    journal_rows = [k for k in cluster.table.rows if k.startswith(f"journal/cymru/{shard:04d}/")]
+    await append_many(owner, 400, 5)
+    await cluster.kill(owner)
+    successor = await new_owner(cluster, owner)
+    assert successor.numbers(PROGRAM) == list(range(405))
+    assert len(journal_rows) <= 1
+    assert len(cluster.objects.objects) >= 1
