--- a/src/foxwinch/commands/abandon_program.py
+++ b/src/foxwinch/commands/abandon_program.py
@@ -32,5 +32,7 @@
         program = held.table.find(program_id)
         if program is None:
             return not_run(Reason.NOT_FOUND, f"program {program_id} is not known")
-        refused = await end_program(self._owner.ports, held, program, True, OPERATOR_CAUSE)
+        refused = await self._owner.run_apart(
+            end_program(self._owner.ports, held, program, True, OPERATOR_CAUSE)
+        )
         return Accepted() if refused is None else refused
--- a/src/foxwinch/commands/call_lifecycle.py
+++ b/src/foxwinch/commands/call_lifecycle.py
@@ -13,7 +13,7 @@
     JournalRecord,
     ProgramFinished,
 )
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_shard import HeldShard, lost_shard
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.commands.running_call import FinalEvent, RunningCall
 from foxwinch.core.program.admission import start_call
@@ -86,7 +86,8 @@
             return True
         if refused.run_state is RunState.NOT_RUN:
             self.running.intent_sent = False
-            self.refuse(refused)
+            fenced = refused.reason is Reason.FENCED
+            self.refuse(lost_shard(RunState.NOT_RUN) if fenced else refused)
             return False
         await self._cancel_intent(records, refused)
         return False
--- a/src/foxwinch/commands/execute.py
+++ b/src/foxwinch/commands/execute.py
@@ -213,7 +213,8 @@
             return
         known = held.table.find(request.program_id)
         if known is None:
-            refused = await held.commit([self._creation(template, request)])
+            creation = held.commit([self._creation(template, request)])
+            refused = await self._owner.run_apart(creation)
             known = held.table.find(request.program_id)
             if refused is not None or known is None:
                 yield refused or NOT_FOUND
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_shard.py
@@ -1,11 +1,11 @@
 """A shard that this node owns: its programs, running calls and commits."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from foxwinch._generated.journal_pb2 import JournalRecord
 from foxwinch.commands.running_call import RunningCall
-from foxwinch.core.program.requests import Dropped
+from foxwinch.core.program.requests import Applied, Dropped
 from foxwinch.core.program.table import ProgramTable
 from foxwinch.identifiers import CallId, Epoch, ProgramId, ShardNumber
 from foxwinch.log import EventLog
@@ -89,6 +89,21 @@
             if isinstance(applied, Dropped):
                 self._log.warning("record_dropped", shard=self.shard, cause=applied.cause)
 
+    def catch_up(self, records: Iterable[JournalRecord]) -> list[ProgramId]:
+        """Apply what the journal holds and this node has missed; the rest is known already.
+
+        Returns the programs that have ended by it.
+        """
+        ended = []
+        for record in records:
+            restored = record.program_snapshot.created.program_id
+            if restored and self.table.find(ProgramId(restored)) is not None:
+                continue
+            applied = self.table.apply(record)
+            if isinstance(applied, Applied) and record.HasField("program_finished"):
+                ended.append(ProgramId(record.program_finished.program_id))
+        return ended
+
     def advance(self, program_id: ProgramId) -> None:
         """Give the next waiting call of a program its turn."""
         program = self.table.find(program_id)
--- a/src/foxwinch/commands/program_owner.py
+++ b/src/foxwinch/commands/program_owner.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterable, Iterator
-from typing import Any
+from typing import Any, TypeVar
 
 from foxwinch._generated.journal_pb2 import CallAdmitted, JournalRecord
 from foxwinch.commands.call_lifecycle import CallLifecycle
@@ -26,6 +26,7 @@
 from foxwinch.node.interfaces import OwnedBy, OwnedHere
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
+Result = TypeVar("Result")
 CLIENT_GONE = "client_gone"
 IDLE_POLL_SECONDS = 0.1
 LOADING_RETRY_SECONDS = 0.5
@@ -40,7 +41,7 @@
         self.ports = ports
         self.log = EventLog("programs")
         self._shards: dict[ShardNumber, HeldShard] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     # --- shards --------------------------------------------------------------------------
 
@@ -49,8 +50,14 @@
     ) -> None:
         """Take a shard over: rebuild its programs and settle what was left running.
 
-        Called on the event loop once the epoch is held and the journal's tail is read.
+        Called on the event loop once the epoch is held and the journal's tail is read. Under the
+        epoch that is held already, only what this node has missed is applied: calls go on.
         """
+        present = self._shards.get(shard)
+        if present is not None and present.epoch == epoch:
+            for program_id in present.catch_up(records):
+                self.ports.grants.finish(program_id)
+            return
         self.drop_shard(shard)
         table = ProgramTable(records)
         held = HeldShard(shard, epoch, table, self.ports.journal, self.ports.clock, self.log)
@@ -125,6 +132,13 @@
         task.add_done_callback(ended)
         return task
 
+    async def run_apart(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Wait for work that goes on to its end even when the one who waits is cancelled."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
     async def stop(self) -> None:
         """Drop every shard and end every task."""
         for shard in list(self._shards):
--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from foxwinch._generated.journal_pb2 import CallOutcome, HistoryMessage
+from foxwinch._generated.journal_pb2 import CallOutcome, HistoryMessage, JournalRecord
 from foxwinch._generated.operator_pb2 import ListProgramsRequest
 from foxwinch.commands.abandon_program import AbandonCommand
 from foxwinch.commands.forward import Forwarder
@@ -242,6 +242,28 @@
     assert [m.content for m in later.program().history] == ["hello", TEXT]
 
 
+async def test_records_read_again_under_the_same_epoch_do_not_disturb_running_calls(rig):
+    call = asyncio.create_task(collect(rig.model()))
+    await asyncio.sleep(1.5)
+    missed = JournalRecord()
+    missed.CopyFrom(rig.journal.records[0])
+    missed.program_created.program_id = scoped(TENANT, "missed")
+    rig.load([*rig.owner.snapshot_records(SHARD), *rig.journal.records, missed], epoch=1)
+    assert (await call)[0] == TEXT
+    assert rig.program("missed") is not None
+    assert [m.content for m in rig.program().history] == ["hello", TEXT]
+
+
+async def test_a_creation_whose_caller_goes_is_still_applied(rig):
+    creation = asyncio.create_task(create(rig))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    creation.cancel()
+    await asyncio.sleep(1)
+    assert len(rig.journal.records) == 1
+    assert rig.program() is not None
+
+
 async def test_a_late_end_of_a_lost_shard_changes_nothing(rig):
     call = asyncio.create_task(collect(rig.model()))
     await asyncio.sleep(1.5)
