Spread deaths and configuration before spending the budget on probes

Cause: after a zone's failure the probes of suspects used the byte budget up, so the news of the deaths waited; anti-entropy left out young configuration entries, so a missed one took two rounds; summaries of regions were most of the steady traffic. Change: urgent news may overdraw the budget by half a burst; digests repeat global entries at any age; summaries come every 60 s and are passed on twice.

--- a/src/foxwinch/core/membership/engine.py
+++ b/src/foxwinch/core/membership/engine.py
@@ -31,12 +31,10 @@
 from foxwinch.core.membership.parameters import UDP_HEADER_BYTES, MembershipParameters
 from foxwinch.core.membership.receiver import DatagramReceiver
 from foxwinch.core.membership.regions import RegionDirectory
-from foxwinch.core.membership.sender import DatagramSender
+from foxwinch.core.membership.sender import URGENT_RANK, DatagramSender
 from foxwinch.core.membership.state import KnowledgeState
 from foxwinch.identifiers import PeerAddress
 
-URGENT_RANK = int(GossipKind.CONFIGURATION)
-"""News up to this rank goes to two members a tick, the rest to one."""
 FAREWELLS = 5
 """Members that are told directly that this node leaves."""
 
@@ -172,7 +170,7 @@
             port=target.address.port,
         )
         for helper in helpers:
-            self._sender.send(helper.address, GossipDatagram(probe_request=request), now, fields)
+            self._sender.send(helper.address, GossipDatagram(probe_request=request), now)
 
     def _join(self, now: float) -> None:
         for address in self._joining.due(now):
@@ -209,18 +207,18 @@
                 self._next_region_digest_at_seconds = now + self._parameters.digest_period_seconds
                 digest = Digest(buckets=self._state.global_digest.buckets, only_global=True)
                 self._sender.send(address, GossipDatagram(digest=digest), now)
-            if len(self._state.region_outbox) and self._sender.has_balance(now):
-                news = self._state.region_outbox
+            news = self._state.region_outbox
+            if self._sender.may_send_news(news, now):
                 self._sender.send(address, GossipDatagram(), now, news=news)
 
     def _spread(self, now: float) -> None:
-        """Send news beyond what probes and answers carry."""
+        """Send news beyond what probes and answers carry: urgent ones to two members a tick."""
         outbox = self._state.outbox
         if not len(outbox):
             return
         count = 2 if outbox.urgent(URGENT_RANK) else 1
         for member in self._draws.pick(self._state.table.present_others(), count):
-            if len(outbox) and self._sender.has_balance(now):
+            if self._sender.may_send_news(outbox, now):
                 self._sender.send(member.address, GossipDatagram(), now, news=outbox)
 
     def _drain(self) -> list[Action]:
--- a/src/foxwinch/core/membership/outbox.py
+++ b/src/foxwinch/core/membership/outbox.py
@@ -37,12 +37,14 @@
         """Tell whether an item of at most that rank waits."""
         return any(news.rank <= highest_rank for news in self._news.values())
 
-    def take(self, room_bytes: float) -> list[bytes]:
+    def take(self, room_bytes: float, highest_rank: int) -> list[bytes]:
         """Return fields that fit the room: lowest rank first, then least often sent."""
         if not self._news or room_bytes <= 0:
             return []
         taken = []
         for key, news in sorted(self._news.items(), key=_precedence):
+            if news.rank > highest_rank:
+                break
             if len(news.field) > room_bytes:
                 continue
             room_bytes -= len(news.field)
--- a/src/foxwinch/core/membership/parameters.py
+++ b/src/foxwinch/core/membership/parameters.py
@@ -40,7 +40,8 @@
     digest_hurry_seconds: float = 1.0
     """The same while a quarter of the buckets differed last time: after a join or a partition."""
     settle_seconds: float = 5.0
-    """Entries younger than this are still on their way; anti-entropy does not repeat them."""
+    """Entries younger than this are still on their way; anti-entropy repeats only those of them
+    that every node must have."""
     bucket_count: int = 32
     repair_datagrams: int = 4
     """Datagrams with which one digest is answered at most."""
@@ -48,11 +49,14 @@
     """While no other member of the region is known."""
     rejoin_period_seconds: float = 15.0
     """For ever after: one address that should be a member but is not, so that partitions heal."""
-    summary_period_seconds: float = 30.0
+    summary_period_seconds: float = 60.0
     """How often a region tells the other regions that it is there."""
+    summary_transmissions: int = 2
+    """Instead of `transmissions`: nothing waits for a summary, and every node of every region gets
+    those of all regions."""
     bridges: int = 3
     """Members of a region that speak with the other regions."""
-    region_silent_seconds: float = 120.0
+    region_silent_seconds: float = 150.0
     """A region whose summary has not changed for so long counts as cut off."""
     budget_bytes_per_second: float = 1_500.0
     """What a node sends in datagrams; as much arrives, so half of the 6,000 B/s are left for
--- a/src/foxwinch/core/membership/sender.py
+++ b/src/foxwinch/core/membership/sender.py
@@ -5,12 +5,17 @@
 from foxwinch._generated.membership_pb2 import GossipDatagram
 from foxwinch.core.limits.token_bucket import TokenBucket
 from foxwinch.core.membership.actions import SendDatagram
+from foxwinch.core.membership.entry import GossipKind
 from foxwinch.core.membership.outbox import Outbox
 from foxwinch.core.membership.parameters import DATAGRAM_BYTES, UDP_HEADER_BYTES
 from foxwinch.core.membership.state import KnowledgeState
 from foxwinch.core.membership.wire import sender_field
 from foxwinch.identifiers import PeerAddress
 
+ALL_RANKS = max(GossipKind)
+URGENT_RANK = int(GossipKind.CONFIGURATION)
+"""News up to this rank may overdraw the budget by half a burst: that a node is dead must not wait
+for the very probes that found it out."""
 NEWS_BYTES = 300
 """Room for news below which no datagram is sent for news alone."""
 
@@ -18,18 +23,26 @@
 class DatagramSender:
     """The only way out; every byte is charged to one bucket.
 
-    Probes and answers may overdraw it by a burst, since few of them are ever due; news and
-    repairs wait until there is a balance.
+    Probes and answers may overdraw it by a burst, since few of them are ever due, and urgent
+    news by half of it; other news and repairs wait until there is a balance.
     """
 
     def __init__(self, state: KnowledgeState, now: float) -> None:
         """Start with a full bucket."""
         self._state = state
         parameters = state.parameters
+        self._overdraft = parameters.budget_burst_bytes / 2
         self._bucket = TokenBucket.full(
             parameters.budget_bytes_per_second, parameters.budget_burst_bytes, now
         )
 
+    def may_send_news(self, news: Outbox, now: float) -> bool:
+        """Tell whether some of the news may be sent now."""
+        balance = self._bucket.available(now)
+        if balance >= NEWS_BYTES:
+            return len(news) > 0
+        return balance >= NEWS_BYTES - self._overdraft and news.urgent(URGENT_RANK)
+
     def has_balance(self, now: float) -> bool:
         """Tell whether news and repairs may be sent."""
         return self._bucket.available(now) >= NEWS_BYTES
@@ -55,8 +68,7 @@
                 parts.append(field)
                 size += len(field)
         if news is not None:
-            room = min(DATAGRAM_BYTES - size, balance - size - UDP_HEADER_BYTES)
-            taken = news.take(room)
+            taken = self._news(news, DATAGRAM_BYTES - size, balance - size - UDP_HEADER_BYTES)
             parts += taken
             size += sum(map(len, taken))
         self._bucket.charge(size + UDP_HEADER_BYTES, now)
@@ -64,6 +76,12 @@
         counters.bytes_sent += size + UDP_HEADER_BYTES
         self._state.actions.append(SendDatagram(address, b"".join(parts)))
 
+    def _news(self, news: Outbox, room: float, balance: float) -> list[bytes]:
+        """Take news into a datagram: all kinds within the balance, urgent ones beyond it."""
+        if balance > 0:
+            return news.take(min(room, balance), ALL_RANKS)
+        return news.take(min(room, balance + self._overdraft), URGENT_RANK)
+
     def send_fields(
         self, address: PeerAddress, fields: Sequence[bytes], datagrams: int, now: float
     ) -> None:
--- a/src/foxwinch/core/membership/state.py
+++ b/src/foxwinch/core/membership/state.py
@@ -4,7 +4,7 @@
 
 from foxwinch.core.membership.actions import Action, EntryChanged, MemberChanged, MembershipCounters
 from foxwinch.core.membership.digest import DigestIndex
-from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.entry import GLOBAL_KINDS, GossipEntry, GossipKind
 from foxwinch.core.membership.gossip import EntryStore
 from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.membership.outbox import Outbox
@@ -85,7 +85,10 @@
         key, field = _entry_key(entry), entry_field(entry)
         self._fields[key] = field
         rank = int(entry.kind)
-        self.outbox.offer(key, rank, field, self.parameters.transmissions[rank])
+        transmissions = self.parameters.transmissions[rank]
+        if entry.kind is GossipKind.MEMBERSHIP:
+            transmissions = self.parameters.summary_transmissions
+        self.outbox.offer(key, rank, field, transmissions)
         self.digest.put(key, field)
         if entry.is_global:
             self.global_digest.put(key, field)
@@ -131,7 +134,8 @@
         entry = self.store.get(GossipKind(int(kind)), name)
         assert entry is not None
         age_seconds = now - self.store.changed_at_seconds(entry)
-        return int(entry.kind), age_seconds < self.parameters.settle_seconds
+        young = age_seconds < self.parameters.settle_seconds
+        return int(entry.kind), young and entry.kind not in GLOBAL_KINDS
 
     def _note_member(self, member: Member) -> None:
         key, field = _member_key(member), member_field(member)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -194,9 +194,9 @@
     outbox = Outbox()
     for number, (rank, size, transmissions) in enumerate(offers):
         outbox.offer(str(number), rank, bytes(size), transmissions)
-    assert sum(map(len, outbox.take(room))) <= room
+    assert sum(map(len, outbox.take(room, 5))) <= room
     for _ in range(4 * len(offers)):
-        outbox.take(900)
+        outbox.take(900, 5)
     assert len(outbox) == 0
 
 
