--- a/src/foxwinch/bench/fleet/fleet.py
+++ b/src/foxwinch/bench/fleet/fleet.py
@@ -1,5 +1,6 @@
 """Building a fleet: nodes spread over zones and regions."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -53,6 +54,7 @@
         self.places = shape.places()
         self.nodes: dict[PeerAddress, HollowNode] = {}
         self.started = 0
+        self.on_start: list[Callable[[HollowNode], None]] = []
         self._seed = seed
 
     def start_all(self, over_seconds: float = 0.0) -> None:
@@ -75,6 +77,8 @@
             self._seed * 1_000_003 + self.started,
         )
         self.nodes[place.address] = node
+        for listener in self.on_start:
+            listener(node)
         return node
 
     def run(self, seconds: float) -> None:
--- a/src/foxwinch/bench/fleet/node.py
+++ b/src/foxwinch/bench/fleet/node.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from typing import TypeVar
 
 from foxwinch.bench.fleet.network import FleetNetwork, Place
 from foxwinch.bench.fleet.simulator import Simulator
@@ -12,6 +13,8 @@
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import NodeId, PeerAddress, ZoneName
 
+Result = TypeVar("Result")
+
 
 class HollowNode:
     """One life of one node."""
@@ -31,18 +34,25 @@
         self.node = node
         self.running = True
         self.paused = False
+        self.started_at_seconds = simulator.now
+        self.ticking = False
+        """True while this node decides by itself, not on a datagram."""
         self.processor_seconds = 0.0
         """Processor time of the control code, measured."""
         self.on_member: list[Callable[[Member], None]] = []
         self.on_entry: list[Callable[[GossipEntry], None]] = []
-        self._simulator = simulator
+        self.simulator = simulator
         self._network = network
+        self.services: dict[str, Callable[[bytes], bytes]] = {}
+        """Requests that the node answers, by name."""
+        self._timing = False
         self._waiting: list[tuple[PeerAddress, bytes]] = []
         this = Member(node, place.address, ZoneName(place.zone), place.region, MemberState.ALIVE, 0)
         self.engine = MembershipEngine(this, seed, simulator.now, seeds, parameters)
         self._tick_seconds = parameters.tick_seconds
         network.places[place.address] = place
         network.receivers[place.address] = self.receive
+        network.nodes[place.address] = self
         phase = (seed % 1000) / 1000 * parameters.tick_seconds
         simulator.after(phase, self._tick)
 
@@ -51,11 +61,11 @@
         if self.paused:
             self._waiting.append((source, payload))
             return
-        self.measured(lambda: self.engine.receive(source, payload, self._simulator.now))
+        self.measured(lambda: self.engine.receive(source, payload, self.simulator.now))
 
     def publish(self, entry: GossipEntry) -> None:
         """Spread an entry."""
-        self.measured(lambda: self.engine.publish(entry, self._simulator.now))
+        self.measured(lambda: self.engine.publish(entry, self.simulator.now))
 
     def kill(self) -> None:
         """Stop without a word."""
@@ -65,11 +75,11 @@
 
     def leave(self) -> None:
         """Announce a planned stop."""
-        self.measured(lambda: self.engine.leave(self._simulator.now))
+        self.measured(lambda: self.engine.leave(self.simulator.now))
 
     def stop(self) -> None:
         """Stop as planned."""
-        self.measured(lambda: self.engine.left(self._simulator.now))
+        self.measured(lambda: self.engine.left(self.simulator.now))
         self.kill()
 
     def pause(self) -> None:
@@ -84,11 +94,8 @@
             self.receive(source, payload)
 
     def measured(self, step: Callable[[], list[Action]]) -> None:
-        """Run a step of the control code, add up its processor time and carry out its actions."""
-        started = time.perf_counter()
-        actions = step()
-        self.processor_seconds += time.perf_counter() - started
-        for action in actions:
+        """Run a step of the control code and carry out its actions."""
+        for action in self.timed(step):
             match action:
                 case SendDatagram(address, payload):
                     self._network.send(self.place, address, payload)
@@ -99,9 +106,45 @@
                     for entry_listener in self.on_entry:
                         entry_listener(entry)
 
+    def timed(self, step: Callable[[], Result]) -> Result:
+        """Run a step and add up its processor time, once where steps are nested."""
+        if self._timing:
+            return step()
+        self._timing = True
+        started = time.perf_counter()
+        try:
+            return step()
+        finally:
+            self._timing = False
+            self.processor_seconds += time.perf_counter() - started
+
+    def request(
+        self,
+        target: PeerAddress,
+        service: str,
+        payload: bytes,
+        done: Callable[[bytes | None], None],
+    ) -> None:
+        """Ask another node over a kept stream; `done` gets None when it cannot be reached."""
+
+        def serve() -> bytes | None:
+            other = self._network.nodes.get(target)
+            if other is None or not other.running or other.paused:
+                return None
+            handler = other.services[service]
+            return other.timed(lambda: handler(payload))
+
+        def answered(answer: bytes | None) -> None:
+            if self.running:
+                self.timed(lambda: done(answer))
+
+        self._network.request(self.place, target, len(payload), serve, answered)
+
     def _tick(self) -> None:
         if not self.running:
             return
         if not self.paused:
-            self.measured(lambda: self.engine.tick(self._simulator.now))
-        self._simulator.after(self._tick_seconds, self._tick)
+            self.ticking = True
+            self.measured(lambda: self.engine.tick(self.simulator.now))
+            self.ticking = False
+        self.simulator.after(self._tick_seconds, self._tick)
--- a/src/foxwinch/cli/bench.py
+++ b/src/foxwinch/cli/bench.py
@@ -1,15 +1,16 @@
-"""`foxwinch bench`: experiments, never part of a deployed node."""
+"""`foxwinch bench`: measurements and experiments, never part of a deployed node."""
 
 from dataclasses import dataclass
 
 import cappa
 
+from foxwinch.cli.bench_fleet import FleetCommand
 from foxwinch.cli.bench_schedule import BenchScheduleCommand
 
 
-@cappa.command(name="bench", help="Experiments on models of the engines.")
+@cappa.command(name="bench", help="Measurements, and experiments on models.")
 @dataclass
 class BenchCommand:
-    """Experiments on models of the engines."""
+    """Measurements, and experiments on models."""
 
-    command: cappa.Subcommands[BenchScheduleCommand]
+    command: cappa.Subcommands[BenchScheduleCommand | FleetCommand]
