--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -91,6 +91,8 @@
         self._decisions: OwnershipDecisions | None = None
         self._tasks = ServiceTasks("ownership")
         self._leaving = False
+        self._failing: set[ShardNumber] = set()
+        """Shards whose last claim by this node failed."""
         self._running_calls: RunningCalls = lambda shard: 0
         ports.gossip.subscribe(GossipKind.SHARD, self._on_gossip)
         ports.membership.subscribe(lambda member: self._on_members())
@@ -228,7 +230,10 @@
                 seconds = round(self._ports.clock.monotonic() - started, 3)
                 log.info("shard_taken", shard=shard, epoch=taken.configuration.epoch, took=seconds)
                 return True
-        log.warning("claim_failed", shard=shard, reason=refused.reason, detail=refused.detail)
+        if shard not in self._failing:
+            # Once for each run of failures: the attempts go on until one succeeds.
+            self._failing.add(shard)
+            log.warning("claim_failed", shard=shard, reason=refused.reason, detail=refused.detail)
         self._handle(AttemptFailed(shard))
         return False
 
@@ -269,7 +274,12 @@
         if owned is None:
             self._handle(ShardLost(shard))
             return
-        if member is None or self._ports.peers is None or not await self._wait_idle(shard):
+        if (
+            member is None
+            or self._ports.peers is None
+            or not await self._can_take(shard, successor)
+            or not await self._wait_idle(shard)
+        ):
             self._handle(AttemptFailed(shard))
             return
         self._ports.journals.hold(shard)
@@ -292,6 +302,16 @@
         self._ports.journals.release(shard)
         self._handle(AttemptFailed(shard))
 
+    async def _can_take(self, shard: ShardNumber, successor: NodeId) -> bool:
+        """Tell whether the successor could raise the epoch: as a replica, or by the table.
+
+        Asked before anything is held up, since only the replicas can while the table is down.
+        """
+        owned = self._ports.journals.get(shard)
+        if owned is not None and successor in owned.journal.configuration.nodes():
+            return True
+        return await self._ports.takeover.table_answers(shard)
+
     async def _wait_idle(self, shard: ShardNumber) -> bool:
         """Wait until no call of the shard runs; True at once when this node is leaving late."""
         until = self._ports.clock.monotonic() + IDLE_SECONDS
@@ -323,6 +343,7 @@
     # --- helpers -------------------------------------------------------------------------
 
     def _serve(self, shard: ShardNumber, configuration: Configuration) -> None:
+        self._failing.discard(shard)
         self._handle(Serving(shard, configuration))
         notice = ShardNotice(shard=shard, configuration=encode_configuration(configuration))
         self._ports.gossip.publish(
--- a/src/foxwinch/node/takeover_service.py
+++ b/src/foxwinch/node/takeover_service.py
@@ -100,11 +100,21 @@
         if isinstance(raised, OwnedElsewhere):
             return raised
         if isinstance(raised, Refused):
-            return await self._take_over_by_replicas(shard, before_seal)
+            if before_seal is not None:
+                return not_run(Reason.NO_QUORUM, "the table is down", RETRY_SECONDS)
+            return await self._take_over_by_replicas(shard, may_displace)
         if before_seal is not None:
             await before_seal()
         return await self._recover(shard, raised)
 
+    async def table_answers(self, shard: ShardNumber) -> bool:
+        """Tell whether the table can be read just now."""
+        try:
+            async with asyncio.timeout(TABLE_SECONDS):
+                return not isinstance(await self._ports.store.read(shard), Refused)
+        except TimeoutError:
+            return False
+
     async def _raise_in_table(
         self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]
     ) -> StoredShard | OwnedElsewhere | Superseded | Refused:
@@ -146,20 +156,29 @@
         return TakenOver(shard, newest, recovered, sealing.answers, raised)
 
     async def _take_over_by_replicas(
-        self, shard: ShardNumber, before_seal: BeforeSeal | None
-    ) -> TakenOver | Refused:
-        """Raise the step on a majority of the group that this node belongs to."""
-        this = self._ports.membership.this_member()
+        self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]
+    ) -> TakenOver | OwnedElsewhere | Refused:
+        """Raise the step on a majority of the group that this node belongs to.
+
+        The owner is the first of its group, so that its replicas know it.
+        """
+        this = core_member(self._ports.membership.this_member())
         own = self._ports.replicas.replica(shard)
-        floor = NO_EPOCH
-        if before_seal is not None or own.accepted == NO_EPOCH:
+        if own.accepted == NO_EPOCH:
             return not_run(Reason.NO_QUORUM, "the table is down", RETRY_SECONDS)
+        owner = own.group[0]
+        if owner.node != this.node and not may_displace(owner):
+            held = Configuration(own.accepted, owner, own.group, CommitPlace.REPLICAS)
+            return OwnedElsewhere(held)
+        others = [member for member in own.group if member.node != this.node]
+        group = (this, *others)
+        floor = NO_EPOCH
         for _ in range(STEP_ATTEMPTS):
             floor = max(floor, own.promised, own.accepted)
             if term_of(floor) != term_of(own.accepted):
                 break
             epoch = next_step(floor)
-            configuration = Configuration(epoch, core_member(this), own.group, CommitPlace.REPLICAS)
+            configuration = Configuration(epoch, this, group, CommitPlace.REPLICAS)
             sealing = SealRound(epoch, [configuration])
             found = await self._seal(shard, sealing)
             if isinstance(found, ReadReplica):
