--- /dev/null
+++ b/src/foxwinch/bench/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of whole clusters on virtual time against a simple oracle."""
--- a/src/foxwinch/cli/exit_codes.py
+++ b/src/foxwinch/cli/exit_codes.py
@@ -31,6 +31,8 @@
     """`config diff` found differences, or `config status` found nodes behind."""
     DRAIN_CUT_SHORT = 10
     """The node stopped at its drain limit with work still in progress."""
+    PROPERTY_BROKEN = 11
+    """`fuzz` found a property broken; it prints the seed and the steps."""
 
 
 CODE_OF_REASON: Mapping[Reason, ExitCode] = {
@@ -50,6 +52,7 @@
     ExitCode.UNAUTHENTICATED: "give a known key by FOXWINCH_OPERATOR_KEY or --key-file",
     ExitCode.CONFLICT: "read the newer revision with `foxwinch config get`, and apply again",
     ExitCode.NOT_FOUND: "list what there is with the `list` command beside this one",
+    ExitCode.PROPERTY_BROKEN: "run the seed again with --seed and --minutes 0",
     ExitCode.UNKNOWN: "it may have taken effect: look with `list`, `show` or `get` first",
 }
 
--- /dev/null
+++ b/src/foxwinch/cli/fuzz.py
@@ -0,0 +1,60 @@
+"""`foxwinch fuzz`."""
+
+import json
+import logging
+import sys
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from foxwinch.cli.exit_codes import ExitCode
+from foxwinch.cli.help import examples
+from foxwinch.cli.output import fail, fail_settings
+from foxwinch.settings.base import SettingsError
+from foxwinch.settings.load import load_cluster_configuration
+
+
+@cappa.command(
+    name="fuzz",
+    help="Fuzz whole clusters on virtual time against an oracle; prints a replayable seed.",
+    description=examples(
+        "foxwinch fuzz --configuration examples/physio.toml --minutes 5",
+        "foxwinch fuzz --configuration examples/physio.toml --seed 42 --minutes 0",
+    ),
+)
+@dataclass(kw_only=True)
+class FuzzCommand:
+    """Fuzz whole clusters."""
+
+    configuration: Annotated[
+        Path, cappa.Arg(long="--configuration", help="Cluster configuration (TOML)")
+    ]
+    minutes: Annotated[
+        float, cappa.Arg(long="--minutes", help="How long; 0 runs the first seed only")
+    ] = 1.0
+    seed: Annotated[int, cappa.Arg(long="--seed", help="First seed")] = 1
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON")] = False
+
+    def __call__(self) -> None:
+        """Run and report; exit code 11 when a property was broken."""
+        document = load_cluster_configuration(self.configuration)
+        if isinstance(document, SettingsError):
+            fail_settings(document)
+        try:
+            from foxwinch.bench.fuzz.run import run_for
+        except ImportError as error:
+            fail(ExitCode.INVALID, f"install the extra `test` of this package first: {error}")
+        logging.disable(logging.CRITICAL)
+        report = run_for(document, self.seed, self.minutes, self._tell)
+        if self.json:
+            print(json.dumps(asdict(report), indent=2))
+        elif report.failed_seed is None:
+            print(f"held: {report.seeds} seeds, at most {report.runs} clusters")
+        if report.failed_seed is not None:
+            detail = f"seed {report.failed_seed}: {report.problem}"
+            fail(ExitCode.PROPERTY_BROKEN, detail)
+
+    def _tell(self, line: str) -> None:
+        print(line, file=sys.stderr if self.json else sys.stdout, flush=True)
--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -7,6 +7,7 @@
 from foxwinch.cli.bench import BenchCommand
 from foxwinch.cli.config import ConfigCommand
 from foxwinch.cli.dev import DevCommand
+from foxwinch.cli.fuzz import FuzzCommand
 from foxwinch.cli.node import NodeCommand
 from foxwinch.cli.nodes import NodesCommand
 from foxwinch.cli.programs import ProgramsCommand
@@ -29,6 +30,7 @@
         | WorkersCommand
         | ShardsCommand
         | SettingsCommand
+        | FuzzCommand
         | BenchCommand
     ]
 
