Remove the pause policy, split the scheduler

Cause: dropping cache in pauses whose learned median is long changed nothing that was asked for. Change: the feature and its learned distributions are removed; reasons and cache changes have modules of their own. Conclusion: engines' own eviction by last use already drops the longest pauses first.

--- a/src/foxwinch/bench/schedule/baselines.py
+++ b/src/foxwinch/bench/schedule/baselines.py
@@ -110,15 +110,7 @@
         return super().handle(event, now)
 
     def _cache_changed(self, event: CacheChanged, now: float) -> Sequence[PoolAction]:
-        index = self._indexes[event.worker]
-        if event.changes and event.changes[0].kind == "cleared":
-            index.replace([h for change in event.changes for h in change.block_hashes], now)
-            return []
-        for change in event.changes:
-            if change.kind == "stored":
-                index.stored(change.block_hashes, now)
-            else:
-                index.removed(change.block_hashes, now)
+        self._indexes[event.worker].apply(event.changes, now)
         return [ResyncCache(event.worker)] if event.gap else []
 
     def choose(self, call: PoolCall, now: float) -> WorkerId:
--- a/src/foxwinch/core/steward/cache_index.py
+++ b/src/foxwinch/core/steward/cache_index.py
@@ -15,6 +15,15 @@
 events up to about half a second late, and a block in use is not evicted."""
 
 
+@dataclass(frozen=True, slots=True)
+class BlockChange:
+    """Blocks stored or removed, or with `cleared` all forgotten first."""
+
+    kind: str
+    """`stored`, `removed` or `cleared`."""
+    block_hashes: tuple[int, ...]
+
+
 @dataclass(slots=True)
 class _Entry:
     program_id: ProgramId | None
@@ -94,6 +103,17 @@
                 self.removed((block_hash,), now)
         self.stored(hashes, now)
 
+    def apply(self, changes: Sequence[BlockChange], now: float) -> None:
+        """Take in a page of events, or a whole list that begins with `cleared`."""
+        if changes and changes[0].kind == "cleared":
+            self.replace([h for change in changes for h in change.block_hashes], now)
+            return
+        for change in changes:
+            if change.kind == "stored":
+                self.stored(change.block_hashes, now)
+            else:
+                self.removed(change.block_hashes, now)
+
     def forget_program(self, hashes: Sequence[int], program_id: ProgramId) -> None:
         """Forget blocks that only this program is known to have used and that were released."""
         for block_hash in hashes:
--- a/src/foxwinch/core/steward/estimates.py
+++ b/src/foxwinch/core/steward/estimates.py
@@ -1,8 +1,4 @@
-"""What the scheduler learns while running: speeds, answer lengths and pauses."""
-
-from collections import deque
-
-from foxwinch.identifiers import ToolName
+"""What the scheduler learns while running: speeds and answer lengths."""
 
 LEARNING_RATE = 0.05
 """Weight of a new observation: follows a change of load within about 20 calls."""
@@ -14,10 +10,6 @@
 """What one more sequence in the batch adds to each step."""
 INITIAL_TRANSFER_BLOCK_SECONDS = 0.007
 """Time to copy one block until observed: 64 tokens of 128 KiB over 10 Gbit/s."""
-PAUSES_KEPT = 64
-"""Latest pauses remembered for each tool: enough for a median and a 90th percentile."""
-PAUSES_NEEDED = 8
-"""Fewer observations say nothing of a heavy-tailed distribution."""
 
 
 class MovingMean:
@@ -32,25 +24,6 @@
         self.value += LEARNING_RATE * (value - self.value)
 
 
-class PauseHistory:
-    """The latest pauses of one tool."""
-
-    def __init__(self) -> None:
-        """Start without observations."""
-        self._seconds: deque[float] = deque(maxlen=PAUSES_KEPT)
-
-    def observe(self, seconds: float) -> None:
-        """Take in a pause."""
-        self._seconds.append(seconds)
-
-    def quantile(self, share: float) -> float | None:
-        """Return a quantile of the pauses, or None while too few are known."""
-        if len(self._seconds) < PAUSES_NEEDED:
-            return None
-        ordered = sorted(self._seconds)
-        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 class Estimates:
     """All that is learned in one pool."""
 
@@ -59,7 +32,6 @@
         self.token_seconds = MovingMean(INITIAL_TOKEN_SECONDS)
         self.transfer_block_seconds = MovingMean(INITIAL_TRANSFER_BLOCK_SECONDS)
         self._answers: dict[str, MovingMean] = {}
-        self._pauses: dict[ToolName, PauseHistory] = {}
 
     def answer_tokens(self, class_name: str, asked_tokens: int) -> float:
         """Return the expected length of an answer: the class's mean, at most what was asked."""
@@ -82,7 +54,3 @@
         """Return the expected time of a call in a batch."""
         answer = self.answer_tokens(class_name, asked_tokens)
         return uncached_tokens * PREFILL_TOKEN_SECONDS + answer * self.token_seconds.value
-
-    def pauses_of(self, tool: ToolName) -> PauseHistory:
-        """Return the history of a tool's pauses."""
-        return self._pauses.setdefault(tool, PauseHistory())
--- a/src/foxwinch/core/steward/events.py
+++ b/src/foxwinch/core/steward/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from foxwinch.core.steward.cache_index import BlockChange as BlockChange
 from foxwinch.core.steward.calls import PoolCall, WorkerDescription
 from foxwinch.core.steward.policy import PolicySettings
 from foxwinch.identifiers import CallId, ProgramId, ToolName, WorkerId
@@ -71,15 +72,6 @@
     done: bool
 
 
-@dataclass(frozen=True, slots=True)
-class BlockChange:
-    """Blocks stored or removed, or with `cleared` all forgotten first."""
-
-    kind: str
-    """`stored`, `removed` or `cleared`."""
-    block_hashes: tuple[int, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class CacheChanged:
     """A page of a worker's cache events; with `gap` some before or between them were lost."""
--- a/src/foxwinch/core/steward/policy.py
+++ b/src/foxwinch/core/steward/policy.py
@@ -27,8 +27,6 @@
     """Prefixes are copied between workers where that is cheaper than computing them again."""
     wait_for_cache: bool = True
     """A call waits for the worker with its prefix where that is predicted to be cheaper."""
-    pause_policy: bool = True
-    """Cache of programs in a long pause is dropped when memory is short."""
     release_ended: bool = True
     """Cache of ended programs is freed at once."""
     release_moved: bool = True
@@ -64,10 +62,6 @@
     """Cost of making one more worker quiet; below it urgent calls gather on few workers."""
     longest_cache_wait_seconds: float = 2.0
     """A call that has waited so long takes any free place: predictions have failed it."""
-    memory_pressure: float = 0.9
-    """Share of a worker's memory believed in use, beyond which long pauses are dropped."""
-    longest_kept_pause_seconds: float = 30.0
-    """A tool whose median pause is longer gets its programs dropped when memory is short."""
     refuse_share: float = 0.5
     """A new program is refused when its predicted wait passes this share of its deadline."""
     scan_limit: int = 16
--- a/src/foxwinch/core/steward/programs.py
+++ b/src/foxwinch/core/steward/programs.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from foxwinch.identifiers import ProgramId, ToolName, WorkerId
+from foxwinch.identifiers import ProgramId, WorkerId
 
 
 @dataclass(slots=True)
@@ -16,8 +16,6 @@
     """Workers that may hold cache of it."""
     hashes: tuple[int, ...] = ()
     """Prefix of its latest call."""
-    paused_at_seconds: float | None = None
-    paused_tool: ToolName | None = None
     active_calls: int = 0
     """Calls queued or placed, those of its sub-agents included."""
     step_began_at_seconds: float = 0.0
--- a/src/foxwinch/core/steward/scheduler.py
+++ b/src/foxwinch/core/steward/scheduler.py
@@ -48,6 +48,7 @@
 from foxwinch.core.steward.placement import Placement, choose_worker, private_blocks
 from foxwinch.core.steward.policy import PolicySettings
 from foxwinch.core.steward.programs import ProgramState, ProgramTable
+from foxwinch.core.steward.reasons import placement_reason
 from foxwinch.core.steward.waiting import WaitingCall, WaitingCalls, order_key
 from foxwinch.core.steward.workers import PlacedCall, WorkerState
 from foxwinch.identifiers import CallId, WorkerId
@@ -129,7 +130,6 @@
         if refused is not None:
             return [refused]
         program = self._programs.ensure(call.program_id)
-        self._observe_pause(program, now)
         program.hashes = call.prefix_hashes
         program.service_seconds = max(program.service_seconds, call.service_seconds)
         family = self._programs.ensure(call.family)
@@ -208,38 +208,9 @@
 
     # --- programs ----------------------------------------------------------------------------
 
-    def _observe_pause(self, program: ProgramState, now: float) -> None:
-        if program.paused_at_seconds is not None and program.paused_tool is not None:
-            history = self.estimates.pauses_of(program.paused_tool)
-            history.observe(now - program.paused_at_seconds)
-            program.paused_at_seconds = None
-
     def _program_paused(self, event: ProgramPaused, now: float) -> list[PoolAction]:
-        program = self._programs.get(event.program_id)
-        if program is None:
-            return []
-        program.paused_at_seconds = now
-        program.paused_tool = event.tool
-        if not self.policy.features.pause_policy:
-            return []
-        return self._drop_for_pause(program)
-
-    def _drop_for_pause(self, program: ProgramState) -> list[PoolAction]:
-        """Release the cache of a program whose pause will outlast what memory can hold."""
-        if program.paused_tool is None:
-            return []
-        usual = self.estimates.pauses_of(program.paused_tool).quantile(0.5)
-        if usual is None or usual < self.policy.longest_kept_pause_seconds:
-            return []
-        crowded = [w for w in program.workers if self._is_crowded(w)]
-        return [self._release(worker, program) for worker in crowded]
-
-    def _is_crowded(self, worker: WorkerId) -> bool:
-        state = self._workers.get(worker)
-        if state is None:
-            return False
-        capacity = state.description.cache_blocks
-        return len(state.index) >= self.policy.memory_pressure * capacity
+        """Keep the cache: dropping it for long pauses was measured to bring nothing."""
+        return []
 
     def _program_ended(self, event: ProgramEnded, now: float) -> list[PoolAction]:
         program = self._programs.forget(event.program_id)
@@ -291,16 +262,7 @@
         state = self._workers.get(event.worker)
         if state is None:
             return []
-        listed = bool(event.changes) and event.changes[0].kind == "cleared"
-        if listed:
-            hashes = tuple(h for change in event.changes for h in change.block_hashes)
-            state.index.replace(hashes, now)
-            return []
-        for change in event.changes:
-            if change.kind == "stored":
-                state.index.stored(change.block_hashes, now)
-            else:
-                state.index.removed(change.block_hashes, now)
+        state.index.apply(event.changes, now)
         return [ResyncCache(event.worker)] if event.gap else []
 
     def _policy_changed(self, event: PolicyChanged, now: float) -> list[PoolAction]:
@@ -350,7 +312,7 @@
             expected_cached_tokens=cached,
             expected_end_seconds=now + seconds,
             private_blocks=private_blocks(call, worker.description.block_tokens, answer),
-            reason=_reason(waiting, placement, cached, now),
+            reason=placement_reason(waiting, placement, cached, now),
             copied_blocks=placement.copied_blocks,
         )
         self._placed[call.call_id] = placed
@@ -410,16 +372,3 @@
         here = placed.worker.description.worker
         others = [w for w in program.workers if w != here and w in self._workers]
         return [self._release(worker, program) for worker in others]
-
-
-def _reason(waiting: WaitingCall, placement: Placement, cached_tokens: int, now: float) -> str:
-    waited = now - waiting.arrived_at_seconds
-    worker = placement.worker
-    how = f"{cached_tokens} of {waiting.call.prompt_tokens} prompt tokens cached"
-    if placement.source is not None:
-        source = placement.source.description.worker
-        how += f", {placement.copied_blocks} blocks copied from {source}"
-    return (
-        f"waited {waited:.2f} s for a place; {worker.description.worker} had the least predicted"
-        f" cost {placement.cost_seconds:.2f} s: {how}, {len(worker.placed)} calls beside it"
-    )
