Order by class, step and deadline only; refuse earlier under overload

Cause: ordering by service received moves long conversations back turn after turn. Change: the offset for service received is removed; a newcomer of the least urgent class is refused when its predicted wait passes a tenth of its deadline, in place of half.

--- a/src/foxwinch/bench/schedule/command.py
+++ b/src/foxwinch/bench/schedule/command.py
@@ -19,6 +19,7 @@
 )
 from foxwinch.bench.schedule.policies import ABLATIONS, OBJECTIVES, POLICY_NAMES
 from foxwinch.bench.schedule.report import write_report
+from foxwinch.bench.schedule.workload import STANDARD_WINDOW
 
 TARGET_LOAD = 0.85
 """Load at which the targets are set, the ablation runs and distributions are plotted."""
@@ -33,6 +34,8 @@
     seeds: tuple[int, ...]
     policies: tuple[str, ...] = ()
     """Empty: foxwinch, every baseline and the clairvoyant reference."""
+    measured_seconds: float = STANDARD_WINDOW.measured_seconds
+    """Arrivals measured; warm-up and cool-down are in proportion."""
     ablation: bool = False
     decisions: bool = False
     json_file: Path | None = None
@@ -67,6 +70,7 @@
     return {
         "deployment": experiment.deployment,
         "seeds": list(experiment.seeds),
+        "measured_seconds": experiment.measured_seconds,
         "unloaded_latency_seconds": {name: asdict(f) for name, f in unloaded.items()},
         "loads": summarize(results),
     }
@@ -80,6 +84,7 @@
 def _trials(experiment: Experiment) -> list[Trial]:
     policies = experiment.policies or POLICY_NAMES
     target = TARGET_LOAD if TARGET_LOAD in experiment.loads else experiment.loads[-1]
+    window = STANDARD_WINDOW.scaled_to(experiment.measured_seconds)
     trials = []
     for load in experiment.loads:
         names = list(policies)
@@ -88,7 +93,7 @@
         for name in names:
             for seed in experiment.seeds:
                 keep = load == target and seed == experiment.seeds[0]
-                trials.append(Trial(experiment.deployment, load, seed, name, keep))
+                trials.append(Trial(experiment.deployment, load, seed, name, keep, window))
     return trials
 
 
--- a/src/foxwinch/bench/schedule/workload.py
+++ b/src/foxwinch/bench/schedule/workload.py
@@ -37,6 +37,13 @@
         """Time of the last arrival."""
         return self.warm_up_seconds + self.measured_seconds + self.cool_down_seconds
 
+    def scaled_to(self, measured_seconds: float) -> "Window":
+        """Return a window of the same proportions."""
+        scale = measured_seconds / self.measured_seconds
+        return Window(
+            self.warm_up_seconds * scale, measured_seconds, self.cool_down_seconds * scale
+        )
+
 
 STANDARD_WINDOW = Window()
 
--- a/src/foxwinch/cli/bench_schedule.py
+++ b/src/foxwinch/cli/bench_schedule.py
@@ -19,6 +19,9 @@
         "0.5,0.7,0.85,0.95"
     )
     seeds: Annotated[int, cappa.Arg(long="--seeds", help="Seeds 1 to N")] = 3
+    measured: Annotated[
+        float, cappa.Arg(long="--measured", help="Seconds of arrivals measured; 500 when not given")
+    ] = 500.0
     json: Annotated[Path | None, cappa.Arg(long="--json", help="File for the figures")] = None
     report: Annotated[Path | None, cappa.Arg(long="--report", help="Directory for the report")] = (
         None
@@ -44,6 +47,7 @@
                 loads=tuple(float(part) for part in self.load.split(",")),
                 seeds=tuple(range(1, self.seeds + 1)),
                 policies=tuple(part for part in self.policies.split(",") if part),
+                measured_seconds=self.measured,
                 ablation=self.ablation,
                 decisions=self.decisions,
                 json_file=self.json,
--- a/src/foxwinch/core/steward/policy.py
+++ b/src/foxwinch/core/steward/policy.py
@@ -15,8 +15,6 @@
 
     class_order: bool = True
     """Calls of more urgent classes go first."""
-    service_order: bool = True
-    """Programs that have received less engine service go first."""
     deadline_order: bool = True
     """Calls whose deadline is near go first."""
     critical_path: bool = True
@@ -45,11 +43,7 @@
 
     features: Features = Features()
     class_step_seconds: float = 20.0
-    """Head start of a class over the next one; with the service cap it bounds starvation."""
-    service_weight: float = 0.5
-    """Seconds of queue position for each second of service received."""
-    service_cap_seconds: float = 20.0
-    """Service beyond this no longer moves a program back: the bound on starvation."""
+    """Head start of a class over the next one; the bound on starvation."""
     others_weight: float = 1.0
     """Weight of the delay that a call's prefill causes to the calls beside it, against its own."""
     transfer_margin: float = 1.0
@@ -62,7 +56,7 @@
     """Cost of making one more worker quiet; below it urgent calls gather on few workers."""
     longest_cache_wait_seconds: float = 2.0
     """A call that has waited so long takes any free place: predictions have failed it."""
-    refuse_share: float = 0.5
+    refuse_share: float = 0.1
     """A new program is refused when its predicted wait passes this share of its deadline."""
     scan_limit: int = 16
     """Waiting calls looked at for one free place: bounds the cost of a decision."""
--- a/src/foxwinch/core/steward/programs.py
+++ b/src/foxwinch/core/steward/programs.py
@@ -10,8 +10,6 @@
     """One program."""
 
     program_id: ProgramId
-    service_seconds: float = 0.0
-    """Engine service received, as reported by its owner or seen here, whichever is more."""
     workers: dict[WorkerId, None] = field(default_factory=dict)
     """Workers that may hold cache of it."""
     hashes: tuple[int, ...] = ()
--- a/src/foxwinch/core/steward/scheduler.py
+++ b/src/foxwinch/core/steward/scheduler.py
@@ -131,7 +131,6 @@
             return [refused]
         program = self._programs.ensure(call.program_id)
         program.hashes = call.prefix_hashes
-        program.service_seconds = max(program.service_seconds, call.service_seconds)
         family = self._programs.ensure(call.family)
         if family.active_calls == 0:
             family.step_began_at_seconds = now
@@ -145,8 +144,7 @@
         self, call: PoolCall, family: ProgramState, expected_seconds: float, now: float
     ) -> float:
         """Return a call's place in the order; an experiment may order otherwise."""
-        began, service = family.step_began_at_seconds, family.service_seconds
-        return order_key(self.policy, call, now, began, service, expected_seconds)
+        return order_key(self.policy, call, now, family.step_began_at_seconds, expected_seconds)
 
     def _admit(self, call: PoolCall, now: float) -> RefuseCall | None:
         known = self._programs.get(call.family) is not None or call.service_seconds > 0
@@ -178,10 +176,6 @@
         self.estimates.observe_answer(call.class_name, event.completion_tokens)
         self.estimates.observe_call(now - dispatched, uncached, event.completion_tokens)
         placed.worker.index.use(call.prefix_hashes, call.program_id, now)
-        for program_id in {call.program_id: None, call.family: None}:
-            program = self._programs.get(program_id)
-            if program is not None:
-                program.service_seconds += now - dispatched
         return self._vacate(event.call_id)
 
     def _call_failed(self, event: CallFailed, now: float) -> list[PoolAction]:
--- a/src/foxwinch/core/steward/waiting.py
+++ b/src/foxwinch/core/steward/waiting.py
@@ -1,6 +1,6 @@
 """The waiting calls of a pool in order of their keys.
 
-A key is a time: arrival plus offsets for class and service received, or earlier where a deadline
+A key is a time: arrival plus an offset for the class, or earlier where a deadline
 asks for it. Keys never change, so a call that has waited longer than the largest offset goes
 before every newcomer: that is the bound on starvation.
 """
@@ -32,7 +32,6 @@
     call: PoolCall,
     arrived_at: float,
     step_began_at: float,
-    service_seconds: float,
     expected_seconds: float,
 ) -> float:
     """Return a call's place in the order; lower goes first.
@@ -45,8 +44,6 @@
     offset = 0.0
     if features.class_order:
         offset += policy.class_step_seconds * (call.class_rank - 1)
-    if features.service_order:
-        offset += policy.service_weight * min(service_seconds, policy.service_cap_seconds)
     key = (step_began_at if features.critical_path else arrived_at) + offset
     if features.deadline_order:
         key = min(key, max(arrived_at, call.deadline_at_seconds - expected_seconds))
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -192,7 +192,7 @@
 def test_nobody_starves_behind_a_stream_of_newcomers() -> None:
     pool = scheduler("a", slots=1)
     policy = pool.policy
-    bound = policy.class_step_seconds * 2 + policy.service_weight * policy.service_cap_seconds
+    bound = policy.class_step_seconds * 2
     pool.handle(CallArrived(call("running")), 0.0)
     old = call("old", rank=3, service_seconds=1e6, deadline_at_seconds=1e6)
     pool.handle(CallArrived(old), 0.0)
