Release finished programs also at the workers of earlier owners

A virtual wait below the clock's step also made the in-memory port spin without end. Change: an owner that loads a shard marks its programs as adopted; their end goes to every engine worker. The in-memory port waits at least one step. Stand-in engines tell whether they hold a program.

--- a/src/foxwinch/commands/program_owner.py
+++ b/src/foxwinch/commands/program_owner.py
@@ -64,6 +64,7 @@
         self._shards[shard] = held
         self.log.info("shard_loaded", shard=shard, epoch=epoch, programs=len(table))
         for program in table:
+            self.ports.grants.adopt(program.program_id)
             if program.finished is not None:
                 self.ports.grants.finish(program.program_id)
             left = program.calls.get(program.active) if program.active is not None else None
--- a/src/foxwinch/emulator/engine_worker.py
+++ b/src/foxwinch/emulator/engine_worker.py
@@ -211,6 +211,10 @@
         self._driver.tell(CancelCall(call_id))
         return Done()
 
+    def holds(self, program_id: ProgramId) -> bool:
+        """Tell whether the program ran here and was not released since."""
+        return program_id in self._prefixes
+
     def release(self, program_id: ProgramId) -> Done:
         """Free the cache that only this program has used."""
         self.released[program_id] += 1
--- a/src/foxwinch/emulator/memory_port.py
+++ b/src/foxwinch/emulator/memory_port.py
@@ -23,6 +23,8 @@
 LOST = outcome_unknown(Reason.PEER_UNREACHABLE, "the connection broke before the answer")
 LATE = outcome_unknown(Reason.DEADLINE, "no answer before the deadline")
 END = None
+CLOCK_STEP_SECONDS = 1e-5
+"""A virtual clock has steps: a wait below one of them would end at once, again and again."""
 Answers = asyncio.Queue[bytes | Refused | None]
 
 
@@ -205,7 +207,7 @@
             until = min(ends_at_seconds, silent_until_seconds)
             await asyncio.wait(
                 {getting, gone},
-                timeout=max(0.0, until - loop.time()),
+                timeout=max(CLOCK_STEP_SECONDS, until - loop.time()),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             await self._network.wait_running(self.address)
--- a/src/foxwinch/node/admission_gate.py
+++ b/src/foxwinch/node/admission_gate.py
@@ -1,6 +1,8 @@
 """The caller side's gate: counts requests in progress and refuses new ones while draining."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
@@ -42,6 +44,15 @@
         """Wait until no request is in progress."""
         await self._idle.wait()
 
+    @contextmanager
+    def admitted(self) -> Iterator[None]:
+        """Count one request as in progress."""
+        self._enter()
+        try:
+            yield
+        finally:
+            self._leave()
+
     def middleware(self) -> Middleware:
         """Return the middleware that applies the gate."""
 
@@ -52,11 +63,8 @@
             if self._closed:
                 detail = "this node is about to stop; send the request again to another node"
                 return error_response(not_run(Reason.DRAINING, detail, RETRY_AFTER_SECONDS))
-            self._enter()
-            try:
+            with self.admitted():
                 return await handler(request)
-            finally:
-                self._leave()
 
         return apply
 
--- a/src/foxwinch/node/grant_reports.py
+++ b/src/foxwinch/node/grant_reports.py
@@ -71,6 +71,7 @@
         self._withdrawn: dict[int, tuple[CallId, NodeId]] = {}
         self._paused: dict[ProgramId, _Pause] = {}
         self._finished: dict[ProgramId, set[WorkerId]] = {}
+        self._adopted: set[ProgramId] = set()
         self._workers: LRUCache[ProgramId, set[WorkerId]] = LRUCache(PROGRAMS_REMEMBERED)
         self._last_worker: LRUCache[ProgramId, WorkerId] = LRUCache(PROGRAMS_REMEMBERED)
 
@@ -124,18 +125,22 @@
             message = PausedProgram(program_id=program_id, tool=tool, sequence=self.next_sequence())
             self._paused[program_id] = _Pause(worker, message)
 
-    def adopt(self, program_id: ProgramId, workers: Iterable[WorkerId]) -> None:
-        """Take note of workers that served the program under an earlier owner."""
-        self._workers.setdefault(program_id, set()).update(workers)
+    def adopt(self, program_id: ProgramId) -> None:
+        """Take note that the program ran under an earlier owner, at workers not known here."""
+        self._adopted.add(program_id)
 
     def finish(self, program_id: ProgramId, all_workers: Iterable[WorkerId]) -> None:
         """The program is over; its memory at every worker is to be released.
 
-        `all_workers` stands in when this node never had a grant for the program.
+        `all_workers` stands in when this node never had a grant for the program, and is added
+        when an earlier owner may have had some.
         """
         self._paused.pop(program_id, None)
         self._last_worker.pop(program_id, None)
-        workers = self._workers.pop(program_id, None) or set(all_workers)
+        workers = self._workers.pop(program_id, set())
+        if not workers or program_id in self._adopted:
+            workers = workers | set(all_workers)
+        self._adopted.discard(program_id)
         if workers:
             self._finished.setdefault(program_id, set()).update(workers)
 
--- a/src/foxwinch/node/grants_service.py
+++ b/src/foxwinch/node/grants_service.py
@@ -1,7 +1,6 @@
 """The owner's side of grants: finds stewards, asks them, and reports until it is answered."""
 
 import asyncio
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from foxwinch._generated.steward_pb2 import GrantGiven
@@ -128,9 +127,9 @@
         self._reports.finish(program_id, self._engine_workers())
         self._news.set()
 
-    def adopt(self, program_id: ProgramId, workers: Sequence[WorkerId]) -> None:
-        """Take note of workers that served the program under an earlier owner."""
-        self._reports.adopt(program_id, workers)
+    def adopt(self, program_id: ProgramId) -> None:
+        """Take note that the program may have run at any worker under an earlier owner."""
+        self._reports.adopt(program_id)
 
     # --- asking ------------------------------------------------------------------------------
 
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -231,6 +231,10 @@
         """Tell that the program has gone into a tool call: keep, move or drop its cache."""
         ...
 
+    def adopt(self, program_id: ProgramId) -> None:
+        """Tell that an earlier owner ran the program: any worker may hold its memory."""
+        ...
+
     def finish(self, program_id: ProgramId) -> None:
         """Tell that the program is over: its engine memory is released, until that succeeds."""
         ...
--- a/src/foxwinch/node/local.py
+++ b/src/foxwinch/node/local.py
@@ -124,6 +124,9 @@
     def pause(self, program_id: ProgramId, tool: str) -> None:
         """Nothing is decided about cache here."""
 
+    def adopt(self, program_id: ProgramId) -> None:
+        """Nothing is kept about programs."""
+
     def finish(self, program_id: ProgramId) -> None:
         """Nothing is held here."""
 
--- a/tests/program_fakes.py
+++ b/tests/program_fakes.py
@@ -113,6 +113,9 @@
     def pause(self, program_id, tool):
         self.paused.append((program_id, tool))
 
+    def adopt(self, program_id):
+        pass
+
     def finish(self, program_id):
         self.finished.append(program_id)
 
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -209,3 +209,18 @@
         await until(lambda: node.steward.state_of("llm-1") == "serving")
         new = await node.grants.acquire(request("c1"))
         assert new.epoch > old.epoch + 1
+
+
+async def test_the_next_owner_releases_what_an_earlier_owner_used():
+    async with StewardCluster(workers=2) as cluster:
+        first, second = cluster.nodes["n0"], cluster.nodes["n1"]
+        await run_call(cluster, first, "c1", "p1")
+        (used,) = [n for n, engine in cluster.engines.items() if engine.holds("p1")]
+        away = cluster.engines.pop(used)
+        await asyncio.sleep(8.0)
+        await run_call(cluster, second, "c2", "p1")
+        cluster.engines[used] = away
+        assert all(engine.holds("p1") for engine in cluster.engines.values())
+        second.grants.adopt("p1")
+        second.grants.finish("p1")
+        await until(lambda: cluster.held_memory() == set())
