Measure failure detection under loss and pauses

Cause: false positives under 20% loss and of paused processes were not measured. Change: foxwinch bench detection: one region on virtual time, crashes at four losses, pauses of 1 to 10 s without loss and at 20%.

--- a/src/foxwinch/cli/bench.py
+++ b/src/foxwinch/cli/bench.py
@@ -4,6 +4,7 @@
 
 import cappa
 
+from foxwinch.cli.bench_detection import DetectionCommand
 from foxwinch.cli.bench_fleet import FleetCommand
 from foxwinch.cli.bench_schedule import BenchScheduleCommand
 
@@ -13,4 +14,4 @@
 class BenchCommand:
     """Measurements, and experiments on models."""
 
-    command: cappa.Subcommands[BenchScheduleCommand | FleetCommand]
+    command: cappa.Subcommands[BenchScheduleCommand | FleetCommand | DetectionCommand]
--- /dev/null
+++ b/src/foxwinch/cli/bench_detection.py
@@ -0,0 +1,33 @@
+"""`foxwinch bench detection`."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from foxwinch.cli.help import examples
+
+
+@cappa.command(
+    name="detection",
+    help="Measure failure detection under loss and pauses, on virtual time.",
+    description=examples("foxwinch bench detection --nodes 71 --json detection.json"),
+)
+@dataclass(kw_only=True)
+class DetectionCommand:
+    """Measure failure detection under loss and pauses, on virtual time."""
+
+    json: Annotated[Path, cappa.Arg(long="--json", help="File for the figures")]
+    nodes: Annotated[int, cappa.Arg(long="--nodes", help="Nodes of the region")] = 71
+    seconds: Annotated[float, cappa.Arg(long="--seconds", help="Virtual time of each case")] = 300.0
+    seed: Annotated[int, cappa.Arg(long="--seed", help="Seed of every random choice")] = 1
+
+    def __call__(self) -> None:
+        """Run every case; prints a line for each."""
+        from foxwinch.bench.fleet.detection import run_detection
+
+        report = run_detection(self.nodes, self.seconds, self.seed)
+        self.json.write_text(json.dumps(report, indent=1) + "\n", encoding="utf-8")
+        print(json.dumps(report))
