Make the capacity page from the committed measurements

Cause: the design size's sums were nowhere, and figures in pages drift. Measurements name their commit.

--- /dev/null
+++ b/src/foxwinch/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""The page docs/CAPACITY.md, made from the committed measurements."""
--- /dev/null
+++ b/src/foxwinch/bench/capacity/page.py
@@ -0,0 +1,167 @@
+"""Writes the capacity page from the committed measurements."""
+
+import json
+import math
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from foxwinch.bench.capacity.design import DesignSize, Limits
+from foxwinch.bench.capacity.lines import (
+    Line,
+    budget_lines,
+    control_lines,
+    document_lines,
+    load_lines,
+    peer_lines,
+    store_lines,
+)
+
+INTRODUCTION = """# Capacity
+
+Made by `foxwinch bench capacity` from `docs/measurements/*.json`; do not edit. *Measured* figures
+are read from those files, *computed* ones are arithmetic on the design size, and *not measured*
+says what no run has shown yet. Headroom is limit over figure; below 1 it is a shortfall.
+"""
+
+
+def render(measurements: Path) -> str:
+    """Return the page for the measurements in a directory."""
+    size, limits = DesignSize(), Limits()
+    fleet, peer = read(measurements / "fleet.json"), read(measurements / "peer.json")
+    sections = (
+        ("What one node carries", load_lines(size)),
+        ("Control code", control_lines(fleet, limits)),
+        ("The configuration document at its design size", document_lines(fleet, size, limits)),
+        ("Gossip", budget_lines(size, limits)),
+        ("Table service", store_lines(fleet, size)),
+        ("Requests between nodes", peer_lines(peer)),
+    )
+    parts = [INTRODUCTION, _design(size)]
+    parts += [f"## {title}\n\n{_table(lines)}" for title, lines in sections]
+    parts += [_slopes(fleet), _scenarios(fleet), _gaps(fleet, sections), _sources(fleet, peer)]
+    return "\n".join(parts)
+
+
+def read(path: Path) -> dict[str, Any]:
+    """Read one measurement; empty when there is none."""
+    if not path.exists():
+        return {}
+    found: dict[str, Any] = json.loads(path.read_text(encoding="utf-8"))
+    return found
+
+
+def number(value: float | int | None) -> str:
+    """Return a figure with three significant digits."""
+    if value is None:
+        return "-"
+    if value == 0 or abs(value) >= 1_000:
+        return f"{value:,.0f}"
+    digits = max(0, 2 - math.floor(math.log10(abs(value))))
+    return f"{value:.{digits}f}"
+
+
+def _design(size: DesignSize) -> str:
+    return (
+        f"## Design size\n\n{size.nodes} nodes in {size.regions} regions and {size.zones} zones; "
+        f"{size.workers:,} workers with\n{size.accelerators:,} accelerators, {size.models} models; "
+        f"{size.requests_per_second:,.0f} requests/s, {size.tokens_per_second:,.0f} tokens/s; "
+        f"first token after {size.first_token_seconds} s,\n{size.token_gap_seconds * 1000:.0f} ms "
+        f"between tokens for 95 in 100; {size.programs:,} live programs of "
+        f"{size.turns_per_program} turns and {size.tokens_per_program:,} tokens;\n"
+        f"{size.tenants:,} tenants; {size.changes_per_day:,} changes a day; "
+        f"{size.machine_failures_per_day} machine failures and {size.restarts_per_day:,} restarts "
+        "a day.\n"
+    )
+
+
+def _table(lines: Sequence[Line]) -> str:
+    head = "| Role | Mechanism | Quantity | Figure | How | Limit | Headroom | What breaks first |"
+    rows = [head, "|---|---|---|---|---|---|---|---|"]
+    for line in lines:
+        figure = f"{number(line.value)} {line.unit}".strip()
+        headroom = number(line.headroom)
+        if line.headroom is not None and line.headroom < 1:
+            headroom = f"**shortfall** ({headroom})"
+        rows.append(
+            f"| {line.role} | {line.mechanism} | {line.quantity} | {figure} | {line.how} | "
+            f"{number(line.limit)} | {headroom} | {line.breaks_first} |"
+        )
+    return "\n".join(rows) + "\n"
+
+
+def _slopes(fleet: dict[str, Any]) -> str:
+    """Return the fitted exponents: 0 does not grow with the fleet, 1 grows in proportion."""
+    rows = [
+        "## Growth with the number of nodes\n",
+        "Exponent of each figure as a power of the number of nodes, regions and zones kept; 0: "
+        "does not grow, 1: in proportion.\n",
+        "| Figure | Exponent | " + " | ".join(f"{r['nodes']} nodes" for r in fleet.get("runs", []))
+        + " |",
+        "|---|---|" + "---|" * len(fleet.get("runs", [])),
+    ]  # fmt: skip
+    for name, exponent in fleet.get("slopes", {}).items():
+        values = [_first(run, name) for run in fleet["runs"]]
+        cells = " | ".join(number(value) for value in values)
+        rows.append(f"| `{name}` | {'-' if exponent is None else exponent} | {cells} |")
+    return "\n".join(rows) + "\n"
+
+
+def _first(run: dict[str, Any], name: str) -> float | None:
+    """Return a figure of the first scenario that has it, as the fit does."""
+    for scenario in ("steady", "day", "rack"):
+        value: float | None = run["scenarios"].get(scenario, {}).get(name)
+        if value:
+            return value
+    return None
+
+
+def _scenarios(fleet: dict[str, Any]) -> str:
+    if not fleet:
+        return "## Scenarios\n\nNot measured.\n"
+    largest = fleet["runs"][-1]
+    names = list(next(iter(largest["scenarios"].values())))
+    head = f"## Scenarios at {largest['nodes']} nodes (measured, virtual time)\n"
+    rows = [
+        head,
+        "| Figure | " + " | ".join(largest["scenarios"]) + " |",
+        "|---|" + "---|" * len(largest["scenarios"]),
+    ]
+    for name in names:
+        cells = " | ".join(number(figures[name]) for figures in largest["scenarios"].values())
+        rows.append(f"| `{name}` | {cells} |")
+    compression = number(fleet["day_compression"])
+    rows.append(f"\nThe day's failures come {compression} times faster than in a day.")
+    return "\n".join(rows) + "\n"
+
+
+def _gaps(fleet: dict[str, Any], sections: Sequence[tuple[str, Sequence[Line]]]) -> str:
+    short = [
+        f"- Shortfall: {line.quantity} ({line.mechanism}): {number(line.value)} {line.unit} "
+        f"against {number(line.limit)}."
+        for _, lines in sections
+        for line in lines
+        if line.headroom is not None and line.headroom < 1
+    ]
+    absent = fleet.get("not_covered", ["everything"])
+    keys = [name for name, value in fleet.items() if value is None]
+    return "\n".join(
+        [
+            "## Shortfalls and gaps\n",
+            *short,
+            f"- Not driven by the hollow fleet yet: {', '.join(absent)}.",
+            f"- Keys without a figure: {', '.join(keys) or 'none'}.",
+            "- Not in any file here yet: gateway, stewards' decisions, journal replicas, operator "
+            "side.\n",
+        ]
+    )
+
+
+def _sources(*measurements: dict[str, Any]) -> str:
+    rows = ["## Sources\n"]
+    for found in measurements:
+        if found:
+            commit = found.get("commit", "not recorded")
+            machine = found.get("machine", {}).get("processor", "not recorded")
+            rows.append(f"- `{found['command']}`, commit {commit}, processor {machine}.")
+    return "\n".join(rows) + "\n"
--- /dev/null
+++ b/src/foxwinch/bench/commit.py
@@ -0,0 +1,26 @@
+"""Which commit a measurement was made of."""
+
+import subprocess
+from pathlib import Path
+
+UNKNOWN = "unknown"
+
+
+def current_commit() -> str:
+    """Return the short commit id of the source tree, with `+` when files were changed since."""
+    root = Path(__file__).parent
+    commit = _git(root, "rev-parse", "--short", "HEAD")
+    if commit is None:
+        return UNKNOWN
+    changed = _git(root, "status", "--porcelain", "--untracked-files=no", "--", ".")
+    return f"{commit}+" if changed else commit
+
+
+def _git(directory: Path, *arguments: str) -> str | None:
+    try:
+        done = subprocess.run(
+            ["git", *arguments], cwd=directory, capture_output=True, text=True, check=True
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return None
+    return done.stdout.strip()
--- a/src/foxwinch/bench/fleet/detection.py
+++ b/src/foxwinch/bench/fleet/detection.py
@@ -2,6 +2,7 @@
 
 from dataclasses import asdict, dataclass
 
+from foxwinch.bench.commit import current_commit
 from foxwinch.bench.fleet.fleet import Fleet, FleetShape
 from foxwinch.bench.fleet.measures import percentile
 from foxwinch.bench.fleet.network import NetworkModel
@@ -121,7 +122,8 @@
     cases += [DetectionCase(nodes, loss, p) for loss in (0.0, 0.2) for p in PAUSES_SECONDS]
     figures = [asdict(run_case(case, virtual_seconds, seed)) for case in cases]
     command = f"foxwinch bench detection --nodes {nodes} --seconds {virtual_seconds:g}"
-    return {"command": f"{command} --seed {seed}", "cases": figures}
+    command = f"{command} --seed {seed}"
+    return {"command": command, "commit": current_commit(), "cases": figures}
 
 
 def _replace(fleet: Fleet, watch: _Watch, node: HollowNode) -> None:
--- a/src/foxwinch/bench/fleet/run.py
+++ b/src/foxwinch/bench/fleet/run.py
@@ -13,6 +13,7 @@
 
 import numpy
 
+from foxwinch.bench.commit import current_commit
 from foxwinch.bench.fleet.document import state_with, tenant_change
 from foxwinch.bench.fleet.fleet import FleetShape
 from foxwinch.bench.fleet.measures import percentile
@@ -82,6 +83,7 @@
     return {
         "command": f"foxwinch bench fleet --nodes {nodes} --workers {workers} "
         f"--regions {regions} --zones {zones} --programs {programs} --seed {seed}",
+        "commit": current_commit(),
         "machine": {"processor": platform.processor() or platform.machine()},
         "day_compression": day_compression(),
         "covers": ["membership", "gossip", "configuration", "ownership"],
--- a/src/foxwinch/cli/bench.py
+++ b/src/foxwinch/cli/bench.py
@@ -4,8 +4,10 @@
 
 import cappa
 
+from foxwinch.cli.bench_capacity import CapacityCommand
 from foxwinch.cli.bench_detection import DetectionCommand
 from foxwinch.cli.bench_fleet import FleetCommand
+from foxwinch.cli.bench_peer import PeerCommand
 from foxwinch.cli.bench_schedule import BenchScheduleCommand
 
 
@@ -14,4 +16,6 @@
 class BenchCommand:
     """Measurements, and experiments on models."""
 
-    command: cappa.Subcommands[BenchScheduleCommand | FleetCommand | DetectionCommand]
+    command: cappa.Subcommands[
+        BenchScheduleCommand | FleetCommand | DetectionCommand | PeerCommand | CapacityCommand
+    ]
--- /dev/null
+++ b/src/foxwinch/cli/bench_peer.py
@@ -0,0 +1,32 @@
+"""`foxwinch bench peer`."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from foxwinch.cli.help import examples
+
+
+@cappa.command(
+    name="peer",
+    help="Measure requests between two nodes on loopback.",
+    description=examples("foxwinch bench peer --json peer.json"),
+)
+@dataclass(kw_only=True)
+class PeerCommand:
+    """Measure requests between two nodes on loopback."""
+
+    json: Annotated[Path, cappa.Arg(long="--json", help="File for the figures")]
+    calls: Annotated[int, cappa.Arg(long="--calls", help="Calls in each round")] = 32_000
+    rounds: Annotated[int, cappa.Arg(long="--rounds", help="Rounds")] = 3
+
+    def __call__(self) -> None:
+        """Run the bench; prints the report."""
+        from foxwinch.bench.peer_echo import run_echo
+
+        report = run_echo(self.calls, self.rounds)
+        self.json.write_text(json.dumps(report, indent=1) + "\n", encoding="utf-8")
+        print(json.dumps(report))
