--- a/src/foxwinch/bench/fleet/run.py
+++ b/src/foxwinch/bench/fleet/run.py
@@ -7,6 +7,7 @@
 import random
 import resource
 import time
+from collections.abc import Collection
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -70,19 +71,32 @@
 
 
 def run_fleet(
-    nodes: int, regions: int, zones: int, workers: int, programs: int, seed: int
+    shape: FleetShape,
+    workers: int,
+    programs: int,
+    seed: int,
+    processes: int = PROCESSES,
+    scenarios: Collection[str] = tuple(SCENARIOS),
 ) -> dict[str, Any]:
-    """Run every size up to `nodes` and return the report."""
+    """Run every size up to that of `shape` and return the report.
+
+    `workers` and `programs` are only written into the report until their code is driven here.
+    """
+    nodes, regions, zones = shape.nodes, shape.regions, shape.zones
+    chosen = [tuple(name for name in group if name in scenarios) for group in GROUPS]
     sizes = sorted({size for size in SMALLER_SIZES if size < nodes} | {nodes}, reverse=True)
-    tasks = [FleetTask(size, regions, zones, seed, group) for size in sizes for group in GROUPS]
+    tasks = [
+        FleetTask(size, regions, zones, seed, group) for size in sizes for group in chosen if group
+    ]
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(min(PROCESSES, len(tasks)), mp_context=context) as pool:
+    with ProcessPoolExecutor(min(processes, len(tasks)), mp_context=context) as pool:
         parts = list(pool.map(run_size, tasks))
     runs = [merged([p for p in parts if p["nodes"] == size]) for size in sorted(sizes)]
     largest = runs[-1]
     return {
         "command": f"foxwinch bench fleet --nodes {nodes} --workers {workers} "
-        f"--regions {regions} --zones {zones} --programs {programs} --seed {seed}",
+        f"--regions {regions} --zones {zones} --programs {programs} --seed {seed} "
+        f"--scenarios {','.join(name for group in chosen for name in group)}",
         "commit": current_commit(),
         "machine": {"processor": platform.processor() or platform.machine()},
         "day_compression": day_compression(),
--- a/src/foxwinch/cli/bench_fleet.py
+++ b/src/foxwinch/cli/bench_fleet.py
@@ -13,6 +13,8 @@
     "--programs 820000 --json fleet.json"
 )
 
+ALL_SCENARIOS = "steady,day,rack,zone,region_cut,store_down,rolling"
+
 
 @cappa.command(
     name="fleet",
@@ -31,12 +33,25 @@
     programs: Annotated[int, cappa.Arg(long="--programs", help="Live programs")] = 820_000
     seed: Annotated[int, cappa.Arg(long="--seed", help="Seed of every random choice")] = 1
 
+    processes: Annotated[
+        int, cappa.Arg(long="--processes", help="Fleets run at a time, one core each")
+    ] = 2
+    scenarios: Annotated[
+        str, cappa.Arg(long="--scenarios", help="Scenarios to run, separated by commas")
+    ] = ALL_SCENARIOS
+
     def __call__(self) -> None:
         """Run the bench; prints the worst figures of the largest run."""
+        from foxwinch.bench.fleet.fleet import FleetShape
         from foxwinch.bench.fleet.run import run_fleet, to_text  # needs the bench libraries
 
         report = run_fleet(
-            self.nodes, self.regions, self.zones, self.workers, self.programs, self.seed
+            FleetShape(self.nodes, self.regions, self.zones),
+            self.workers,
+            self.programs,
+            self.seed,
+            self.processes,
+            self.scenarios.split(","),
         )
         self.json.write_text(to_text(report), encoding="utf-8")
         for name, value in report.items():
