Spend saved-up gossip budget at once and tell members in turn

Change: 2,000 B/s and a burst of 32,000 bytes, spent four datagrams a tick while it is rich; members are told in turn, and no item is sent more often than there are members; the overdraft of probes stays 9,000 bytes.

--- a/src/foxwinch/core/membership/engine.py
+++ b/src/foxwinch/core/membership/engine.py
@@ -33,8 +33,10 @@
 from foxwinch.core.membership.regions import RegionDirectory
 from foxwinch.core.membership.sender import URGENT_RANK, DatagramSender
 from foxwinch.core.membership.state import KnowledgeState
-from foxwinch.identifiers import PeerAddress
+from foxwinch.identifiers import NodeId, PeerAddress
 
+DATAGRAMS_WHEN_RICH = 4
+"""Datagrams of news a tick while more than half of the burst is saved up."""
 FAREWELLS = 5
 """Members that are told directly that this node leaves."""
 
@@ -61,6 +63,7 @@
         self._receiver = DatagramReceiver(
             self._state, self._sender, self._detector, self._draws, self._joining
         )
+        self._receivers: list[NodeId] = []
         self._ticked_at_seconds = now
         self._next_digest_at_seconds = now
         self._next_region_digest_at_seconds = now
@@ -212,14 +215,30 @@
                 self._sender.send(address, GossipDatagram(), now, news=news)
 
     def _spread(self, now: float) -> None:
-        """Send news beyond what probes and answers carry: urgent ones to two members a tick."""
+        """Send news beyond what probes and answers carry, to the members in turn."""
         outbox = self._state.outbox
-        if not len(outbox):
-            return
+        outbox.enough = len(self._state.table.present_others()) + 1
         count = 2 if outbox.urgent(URGENT_RANK) else 1
-        for member in self._draws.pick(self._state.table.present_others(), count):
-            if self._sender.may_send_news(outbox, now):
-                self._sender.send(member.address, GossipDatagram(), now, news=outbox)
+        if self._sender.is_rich(now):
+            count = DATAGRAMS_WHEN_RICH
+        for _ in range(count):
+            if not self._sender.may_send_news(outbox, now):
+                return
+            member = self._next_receiver()
+            if member is None:
+                return
+            self._sender.send(member.address, GossipDatagram(), now, news=outbox)
+
+    def _next_receiver(self) -> Member | None:
+        """Return the next of a random order of the others, so that few of them get news twice."""
+        for _ in range(2):
+            while self._receivers:
+                member = self._state.table.get(self._receivers.pop())
+                if member is not None and member.is_present:
+                    return member
+            others = [member.node for member in self._state.table.present_others()]
+            self._receivers = self._draws.pick(others, len(others))
+        return None
 
     def _drain(self) -> list[Action]:
         actions = self._state.actions
--- a/src/foxwinch/core/membership/outbox.py
+++ b/src/foxwinch/core/membership/outbox.py
@@ -17,6 +17,8 @@
 
     def __init__(self) -> None:
         """Start empty."""
+        self.enough = 1_000
+        """Transmissions after which any item leaves: the number of receivers there are."""
         self._news: dict[str, _News] = {}
         self._offered = 0
 
@@ -50,7 +52,7 @@
             room_bytes -= len(news.field)
             taken.append(news.field)
             news.sent += 1
-            if news.sent >= news.transmissions:
+            if news.sent >= min(news.transmissions, self.enough):
                 del self._news[key]
         return taken
 
--- a/src/foxwinch/core/membership/parameters.py
+++ b/src/foxwinch/core/membership/parameters.py
@@ -58,13 +58,17 @@
     """Members of a region that speak with the other regions."""
     region_silent_seconds: float = 150.0
     """A region whose summary has not changed for so long counts as cut off."""
-    budget_bytes_per_second: float = 1_500.0
-    """What a node sends in datagrams; as much arrives, so half of the 6,000 B/s are left for
+    budget_bytes_per_second: float = 2_000.0
+    """What a node sends in datagrams; as much arrives, so a third of the 6,000 B/s is left for
     requests over TCP."""
-    budget_burst_bytes: float = 9_000.0
+    budget_burst_bytes: float = 32_000.0
+    """Saved up while little is sent: the owners of 64 shards, told twice, do not wait."""
+    budget_overdraft_bytes: float = 9_000.0
+    """What probes and answers may take beyond the budget, and urgent news half of it."""
     former_addresses: int = 256
     """Addresses of absent members that are tried again."""
     entries: int = 20_000
     """Entries held at most."""
     transmissions: tuple[int, ...] = (6, 6, 6, 4, 3, 3)
-    """How often a node passes on what is new to it, by kind; digests reach the rest."""
+    """How often a node passes on what is new to it, by kind, and no more often than there are other
+    members; digests reach the rest."""
--- a/src/foxwinch/core/membership/sender.py
+++ b/src/foxwinch/core/membership/sender.py
@@ -14,7 +14,7 @@
 
 ALL_RANKS = max(GossipKind)
 URGENT_RANK = int(GossipKind.CONFIGURATION)
-"""News up to this rank may overdraw the budget by half a burst: that a node is dead must not wait
+"""News up to this rank may overdraw the budget: that a node is dead must not wait
 for the very probes that found it out."""
 NEWS_BYTES = 300
 """Room for news below which no datagram is sent for news alone."""
@@ -23,19 +23,23 @@
 class DatagramSender:
     """The only way out; every byte is charged to one bucket.
 
-    Probes and answers may overdraw it by a burst, since few of them are ever due, and urgent
-    news by half of it; other news and repairs wait until there is a balance.
+    Probes and answers may overdraw it, since few of them are ever due, and urgent news by half
+    as much; other news and repairs wait until there is a balance.
     """
 
     def __init__(self, state: KnowledgeState, now: float) -> None:
         """Start with a full bucket."""
         self._state = state
         parameters = state.parameters
-        self._overdraft = parameters.budget_burst_bytes / 2
+        self._overdraft = parameters.budget_overdraft_bytes / 2
         self._bucket = TokenBucket.full(
             parameters.budget_bytes_per_second, parameters.budget_burst_bytes, now
         )
 
+    def is_rich(self, now: float) -> bool:
+        """Tell whether more than half of the burst is saved up."""
+        return self._bucket.available(now) > self._state.parameters.budget_burst_bytes / 2
+
     def may_send_news(self, news: Outbox, now: float) -> bool:
         """Tell whether some of the news may be sent now."""
         balance = self._bucket.available(now)
@@ -58,7 +62,7 @@
         """Send `body` with as many of `fields`, then of the news, as fit."""
         counters = self._state.counters
         balance = self._bucket.available(now)
-        if balance <= -self._state.parameters.budget_burst_bytes:
+        if balance <= -self._state.parameters.budget_overdraft_bytes:
             counters.over_budget += 1
             return
         parts = [sender_field(self._state.table.this), body.SerializeToString()]
