--- a/src/foxwinch/bench/fleet/scenarios.py
+++ b/src/foxwinch/bench/fleet/scenarios.py
@@ -122,7 +122,7 @@
     return stretch.figures()
 
 
-GROUPS = (("steady", "day"), ("rack", "zone", "region_cut"), ("store_down", "rolling"))
+GROUPS = (("steady", "zone", "day"), ("rack", "region_cut"), ("store_down", "rolling"))
 """Scenarios that follow one another on the same fleet; each group starts a fleet of its own."""
 
 SCENARIOS: dict[str, Callable[[FleetWorld], Figures]] = {
