Bound every wait for the store; replace every node under calls

Cause: a table that takes requests and never answers could hold flushing and commits up for ever. Change: each request to the table and the object store ends after 5 s with an uncertain refusal and is settled as a lost answer is; a metric tells how far replicas lag. Conclusion: a silent table and a rolling replacement of three nodes under calls are tested on virtual time: no append ends uncertain in the replacement, none is lost or doubled.

--- a/src/foxwinch/node/journal_service.py
+++ b/src/foxwinch/node/journal_service.py
@@ -118,6 +118,12 @@
         )
         owned = Gauge("foxwinch_shards_owned_count", "Shards served here", registry=registry)
         owned.set_function(lambda: len(self._owned))
+        lag = Gauge(
+            "foxwinch_replica_lag_records",
+            "Records that the replica furthest behind lacks",
+            registry=registry,
+        )
+        lag.set_function(self.replica_lag_records)
 
     def attach(self, loader: ShardLoader, running_calls: RunningCalls) -> None:
         """Give recovered records to `loader`, and ask `running_calls` before a reload."""
@@ -128,6 +134,12 @@
         """Iterate over the shards served here."""
         return iter(list(self._owned.items()))
 
+    def replica_lag_records(self) -> int:
+        """Return how many records the replica furthest behind lacks, over all owned shards."""
+        journals = [owned.journal for owned in self._owned.values()]
+        lags = [j.lag_records() for j in journals if isinstance(j, ReplicatedJournal)]
+        return max((records for lag in lags for records in lag.values()), default=0)
+
     def get(self, shard: ShardNumber) -> OwnedShard | None:
         """Return a shard served here."""
         return self._owned.get(shard)
--- a/src/foxwinch/node/settled_table.py
+++ b/src/foxwinch/node/settled_table.py
@@ -1,11 +1,31 @@
 """Transactions whose lost answers are settled: sent again under the same token, never assumed."""
 
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
 from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, RunState, outcome_unknown
 from foxwinch.platform.ports import Committed, ConditionFailed, TablePort, Transaction
 
 FIRST_RETRY_SECONDS = 0.05
 LAST_RETRY_SECONDS = 2.0
+ANSWER_SECONDS = 5.0
+"""A service that is silent for so long is tried anew."""
+
+Answer = TypeVar("Answer")
+
+
+async def answered(request: Awaitable[Answer], seconds: float) -> Answer | Refused:
+    """Wait for an answer of the platform; a silent service is an uncertain refusal.
+
+    The port's own time-out may be longer, or missing.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            return await request
+    except TimeoutError:
+        return outcome_unknown(Reason.STORE_UNAVAILABLE, "the service did not answer in time")
 
 
 async def transact_settled(
@@ -19,7 +39,7 @@
     may_have_run = False
     last: Refused | None = None
     for attempt in range(attempts):
-        outcome = await table.transact(transaction)
+        outcome = await answered(table.transact(transaction), ANSWER_SECONDS)
         if not isinstance(outcome, Refused):
             return outcome
         may_have_run = may_have_run or outcome.run_state is not RunState.NOT_RUN
--- a/src/foxwinch/node/shard_store.py
+++ b/src/foxwinch/node/shard_store.py
@@ -21,12 +21,13 @@
     encode_record,
     encode_snapshot,
 )
-from foxwinch.node.settled_table import transact_settled
+from foxwinch.node.settled_table import ANSWER_SECONDS, answered, transact_settled
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
 from foxwinch.platform.ports import (
     Committed,
     Condition,
     ObjectPort,
+    RowPage,
     TablePort,
     Transaction,
     Write,
@@ -74,7 +75,7 @@
         """Read a shard's record."""
         if self._table is None:
             return not_run(Reason.STORE_UNAVAILABLE, "no table service is configured")
-        row = await self._table.read(self._row_key(shard))
+        row = await answered(self._table.read(self._row_key(shard)), ANSWER_SECONDS)
         if isinstance(row, Refused):
             return row
         if row is None:
@@ -141,8 +142,7 @@
         log = JournalLog(snapshot)
         start = self._journal_prefix(shard)
         while True:
-            assert self._table is not None
-            page = await self._table.scan(self._journal_prefix(shard), start, SCAN_ROWS)
+            page = await self._scan(shard, start)
             if isinstance(page, Refused):
                 return page
             for row in page.rows:
@@ -178,7 +178,7 @@
         if isinstance(outcome, Refused):
             return outcome
         # The service may have forgotten the token of a first sending that took effect.
-        found = await self._table.read(key)
+        found = await answered(self._table.read(key), ANSWER_SECONDS)
         if isinstance(found, Refused):
             return outcome_unknown(Reason.STORE_UNAVAILABLE, "the row could not be read back")
         if found is not None and found.version == held.version + 1 and found.value == value:
@@ -192,7 +192,8 @@
         for records in _parts(snapshot.records):
             part = replace(snapshot, records=records)
             key = f"snapshot/{self._region}/{shard:04d}/{snapshot.index:016d}/{name}/{len(keys)}"
-            outcome = await self._objects.put(key, encode_snapshot(part).SerializeToString())
+            data = encode_snapshot(part).SerializeToString()
+            outcome = await answered(self._objects.put(key, data), ANSWER_SECONDS)
             if isinstance(outcome, Refused):
                 return outcome
             keys.append(key)
@@ -202,14 +203,14 @@
         """Delete what no row refers to any more; what stays behind costs only space."""
         if self._objects is not None:
             for key in keys:
-                await self._objects.delete(key)
+                await answered(self._objects.delete(key), ANSWER_SECONDS)
 
     async def _load_snapshot(self, record: ShardRecord) -> Snapshot | Refused:
         records: list[bytes] = []
         for key in record.snapshot_keys:
             if self._objects is None:
                 return not_run(Reason.STORE_UNAVAILABLE, "no object store is configured")
-            data = await self._objects.get(key)
+            data = await answered(self._objects.get(key), ANSWER_SECONDS)
             if isinstance(data, Refused):
                 return data
             part = decode_snapshot(ShardSnapshot.FromString(data)) if data is not None else None
@@ -219,17 +220,21 @@
         return Snapshot(record.snapshot_index, record.snapshot_chain, tuple(records))
 
     async def _journal_keys(self, shard: ShardNumber) -> list[str] | Refused:
-        assert self._table is not None
         keys: list[str] = []
         start: str | None = self._journal_prefix(shard)
         while start is not None:
-            page = await self._table.scan(self._journal_prefix(shard), start, SCAN_ROWS)
+            page = await self._scan(shard, start)
             if isinstance(page, Refused):
                 return page
             keys.extend(row.key for row in page.rows)
             start = page.next_key
         return keys
 
+    async def _scan(self, shard: ShardNumber, start: str) -> RowPage | Refused:
+        assert self._table is not None
+        request = self._table.scan(self._journal_prefix(shard), start, SCAN_ROWS)
+        return await answered(request, ANSWER_SECONDS)
+
     def _row_key(self, shard: ShardNumber) -> str:
         return f"shard/{self._region}/{shard:04d}"
 
--- a/tests/test_shard_cluster.py
+++ b/tests/test_shard_cluster.py
@@ -225,3 +225,53 @@
     assert successor.numbers(PROGRAM) == list(range(405))
     assert len(journal_rows) <= 1
     assert len(cluster.objects.objects) >= 1
+
+
+@on_three_nodes
+async def test_rolling_replacement_of_every_node_loses_and_doubles_nothing(cluster):
+    uncertain = []
+    done = asyncio.Event()
+    count = 0
+
+    async def call_all_the_time():
+        nonlocal count
+        while not done.is_set():
+            node = cluster.owner_of(PROGRAM)
+            outcome = await node.append(PROGRAM, count) if node else None
+            if isinstance(outcome, Appended):
+                count += 1
+            elif outcome is not None and outcome.run_state is not RunState.NOT_RUN:
+                uncertain.append(outcome)
+            await asyncio.sleep(0.05)
+
+    calling = asyncio.create_task(call_all_the_time())
+    for old in list(cluster.nodes):
+        zone = old.membership.membership.this_member().zone
+        await cluster.add(zone).start()
+        await cluster.settle()
+        old.membership.announce_leaving()
+        await old.drain()
+        cluster.nodes.remove(old)
+        await old.stop()
+        await cluster.settle()
+    done.set()
+    await calling
+    assert uncertain == []
+    assert count > 20
+    assert cluster.owner_of(PROGRAM).numbers(PROGRAM) == list(range(count))
+
+
+async def test_a_silent_table_holds_nothing_up_for_ever():
+    cluster = ShardCluster(ZONES[:1])
+    await cluster.start()
+    node = cluster.nodes[0]
+    await append_many(node, 0, 2)
+    cluster.set_table(silent=True)
+    outcome = await node.append(PROGRAM, 99)
+    assert isinstance(outcome, Refused)
+    assert outcome.run_state is RunState.UNKNOWN
+    cluster.set_table()
+    await asyncio.sleep(20)
+    await append_many(node, 2, 2)
+    assert [n for n in node.numbers(PROGRAM) if n != 99] == [0, 1, 2, 3]
+    await cluster.stop()
