Fuzz clusters against the ten properties, with a planted bug for each

Cause: the fuzzing of whole clusters did not cover engine memory, leaving workers, racing operators, skew, loss on links and several faults at once, and showed two planted faults only. Change: bench/cluster_fuzz with lives that can be frozen and killed, an oracle of the ten properties by name, ten planted bugs; foxwinch fuzz without a configuration runs it. The in-memory network carries a stream message over a short cut, as TCP does. Conclusion: random seeds have not yet been shown to find six of the ten bugs by themselves.

--- /dev/null
+++ b/src/foxwinch/bench/cluster_fuzz/life.py
@@ -0,0 +1,172 @@
+"""One life of one node process: it may be frozen and killed together with all that it runs."""
+
+import asyncio
+import inspect
+from collections.abc import AsyncGenerator, Callable, Coroutine
+from contextlib import aclosing
+from contextvars import ContextVar
+from typing import Any
+
+from foxwinch.emulator.clock import VirtualClock
+from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort, StreamHandler, UnaryHandler
+
+CURRENT: ContextVar["Life | None"] = ContextVar("CURRENT", default=None)
+
+
+class Life:
+    """The tasks of one node; each task belongs to the life in whose context it was created."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        """Run on `clock`."""
+        self.clock = clock
+        self.dead = False
+        self.frozen = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def track(self, task: asyncio.Task[Any]) -> None:
+        """Take a task into this life."""
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def gate(self) -> None:
+        """Pass at once, wait while frozen, end the task when dead."""
+        if self.dead:
+            raise asyncio.CancelledError
+        await self.clock.sleep(0.0)
+        if self.dead:
+            raise asyncio.CancelledError
+
+    def freeze(self) -> None:
+        """Stop, as by SIGSTOP."""
+        self.frozen = True
+        self.clock.pause()
+
+    def wake(self) -> None:
+        """Go on, as by SIGCONT."""
+        self.frozen = False
+        self.clock.resume()
+
+    async def kill(self) -> None:
+        """End every task without a chance to reach anything, as by SIGKILL."""
+        self.dead = True
+        self.clock.resume()
+        own = asyncio.current_task()
+        while tasks := [task for task in self._tasks if task is not own]:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=1.0)
+
+
+def install(loop: asyncio.AbstractEventLoop) -> None:
+    """Make every new task of the loop belong to the life of its context."""
+
+    def factory(
+        loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], **options: Any
+    ) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **options)
+        life = CURRENT.get()
+        if life is not None:
+            life.track(task)
+        return task
+
+    loop.set_task_factory(factory)  # type: ignore[arg-type]
+
+
+class Guarded:
+    """A port of a node whose calls pass the life's gate before and after."""
+
+    def __init__(self, inner: Any, life: Life) -> None:
+        """Guard `inner`."""
+        self._inner = inner
+        self._life = life
+
+    def __getattr__(self, name: str) -> Any:
+        """Return the guarded method, or a plain attribute as it is."""
+        attribute = getattr(self._inner, name)
+        if inspect.isasyncgenfunction(attribute):
+            return self._stream(attribute)
+        if inspect.iscoroutinefunction(attribute):
+            return self._call(attribute)
+        return attribute
+
+    def _call(self, method: Callable[..., Any]) -> Callable[..., Any]:
+        async def guarded(*arguments: Any, **options: Any) -> Any:
+            await self._life.gate()
+            result = await method(*arguments, **options)
+            await self._life.gate()
+            return result
+
+        return guarded
+
+    def _stream(self, method: Callable[..., Any]) -> Callable[..., Any]:
+        async def guarded(*arguments: Any, **options: Any) -> AsyncGenerator[Any, None]:
+            await self._life.gate()
+            async with aclosing(method(*arguments, **options)) as events:
+                async for event in events:
+                    await self._life.gate()
+                    yield event
+
+        return guarded
+
+
+class GuardedPeers:
+    """The peer port of a node; what a handler starts belongs to the node that serves it."""
+
+    def __init__(self, inner: PeerPort, life: Life) -> None:
+        """Guard `inner`."""
+        self._inner = inner
+        self._life = life
+        self._guarded = Guarded(inner, life)
+
+    def __getattr__(self, name: str) -> Any:
+        """Return a guarded method or a plain attribute."""
+        return getattr(self._guarded, name)
+
+    def stream(
+        self, address: PeerAddress, method: str, payload: bytes, deadline_seconds: float
+    ) -> AsyncGenerator[Any, None]:
+        """See the port."""
+        guarded = self._guarded._stream(self._inner.stream)
+        events: AsyncGenerator[Any, None] = guarded(address, method, payload, deadline_seconds)
+        return events
+
+    def send_datagram(self, address: PeerAddress, payload: bytes) -> None:
+        """Send, unless the node is frozen or dead."""
+        if not self._life.dead and not self._life.frozen:
+            self._inner.send_datagram(address, payload)
+
+    def handle(self, method: str, handler: UnaryHandler) -> None:
+        """Serve within this node's life."""
+
+        async def serve(context: PeerContext, payload: bytes) -> Any:
+            CURRENT.set(self._life)
+            await self._life.gate()
+            return await handler(context, payload)
+
+        self._inner.handle(method, serve)
+
+    def handle_stream(self, method: str, handler: StreamHandler) -> None:
+        """Serve within this node's life."""
+
+        async def serve(context: PeerContext, payload: bytes) -> AsyncGenerator[Any, None]:
+            CURRENT.set(self._life)
+            await self._life.gate()
+            async with aclosing(handler(context, payload)) as answers:  # type: ignore[type-var]
+                async for answer in answers:
+                    await self._life.gate()
+                    yield answer
+
+        self._inner.handle_stream(method, serve)
+
+    def handle_datagrams(self, handler: Callable[[PeerAddress, bytes], None]) -> None:
+        """Serve within this node's life."""
+
+        def serve(source: PeerAddress, payload: bytes) -> None:
+            token = CURRENT.set(self._life)
+            try:
+                if not self._life.dead:
+                    handler(source, payload)
+            finally:
+                CURRENT.reset(token)
+
+        self._inner.handle_datagrams(serve)
--- /dev/null
+++ b/src/foxwinch/bench/cluster_fuzz/runner.py
@@ -0,0 +1,75 @@
+"""Runs the fuzzer from a seed; the same seed makes the same steps."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from foxwinch.bench.cluster_fuzz.machine import ClusterMachine
+from foxwinch.bench.cluster_fuzz.oracle import PropertyError
+from foxwinch.bench.cluster_fuzz.planted import Decorate, restore
+
+STEPS = 20
+"""Steps in the life of one cluster."""
+
+
+@dataclass(frozen=True, slots=True)
+class FuzzFailure:
+    """A cluster that broke a property, or stopped by an error of its own."""
+
+    seed: int
+    broken: str
+    """Name of the property, or of the error."""
+    detail: str
+    steps: str
+    """The rules in their order, as Hypothesis prints them."""
+
+
+def run_seed(
+    number: int,
+    clusters: int = 1,
+    steps: int = STEPS,
+    decorate: Decorate | None = None,
+    shrink: bool = False,
+) -> FuzzFailure | None:
+    """Run so many clusters from a seed; `shrink` looks for the shortest steps, which takes long."""
+    phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
+    machine = type("SeededMachine", (ClusterMachine,), {"decorate": _static(decorate)})
+    try:
+        run_state_machine_as_test(
+            seed(number)(machine),
+            settings=settings(
+                # Hypothesis begins with the least example, a cluster without a step.
+                max_examples=clusters + 1,
+                stateful_step_count=steps,
+                deadline=None,
+                database=None,
+                phases=phases,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+    except Exception as error:
+        name = error.name if isinstance(error, PropertyError) else type(error).__name__
+        notes = "\n".join(getattr(error, "__notes__", ()))
+        return FuzzFailure(number, name, str(error), notes)
+    finally:
+        restore()
+    return None
+
+
+def run_for(first_seed: int, minutes: float, tell: Callable[[str], None]) -> FuzzFailure | None:
+    """Run seeds from `first_seed` on until the time is over or one fails; 0 minutes: one seed."""
+    ends_at = time.monotonic() + minutes * 60.0
+    number = first_seed
+    while True:
+        failure = run_seed(number)
+        tell(f"seed={number} result={'broken' if failure else 'held'}")
+        number += 1
+        if failure is not None or time.monotonic() >= ends_at:
+            return failure
+
+
+def _static(decorate: Decorate | None) -> Callable[..., object] | None:
+    return None if decorate is None else staticmethod(decorate)
--- /dev/null
+++ b/src/foxwinch/bench/cluster_fuzz/world.py
@@ -0,0 +1,273 @@
+"""A cluster of whole nodes in one process: virtual time, in-memory network, stand-in platform."""
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar, cast
+
+import looptime
+
+from foxwinch.backends.ports import EngineEvent, GenerateOrder, ToolOrder, ToolResult
+from foxwinch.bench.cluster_fuzz.document import ENGINES, MODEL, REGION, ZONES, document
+from foxwinch.bench.cluster_fuzz.life import CURRENT, Guarded, GuardedPeers, Life, install
+from foxwinch.emulator.clock import VirtualClock
+from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
+from foxwinch.emulator.faults import ServiceFaults, ToolFaults
+from foxwinch.emulator.in_process import (
+    InProcessMachines,
+    InProcessObjects,
+    InProcessTable,
+    InProcessTools,
+)
+from foxwinch.emulator.in_process_engine import InProcessEngine
+from foxwinch.emulator.machines import MachineModel
+from foxwinch.emulator.network import LinkFaults, MemoryNetwork
+from foxwinch.emulator.objects import ObjectModel
+from foxwinch.emulator.table import TableModel
+from foxwinch.emulator.tools import ToolModel
+from foxwinch.identifiers import ModelName, NodeId, RegionName, WorkerId, ZoneName
+from foxwinch.node.node import Node, build_node
+from foxwinch.node.ports import NodePorts
+from foxwinch.outcomes import Refused
+from foxwinch.peer.ports import PeerAddress
+from foxwinch.platform.ports import Machine
+from foxwinch.settings.process import NodeSettings
+
+Result = TypeVar("Result")
+NOOP_CYCLES = 2
+"""Idle turns of the loop before virtual time jumps; the default of 42 took most of a run."""
+PEER_PORT = 7000
+LOSSY = LinkFaults(loss=0.1, doubling=0.05, reordering=0.1)
+CALM = LinkFaults()
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """A call that an engine was asked to run."""
+
+    worker: str
+    program: str
+    at_seconds: float
+
+
+class RecordingEngine(InProcessEngine):
+    """Engines that record what was dispatched to them."""
+
+    def __init__(self, workers: dict[WorkerId, EngineWorker]) -> None:
+        """Use `workers`."""
+        super().__init__(workers)
+        self.dispatches: list[Dispatch] = []
+
+    async def generate(
+        self, worker: WorkerId, order: GenerateOrder
+    ) -> AsyncGenerator[EngineEvent, None]:
+        """Record and run."""
+        now = asyncio.get_running_loop().time()
+        self.dispatches.append(Dispatch(worker, order.program_id, now))
+        async for event in super().generate(worker, order):
+            yield event
+
+
+@dataclass(slots=True)
+class FuzzNode:
+    """One life of a node with its way to the outside."""
+
+    number: int
+    life: Life
+    node: Node
+    address: PeerAddress
+    table: InProcessTable
+    objects: InProcessObjects
+    tools: InProcessTools
+    draining: bool = False
+    started: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """True when callers may be sent here."""
+        return self.started and not self.life.dead and not self.draining
+
+
+class FuzzWorld:
+    """The cluster, its platform and its engines; `decorate` may change the ports of a new node."""
+
+    def __init__(self, seed: int, decorate: "Callable[[str, Any], Any] | None" = None) -> None:
+        """Start without nodes."""
+        self.random = random.Random(seed)
+        self.loop = looptime.new_event_loop(start=0.0, noop_cycles=NOOP_CYCLES)
+        install(self.loop)
+        self.failures: list[str] = []
+        self.loop.set_exception_handler(self._note_failure)
+        self.decorate = decorate or (lambda name, port: port)
+        self.clock = VirtualClock(seed)
+        self.network = MemoryNetwork(seed, CALM)
+        self.table, self.objects, self.tool_model = TableModel(), ObjectModel(), ToolModel()
+        self.machines = MachineModel(
+            tuple(
+                Machine(name, "worker", "127.0.0.1:1", ZoneName(zone), RegionName(REGION), False)
+                for name, zone in zip(ENGINES, ZONES, strict=True)
+            )
+        )
+        self.workers = {
+            WorkerId(name): EngineWorker(
+                EngineWorkerSettings(name, (ModelName(MODEL),)), VirtualClock(seed)
+            )
+            for name in ENGINES
+        }
+        self.engine = RecordingEngine(self.workers)
+        self.nodes: list[FuzzNode] = []
+        self.lives = 0
+        self.store_faults = ServiceFaults()
+        self.tool_faults = ToolFaults()
+        self.network_faults = CALM
+
+    # --- time ------------------------------------------------------------------------------
+
+    @property
+    def now(self) -> float:
+        """Virtual seconds since the start."""
+        return self.loop.time()
+
+    def run(self, work: Awaitable[Result], seconds: float = 600.0) -> Result:
+        """Run until `work` ends; raises `TimeoutError` when it takes too long."""
+
+        async def bounded() -> Result:
+            async with asyncio.timeout(seconds):
+                return await work
+
+        return self.loop.run_until_complete(bounded())
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self.run(asyncio.sleep(seconds), seconds + 1.0)
+
+    # --- nodes -----------------------------------------------------------------------------
+
+    def begin(self, count: int) -> None:
+        """Start the first nodes together."""
+        nodes = [self._new_node(number) for number in range(count)]
+        self.run(self._start_all(nodes))
+
+    def start_node(self) -> FuzzNode:
+        """Start one more node, at an address that is free."""
+        used = {node.number for node in self.nodes}
+        number = next(n for n in range(100) if n not in used)
+        node = self._new_node(number)
+        self.run(self._start_all([node]))
+        return node
+
+    def kill(self, node: FuzzNode) -> None:
+        """End a node without warning."""
+        self.nodes.remove(node)
+        self.network.kill(node.address)
+        self.run(node.life.kill())
+
+    def freeze(self, node: FuzzNode) -> None:
+        """Freeze a node."""
+        self.network.pause(node.address)
+        node.life.freeze()
+
+    def wake(self, node: FuzzNode) -> None:
+        """Let a frozen node go on."""
+        node.life.wake()
+        self.network.resume(node.address)
+
+    async def drain(self, node: FuzzNode) -> None:
+        """Stop a node as planned."""
+        node.draining = True
+        CURRENT.set(node.life)
+        await node.node.drain()
+        await node.node.stop()
+        CURRENT.set(None)
+        if node in self.nodes:
+            self.nodes.remove(node)
+        self.network.kill(node.address)
+        await node.life.kill()
+
+    def set_store_faults(self, faults: ServiceFaults) -> None:
+        """Change table and object store for every node."""
+        self.store_faults = faults
+        for node in self.nodes:
+            node.table.gate.faults = faults
+            node.objects.gate.faults = faults
+
+    def set_network_faults(self, faults: LinkFaults) -> None:
+        """Change every link."""
+        self.network_faults = faults
+        self.network.set_default(faults)
+
+    def set_tool_faults(self, faults: ToolFaults) -> None:
+        """Change the tool services for every node."""
+        self.tool_faults = faults
+        for node in self.nodes:
+            node.tools.gate.faults = faults
+
+    def close(self) -> None:
+        """End everything."""
+        for node in list(self.nodes):
+            self.kill(node)
+        for worker in self.workers.values():
+            worker.stop()
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.loop.run_until_complete(asyncio.wait(tasks, timeout=1.0))
+        self.loop.close()
+
+    async def _start_all(self, nodes: list[FuzzNode]) -> None:
+        async def start(node: FuzzNode) -> None:
+            CURRENT.set(node.life)
+            await node.node.start()
+            node.started = True
+
+        await asyncio.gather(*(start(node) for node in nodes))
+
+    def _new_node(self, number: int) -> FuzzNode:
+        self.lives += 1
+        life = Life(VirtualClock(self.random.getrandbits(32), self.random.uniform(-60.0, 60.0)))
+        identity = NodeId(f"node-{number}-{self.lives}")
+        address = PeerAddress(f"127.0.0.{number + 1}", PEER_PORT)
+        table = InProcessTable(self.table, self.clock, self.store_faults)
+        objects = InProcessObjects(self.objects, self.clock, self.store_faults)
+        tools = InProcessTools(self.tool_model, self.clock, self.tool_faults)
+        machines = InProcessMachines(self.machines, self.clock)
+        peers = GuardedPeers(self.network.join(identity, address), life)
+        ports = NodePorts(
+            clock=life.clock,
+            engine=self._port("engine", self.engine, life),
+            tools=self._port("tools", tools, life),
+            table=self._port("table", table, life),
+            objects=self._port("objects", objects, life),
+            machines=self._port("machines", machines, life),
+            peers=cast(Any, peers),
+            peer_address=address,
+        )
+        seeds = tuple(str(node.address) for node in self.nodes[:3])
+        settings = NodeSettings(
+            name=f"node-{number}",
+            region=REGION,
+            zone=ZONES[number % len(ZONES)],
+            seeds=seeds,
+            drain_seconds=120.0,
+        )
+        token = CURRENT.set(life)
+        node = build_node(settings, ports, document(), node=identity)
+        CURRENT.reset(token)
+        fuzz_node = FuzzNode(number, life, node, address, table, objects, tools)
+        self.decorate("node", fuzz_node)
+        self.nodes.append(fuzz_node)
+        return fuzz_node
+
+    def _port(self, name: str, port: Any, life: Life) -> Any:
+        return Guarded(self.decorate(name, port), life)
+
+    def _note_failure(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if not isinstance(error, asyncio.CancelledError):
+            self.failures.append(f"{context.get('message')}: {error!r}")
+
+
+ToolOutcome = ToolResult | Refused
+ToolCall = Callable[[ToolOrder], Awaitable[ToolOutcome]]
--- a/src/foxwinch/cli/fuzz.py
+++ b/src/foxwinch/cli/fuzz.py
@@ -22,6 +22,7 @@
     description=examples(
         "foxwinch fuzz --configuration examples/physio.toml --minutes 5",
         "foxwinch fuzz --configuration examples/physio.toml --seed 42 --minutes 0",
+        "foxwinch fuzz --minutes 5 --seed 1",
     ),
 )
 @dataclass(kw_only=True)
@@ -29,8 +30,12 @@
     """Fuzz whole clusters."""
 
     configuration: Annotated[
-        Path, cappa.Arg(long="--configuration", help="Cluster configuration (TOML)")
-    ]
+        Path | None,
+        cappa.Arg(
+            long="--configuration",
+            help="Cluster configuration (TOML); without one the clusters of the property oracle",
+        ),
+    ] = None
     minutes: Annotated[
         float, cappa.Arg(long="--minutes", help="How long; 0 runs the first seed only")
     ] = 1.0
@@ -39,6 +44,9 @@
 
     def __call__(self) -> None:
         """Run and report; exit code 11 when a property was broken."""
+        if self.configuration is None:
+            self._check_properties()
+            return
         document = load_cluster_configuration(self.configuration)
         if isinstance(document, SettingsError):
             fail_settings(document)
@@ -56,5 +64,19 @@
             detail = f"seed {report.failed_seed}: {report.problem}"
             fail(ExitCode.PROPERTY_BROKEN, detail)
 
+    def _check_properties(self) -> None:
+        """Run the clusters of `foxwinch.bench.cluster_fuzz`, seed after seed."""
+        try:
+            from foxwinch.bench.cluster_fuzz.runner import run_for
+        except ImportError as error:
+            fail(ExitCode.INVALID, f"install the extra `test` of this package first: {error}")
+        logging.disable(logging.CRITICAL)
+        failure = run_for(self.seed, self.minutes, self._tell)
+        if self.json:
+            print(json.dumps(asdict(failure) if failure else None, indent=2))
+        if failure is not None:
+            detail = f"seed {failure.seed}: {failure.detail}\n{failure.steps}"
+            fail(ExitCode.PROPERTY_BROKEN, detail)
+
     def _tell(self, line: str) -> None:
         print(line, file=sys.stderr if self.json else sys.stdout, flush=True)
--- a/src/foxwinch/emulator/network.py
+++ b/src/foxwinch/emulator/network.py
@@ -1,7 +1,8 @@
 """The network between nodes in memory, on the running loop's (virtual) time.
 
 Datagrams are lost, delayed, doubled and reordered. Kept streams are reliable and ordered as TCP's
-are: there, loss shows as delay, and a cut as an answer that never comes.
+are: there, loss shows as delay, and a cut as an answer that comes once the cut is mended, unless
+the connection was given up before.
 """
 
 import asyncio
@@ -121,7 +122,7 @@
             loop.call_later(delay_seconds, self._deliver, source, target, payload)
 
     async def transfer(self, source: PeerAddress, target: PeerAddress) -> bool:
-        """Carry one stream message in order; False when it was cut off or the node is gone."""
+        """Carry one stream message in order, over a cut as well; False when the node is gone."""
         loop = asyncio.get_running_loop()
         faults = self._links.get((source, target), self._default)
         delay_seconds = self._delay_seconds(faults)
@@ -131,8 +132,8 @@
         arrival = max(self._last_arrival_seconds.get(link, 0.0), loop.time() + delay_seconds)
         self._last_arrival_seconds[link] = arrival
         await asyncio.sleep(arrival - loop.time())
-        if self.is_cut(source, target):
-            return False
+        while self.is_cut(source, target):  # noqa: ASYNC110 - as TCP sends again
+            await asyncio.sleep(RETRANSMIT_SECONDS)
         await self.wait_running(target)
         return target in self.ports
 
