Add the HTTP adapters and serve the stand-ins over HTTP

Cause: a deployed node reaches engines, tools, table, objects and machine list over HTTP, and every failure must come back as a value that is truthful about the effect.

--- a/src/foxwinch/backends/engine_http.py
+++ b/src/foxwinch/backends/engine_http.py
@@ -1,22 +1,91 @@
-"""Adapter of the engine port over HTTP: chat completions with server-sent events."""
+"""Adapter of the engine port over HTTP.
 
+`POST /v1/chat/completions` streams server-sent events; `POST /calls/{call}/cancel`,
+`POST /programs/{program}/release`, `GET /metrics`, `GET /cache/events?after=N`,
+`GET` and `PUT /cache/programs/{program}`, `POST /orders`. 412 means fenced by a newer epoch.
+"""
+
+import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Any
+from urllib.parse import quote
 
 import aiohttp
+from pydantic import BaseModel, ValidationError
 
-from foxwinch.backends.ports import EngineEvent, GenerateFinished, GenerateOrder, TokenChunk
-from foxwinch.identifiers import WorkerId
-from foxwinch.outcomes import Reason, not_run, outcome_unknown
+from foxwinch.backends.engine_load import read_load
+from foxwinch.backends.engine_stream import read_events
+from foxwinch.backends.ports import (
+    CacheEvent,
+    CacheEventPage,
+    Done,
+    EngineEvent,
+    GenerateFinished,
+    GenerateOrder,
+    LoadReport,
+    ModelOrder,
+)
+from foxwinch.http_exchange import (
+    CONNECT_SECONDS,
+    HEADER_RETRY_AFTER,
+    HttpAnswer,
+    HttpRequest,
+    Service,
+    exchange,
+    malformed,
+    read_retry_after,
+    refusal,
+)
+from foxwinch.identifiers import CallId, ProgramId, WorkerId
+from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
 
-EVENT_PREFIX = b"data: "
-END_OF_STREAM = b"[DONE]"
 HEADER_CALL = "x-request-id"
 HEADER_PROGRAM = "x-program-id"
 HEADER_EPOCH = "x-fence-epoch"
 HEADER_PRIORITY = "x-priority"
 HEADER_RESUME = "x-resume-offset"
+REQUEST_SECONDS = 5.0
+"""For a small request's whole answer."""
+TRANSFER_SECONDS = 30.0
+"""For the export or import of a program's cache."""
+ORDER_SECONDS = 120.0
+"""Loading a model takes tens of seconds; a later answer is had by sending the token again."""
+IDLE_SECONDS = 120.0
+"""A stream in which nothing arrives for so long is given up."""
+DRAIN_SECONDS = 0.5
+"""For the end marker after the last event; later the connection is given up."""
+SNAPSHOT_AFTER = 0
+"""Reading cache events after 0 gives a snapshot, whose numbers do not follow on."""
+STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=CONNECT_SECONDS, sock_read=IDLE_SECONDS)
+
+
+class CacheEventDocument(BaseModel):
+    """A change of a prefix cache."""
+
+    sequence: int
+    kind: str
+    block_hashes: list[int]
+    parent_hash: int | None = None
+
+
+class CacheEventsDocument(BaseModel):
+    """Cache events after a sequence number."""
+
+    events: list[CacheEventDocument]
+    next_sequence: int
+    gap: bool = False
+
+
+class OrderDocument(BaseModel):
+    """A fenced order."""
+
+    token: str
+    epoch: int
+    kind: str
+    model: str
+    value: str = ""
 
 
 class HttpEngine:
@@ -29,40 +98,134 @@
         self._session = session
         self._url_of = url_of
 
-    async def generate(self, worker: WorkerId, order: GenerateOrder) -> AsyncIterator[EngineEvent]:
+    async def generate(
+        self, worker: WorkerId, order: GenerateOrder
+    ) -> AsyncGenerator[EngineEvent, None]:
         """Stream an answer; see the port."""
         url = self._url_of(worker)
         if url is None:
-            yield not_run(Reason.BACKEND_UNAVAILABLE, f"worker {worker} is not known")
+            yield _unknown_worker(worker)
             return
-        sent = False
         try:
             async with self._session.post(
-                f"{url}/v1/chat/completions", json=_body(order), headers=_headers(order)
+                f"{url}/v1/chat/completions",
+                data=json.dumps(_body(order)).encode(),
+                headers=_headers(order),
+                timeout=STREAM_TIMEOUT,
+                allow_redirects=False,
             ) as response:
-                sent = True
                 if response.status != 200:
-                    yield not_run(
-                        Reason.BACKEND_UNAVAILABLE, f"worker {worker} answered {response.status}"
-                    )
+                    yield _refused_generation(worker, response)
                     return
-                async for event in _events(response.content):
-                    yield event
-                    if isinstance(event, GenerateFinished):
-                        return
+                async with aclosing(read_events(response.content)) as events:
+                    async for event in events:
+                        yield event
+                        if isinstance(event, GenerateFinished):
+                            await _drain(response)
+                        if isinstance(event, (GenerateFinished, Refused)):
+                            return
             yield outcome_unknown(Reason.BACKEND_FAILED, f"worker {worker} ended its stream early")
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             yield not_run(Reason.BACKEND_UNAVAILABLE, f"worker {worker} cannot be reached")
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             kind = type(error).__name__
-            if sent:
-                yield outcome_unknown(Reason.BACKEND_FAILED, f"worker {worker} failed: {kind}")
-            else:
-                yield outcome_unknown(Reason.BACKEND_FAILED, f"worker {worker} answered {kind}")
+            yield outcome_unknown(Reason.BACKEND_FAILED, f"worker {worker} failed: {kind}")
+
+    async def cancel(self, worker: WorkerId, call_id: CallId) -> Done | Refused:
+        """See the port."""
+        return await self._done(worker, "POST", f"/calls/{_quoted(call_id)}/cancel")
+
+    async def release(self, worker: WorkerId, program_id: ProgramId) -> Done | Refused:
+        """See the port."""
+        return await self._done(worker, "POST", f"/programs/{_quoted(program_id)}/release")
+
+    async def load(self, worker: WorkerId) -> LoadReport | Refused:
+        """See the port."""
+        answer = await self._send(worker, "GET", "/metrics")
+        if isinstance(answer, Refused):
+            return answer
+        report = read_load(answer.body.decode(errors="replace"))
+        return malformed(_service(worker)) if report is None else report
+
+    async def cache_events(self, worker: WorkerId, after: int) -> CacheEventPage | Refused:
+        """See the port; a gap is found in the numbers too, whatever the engine says of it."""
+        answer = await self._send(worker, "GET", "/cache/events", parameters={"after": str(after)})
+        if isinstance(answer, Refused):
+            return answer
+        try:
+            document = CacheEventsDocument.model_validate_json(answer.body)
+        except ValidationError:
+            return malformed(_service(worker))
+        events = tuple(
+            CacheEvent(e.sequence, e.kind, tuple(e.block_hashes), e.parent_hash)
+            for e in document.events
+        )
+        gap = document.gap or _numbers_missing(events, after, document.next_sequence)
+        return CacheEventPage(events, document.next_sequence, gap)
+
+    async def export_cache(self, worker: WorkerId, program_id: ProgramId) -> bytes | Refused:
+        """See the port."""
+        path = f"/cache/programs/{_quoted(program_id)}"
+        answer = await self._send(worker, "GET", path, timeout_seconds=TRANSFER_SECONDS)
+        return answer if isinstance(answer, Refused) else answer.body
+
+    async def import_cache(
+        self, worker: WorkerId, program_id: ProgramId, data: bytes
+    ) -> Done | Refused:
+        """See the port."""
+        path = f"/cache/programs/{_quoted(program_id)}"
+        return await self._done(worker, "PUT", path, data, TRANSFER_SECONDS)
+
+    async def apply_order(self, worker: WorkerId, order: ModelOrder) -> Done | Refused:
+        """See the port."""
+        document = OrderDocument(
+            token=order.token,
+            epoch=order.epoch,
+            kind=order.kind,
+            model=order.model,
+            value=order.value,
+        )
+        body = document.model_dump_json().encode()
+        return await self._done(worker, "POST", "/orders", body, ORDER_SECONDS)
+
+    async def _done(
+        self,
+        worker: WorkerId,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_seconds: float = REQUEST_SECONDS,
+    ) -> Done | Refused:
+        answer = await self._send(worker, method, path, body, timeout_seconds)
+        return answer if isinstance(answer, Refused) else Done()
+
+    async def _send(
+        self,
+        worker: WorkerId,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_seconds: float = REQUEST_SECONDS,
+        parameters: dict[str, str] | None = None,
+    ) -> HttpAnswer | Refused:
+        """Send a request; an answer other than success is a refusal."""
+        url = self._url_of(worker)
+        if url is None:
+            return _unknown_worker(worker)
+        request = HttpRequest(method, url + path, timeout_seconds, body, None, parameters)
+        answer = await exchange(self._session, _service(worker), request)
+        if isinstance(answer, Refused) or answer.status in (200, 204):
+            return answer
+        if answer.status == 412:
+            return _fenced(worker)
+        if answer.status == 404:
+            return not_run(Reason.NOT_FOUND, f"worker {worker} knows nothing of it")
+        return refusal(_service(worker), answer)
 
 
 def _headers(order: GenerateOrder) -> dict[str, str]:
     return {
+        "Content-Type": "application/json",
         HEADER_CALL: order.call_id,
         HEADER_PROGRAM: order.program_id,
         HEADER_EPOCH: str(order.epoch),
@@ -83,28 +246,51 @@
     }
 
 
-async def _events(content: aiohttp.StreamReader) -> AsyncIterator[EngineEvent]:
-    finish_reason = "stop"
-    async for line in content:
-        if not line.startswith(EVENT_PREFIX):
-            continue
-        data = line[len(EVENT_PREFIX) :].strip()
-        if data == END_OF_STREAM:
-            return
-        document = json.loads(data)
-        usage = document.get("usage")
-        for choice in document["choices"]:
-            finish_reason = choice.get("finish_reason") or finish_reason
-            delta = choice["delta"]
-            text = delta.get("content") or ""
-            calls = tuple(delta.get("tool_calls") or ())
-            if text or calls:
-                yield TokenChunk(text, 1, calls)
-        if usage:
-            details = usage.get("prompt_tokens_details") or {}
-            yield GenerateFinished(
-                finish_reason,
-                usage["prompt_tokens"],
-                details.get("cached_tokens", 0),
-                usage["completion_tokens"],
-            )
+def _refused_generation(worker: WorkerId, response: aiohttp.ClientResponse) -> Refused:
+    """Return what a status means: an engine answers 412, 429, 4xx and 503 before it runs."""
+    status = response.status
+    detail = f"worker {worker} answered {status}"
+    retry_after = read_retry_after(response.headers.get(HEADER_RETRY_AFTER))
+    if status == 412:
+        return _fenced(worker)
+    if status == 429:
+        return not_run(Reason.RATE_LIMITED, detail, retry_after)
+    if status == 503:
+        return not_run(Reason.BACKEND_UNAVAILABLE, detail, retry_after)
+    if 400 <= status < 500:
+        return not_run(Reason.INVALID_REQUEST, detail)
+    return outcome_unknown(Reason.BACKEND_FAILED, detail)
+
+
+async def _drain(response: aiohttp.ClientResponse) -> None:
+    """Read the end of a stream that is over, so that its connection can be used again."""
+    try:
+        async with asyncio.timeout(DRAIN_SECONDS):
+            while not response.content.at_eof():
+                await response.content.readany()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        response.close()
+
+
+def _numbers_missing(events: tuple[CacheEvent, ...], after: int, next_sequence: int) -> bool:
+    if after == SNAPSHOT_AFTER:
+        return False
+    if len(events) != next_sequence - after:
+        return True
+    return any(event.sequence != number for number, event in enumerate(events, after + 1))
+
+
+def _service(worker: WorkerId) -> Service:
+    return Service(f"worker {worker}", Reason.BACKEND_UNAVAILABLE, Reason.BACKEND_UNAVAILABLE)
+
+
+def _fenced(worker: WorkerId) -> Refused:
+    return not_run(Reason.FENCED, f"worker {worker} has seen a newer epoch")
+
+
+def _unknown_worker(worker: WorkerId) -> Refused:
+    return not_run(Reason.BACKEND_UNAVAILABLE, f"worker {worker} is not known")
+
+
+def _quoted(name: str) -> str:
+    return quote(name, safe="")
--- /dev/null
+++ b/src/foxwinch/emulator/http_engine.py
@@ -0,0 +1,236 @@
+"""Stand-in engines over HTTP: many workers in one process, told apart by the URL's path."""
+
+import json
+from contextlib import aclosing
+from dataclasses import asdict
+
+from aiohttp import web
+from pydantic import ValidationError
+
+from foxwinch.backends.engine_http import (
+    HEADER_CALL,
+    HEADER_EPOCH,
+    HEADER_PRIORITY,
+    HEADER_PROGRAM,
+    HEADER_RESUME,
+    OrderDocument,
+)
+from foxwinch.backends.engine_load import write_load
+from foxwinch.backends.ports import (
+    Done,
+    GenerateFinished,
+    GenerateOrder,
+    Message,
+    ModelOrder,
+    TokenChunk,
+)
+from foxwinch.emulator.engine_worker import EngineWorker
+from foxwinch.emulator.faults import AnswerFate
+from foxwinch.emulator.http_faults import answer, break_connection, refusal_response, refused_at
+from foxwinch.emulator.stand_ins import StandIns
+from foxwinch.identifiers import CallId, Epoch, ModelName, ProgramId, WorkerId
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+
+WORKER = "/workers/{worker}"
+END_OF_STREAM = b"data: [DONE]\n\n"
+STREAM_HEADERS = {"Content-Type": "text/event-stream"}
+NO_SUCH_WORKER = not_run(Reason.NOT_FOUND, "no such worker")
+
+
+class EngineHandlers:
+    """Handlers of the engines."""
+
+    def __init__(self, stand_ins: StandIns) -> None:
+        """Serve the engines of `stand_ins`."""
+        self._engines = stand_ins.engines
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the handlers."""
+        router.add_post(f"{WORKER}/v1/chat/completions", self.complete)
+        router.add_post(f"{WORKER}/calls/{{call}}/cancel", self.cancel)
+        router.add_post(f"{WORKER}/programs/{{program}}/release", self.release)
+        router.add_get(f"{WORKER}/metrics", self.metrics)
+        router.add_get(f"{WORKER}/cache/events", self.cache_events)
+        router.add_get(f"{WORKER}/cache/programs/{{program}}", self.export_cache)
+        router.add_put(f"{WORKER}/cache/programs/{{program}}", self.import_cache)
+        router.add_post(f"{WORKER}/orders", self.apply_order)
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Stream an answer."""
+        body = await request.read()
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        try:
+            order = _generate_order(request, body)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return refusal_response(not_run(Reason.INVALID_REQUEST, "not a chat completion"))
+        fate = await engine.gate.leave()
+        if fate is AnswerFate.GIVEN:
+            return await _stream(request, engine, order)
+        async for _ in engine.generate(order):
+            pass
+        if fate is AnswerFate.LOST:
+            return break_connection(request)
+        return web.Response(body=b"data: {malformed\n\n", headers=STREAM_HEADERS)
+
+    async def cancel(self, request: web.Request) -> web.StreamResponse:
+        """Cancel a call."""
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        return await _done(request, engine, engine.cancel(CallId(request.match_info["call"])))
+
+    async def release(self, request: web.Request) -> web.StreamResponse:
+        """Free a program's cache."""
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        return await _done(request, engine, engine.release(_program(request)))
+
+    async def metrics(self, request: web.Request) -> web.StreamResponse:
+        """Tell the lagging load."""
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        return await answer(request, engine.gate, web.Response(text=write_load(engine.load())))
+
+    async def cache_events(self, request: web.Request) -> web.StreamResponse:
+        """Tell cache events."""
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        try:
+            after = int(request.query["after"])
+        except (KeyError, ValueError):
+            return refusal_response(not_run(Reason.INVALID_REQUEST, "after is a number"))
+        page = engine.cache_events(after)
+        return await answer(request, engine.gate, web.json_response(asdict(page)))
+
+    async def export_cache(self, request: web.Request) -> web.StreamResponse:
+        """Give a program's cache out."""
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        data = await engine.export_cache(_program(request))
+        if isinstance(data, Refused):
+            return refusal_response(data)
+        return await answer(request, engine.gate, web.Response(body=data))
+
+    async def import_cache(self, request: web.Request) -> web.StreamResponse:
+        """Take a program's cache in."""
+        data = await request.read()
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        return await _done(request, engine, await engine.import_cache(_program(request), data))
+
+    async def apply_order(self, request: web.Request) -> web.StreamResponse:
+        """Carry out a fenced order."""
+        body = await request.read()
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        try:
+            document = OrderDocument.model_validate_json(body)
+        except ValidationError:
+            return refusal_response(not_run(Reason.INVALID_REQUEST, "not an order"))
+        order = ModelOrder(
+            document.token,
+            Epoch(document.epoch),
+            document.kind,
+            ModelName(document.model),
+            document.value,
+        )
+        return await _done(request, engine, await engine.apply_order(order))
+
+    async def _enter(self, request: web.Request) -> EngineWorker | web.Response:
+        """Return the engine asked for, or its refusal of the request."""
+        engine = self._engines.get(WorkerId(request.match_info["worker"]))
+        if engine is None:
+            return refusal_response(NO_SUCH_WORKER)
+        return await refused_at(engine.gate) or engine
+
+
+async def _done(
+    request: web.Request, engine: EngineWorker, outcome: Done | Refused
+) -> web.StreamResponse:
+    if isinstance(outcome, Refused):
+        return refusal_response(outcome)
+    return await answer(request, engine.gate, web.Response(status=204))
+
+
+async def _stream(
+    request: web.Request, engine: EngineWorker, order: GenerateOrder
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=STREAM_HEADERS)
+    model = json.dumps(order.model)
+    async with aclosing(engine.generate(order)) as events:
+        async for event in events:
+            if isinstance(event, Refused):
+                if not response.prepared:
+                    return refusal_response(event)
+                if event.run_state is RunState.UNKNOWN:
+                    return break_connection(request)
+                await response.write(_error(event))
+                return response
+            if not response.prepared:
+                await response.prepare(request)
+            frame = _chunk(model, event) if isinstance(event, TokenChunk) else _end(model, event)
+            await response.write(frame)
+    return response
+
+
+def _chunk(model: str, chunk: TokenChunk) -> bytes:
+    text = json.dumps(chunk.text)
+    return (
+        f'data: {{"object": "chat.completion.chunk", "model": {model}, "choices": '
+        f'[{{"index": 0, "delta": {{"content": {text}}}, "finish_reason": null}}]}}\n\n'
+    ).encode()
+
+
+def _end(model: str, finished: GenerateFinished) -> bytes:
+    usage = {
+        "prompt_tokens": finished.prompt_tokens,
+        "completion_tokens": finished.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": finished.cached_tokens},
+    }
+    reason = json.dumps(finished.finish_reason)
+    last = (
+        f'data: {{"object": "chat.completion.chunk", "model": {model}, "choices": '
+        f'[{{"index": 0, "delta": {{}}, "finish_reason": {reason}}}]}}\n\n'
+        f'data: {{"object": "chat.completion.chunk", "model": {model}, "choices": [], '
+        f'"usage": {json.dumps(usage)}}}\n\n'
+    )
+    return last.encode() + END_OF_STREAM
+
+
+def _error(refused: Refused) -> bytes:
+    error = {
+        "message": refused.detail,
+        "code": refused.reason.value,
+        "run_state": refused.run_state.value,
+    }
+    return b"data: " + json.dumps({"error": error}).encode() + b"\n\n"
+
+
+def _generate_order(request: web.Request, body: bytes) -> GenerateOrder:
+    document = json.loads(body)
+    headers = request.headers
+    messages = tuple(
+        Message(str(m["role"]), str(m.get("content") or "")) for m in document["messages"]
+    )
+    return GenerateOrder(
+        call_id=CallId(headers[HEADER_CALL]),
+        program_id=ProgramId(headers[HEADER_PROGRAM]),
+        model=ModelName(document["model"]),
+        messages=messages,
+        maximum_tokens=int(document["max_tokens"]),
+        priority=int(headers[HEADER_PRIORITY]),
+        epoch=Epoch(int(headers[HEADER_EPOCH])),
+        resume_offset=int(headers[HEADER_RESUME]),
+    )
+
+
+def _program(request: web.Request) -> ProgramId:
+    return ProgramId(request.match_info["program"])
--- /dev/null
+++ b/src/foxwinch/emulator/http_tools.py
@@ -0,0 +1,57 @@
+"""Tool services of the stand-ins over HTTP."""
+
+import json
+
+from aiohttp import web
+
+from foxwinch.backends.ports import ToolOrder
+from foxwinch.backends.tools_http import HEADER_CALL, HEADER_PROGRAM
+from foxwinch.emulator.faults import FOREVER_SECONDS
+from foxwinch.emulator.http_faults import answer, refusal_response, refused_at
+from foxwinch.emulator.stand_ins import StandIns
+from foxwinch.identifiers import CallId, ProgramId, ToolName
+from foxwinch.outcomes import Reason, Refused, not_run
+
+
+class ToolHandlers:
+    """Handlers of the tool services."""
+
+    def __init__(self, stand_ins: StandIns) -> None:
+        """Serve the tools of `stand_ins`."""
+        self._stand_ins = stand_ins
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Register the handlers."""
+        router.add_post("/tools/{worker}/{tool}", self.call)
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        """Run a tool as often as it is asked to."""
+        body = await request.read()
+        worker = request.match_info["worker"]
+        if worker not in self._stand_ins.tool_workers:
+            return refusal_response(not_run(Reason.NOT_FOUND, "no such worker"))
+        gate = self._stand_ins.tools_gate
+        refused = await refused_at(gate)
+        if refused is not None:
+            return refused
+        try:
+            order = _order(request, json.loads(body))
+        except (ValueError, KeyError):
+            return refusal_response(not_run(Reason.INVALID_REQUEST, "not a call of a tool"))
+        now = self._stand_ins.clock.monotonic()
+        outcome = gate.apply(lambda: self._stand_ins.tools.run(order, worker, now))
+        if isinstance(outcome, Refused):
+            return refusal_response(outcome)
+        if order.tool in self._stand_ins.tool_faults.hung_tools:
+            await self._stand_ins.clock.sleep(FOREVER_SECONDS)
+        return await answer(request, gate, web.json_response({"content": outcome.content}))
+
+
+def _order(request: web.Request, arguments: object) -> ToolOrder:
+    return ToolOrder(
+        CallId(request.headers[HEADER_CALL]),
+        ProgramId(request.headers[HEADER_PROGRAM]),
+        ToolName(request.match_info["tool"]),
+        arguments,
+        timeout_seconds=0.0,
+    )
