Wire the HTTP adapters into nodes; add foxwinch emulator

Cause: a node process reached only engines, and the stand-ins had no process of their own. Conclusion: parts can be run against faults over HTTP.

--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -7,6 +7,7 @@
 from foxwinch.cli.bench import BenchCommand
 from foxwinch.cli.config import ConfigCommand
 from foxwinch.cli.dev import DevCommand
+from foxwinch.cli.emulator import EmulatorCommand
 from foxwinch.cli.fuzz import FuzzCommand
 from foxwinch.cli.node import NodeCommand
 from foxwinch.cli.nodes import NodesCommand
@@ -24,6 +25,7 @@
     command: cappa.Subcommands[
         NodeCommand
         | DevCommand
+        | EmulatorCommand
         | ConfigCommand
         | ProgramsCommand
         | NodesCommand
--- a/src/foxwinch/node/dev.py
+++ b/src/foxwinch/node/dev.py
@@ -6,25 +6,26 @@
 import uvloop
 from aiomisc import entrypoint
 
-from foxwinch.emulator.engine_http import build_engine_application
+from foxwinch.emulator.process import EmulatorService
+from foxwinch.emulator.settings import settings_of_cluster
 from foxwinch.gateway.authentication import hash_key
-from foxwinch.node.http_service import HttpService
 from foxwinch.node.process import NodeProcess
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
 
-TOKEN_SECONDS = 0.005
+MAXIMUM_ANSWER_TOKENS = 64
 KEY_BYTES = 24
+PATHS = {"engine": "workers", "tool": "tools"}
+"""Where the stand-ins serve the workers of a pool, by its kind."""
 
 
 def run_dev(document: ClusterConfiguration, announce: Callable[[dict[str, str]], None]) -> bool:
     """Run until a signal; `announce` gets the addresses and the keys made for this run."""
-    stand_ins = HttpService(build_engine_application(TOKEN_SECONDS))
+    stand_ins = EmulatorService(settings_of_cluster(document, MAXIMUM_ANSWER_TOKENS))
     loop = uvloop.new_event_loop()
     with entrypoint(stand_ins, loop=loop, log_config=False, catch_signals=()):
         caller_key = secrets.token_urlsafe(KEY_BYTES)
         operator_key = secrets.token_urlsafe(KEY_BYTES)
-        base_url = f"http://127.0.0.1:{stand_ins.bound_port}/workers"
         settings = NodeSettings(
             name="dev",
             region=document.region,
@@ -32,7 +33,7 @@
             operator_key_hashes=(hash_key(operator_key),),
             drain_seconds=10.0,
         )
-        process = NodeProcess(settings, _for_dev(document, base_url, caller_key), alone=True)
+        process = NodeProcess(settings, _for_dev(document, stand_ins.url, caller_key), alone=True)
         loop.run_until_complete(process.start())
         try:
             loop.run_until_complete(process.wait_ready())
@@ -49,7 +50,11 @@
     document: ClusterConfiguration, base_url: str, caller_key: str
 ) -> ClusterConfiguration:
     """Point the workers at the stand-ins and give the first tenant a key made for this run."""
-    workers = [w.model_copy(update={"url": f"{base_url}/{w.name}"}) for w in document.workers]
+    paths = {pool.name: PATHS[pool.kind] for pool in document.pools}
+    workers = [
+        worker.model_copy(update={"url": f"{base_url}/{paths[worker.pool]}/{worker.name}"})
+        for worker in document.workers
+    ]
     first, *others = document.tenants
     tenant = first.model_copy(update={"key_hashes": (*first.key_hashes, hash_key(caller_key))})
     return document.model_copy(update={"workers": tuple(workers), "tenants": (tenant, *others)})
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -5,18 +5,25 @@
 import aiohttp
 
 from foxwinch.backends.engine_http import HttpEngine
+from foxwinch.backends.tools_http import HttpTools
+from foxwinch.http_exchange import new_session
 from foxwinch.identifiers import NodeId
 from foxwinch.node.clock import SystemClock
+from foxwinch.node.interfaces import Clock
 from foxwinch.node.membership_service import parse_address
 from foxwinch.node.node import new_node_identity
 from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.peer.ports import PeerAddress
 from foxwinch.peer.service import PeerService
-from foxwinch.settings.process import NodeSettings
+from foxwinch.platform.machines_http import HttpMachines
+from foxwinch.platform.object_http import HttpObjects
+from foxwinch.platform.rate_limit import RateLimiter
+from foxwinch.platform.table_http import HttpTable
+from foxwinch.settings.process import NodeSettings, PlatformSettings
 
-CONNECT_SECONDS = 3.0
-"""For a connection to a back end or the platform to be made."""
+BURST_SECONDS = 2.0
+"""Requests to the platform that may come at once, as seconds of its rate."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,14 +33,15 @@
     node: NodeId
     ports: NodePorts
     directory: WorkerDirectory
-    session: aiohttp.ClientSession
+    sessions: tuple[aiohttp.ClientSession, ...]
     peers: PeerService | None
 
     async def close(self) -> None:
         """Close every connection."""
         if self.peers is not None:
             await self.peers.stop()
-        await self.session.close()
+        for session in self.sessions:
+            await session.close()
 
 
 async def open_ports(settings: NodeSettings, alone: bool = False) -> OpenPorts:
@@ -45,17 +53,20 @@
     if not alone:
         peers = PeerService(node, settings.host, settings.peer_port, settings.peer_tls)
         await peers.start()
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-    )
+    session = new_session()
+    tool_session = new_session(keep_connections=False)
+    platform = settings.platform
     ports = NodePorts(
         clock=clock,
         engine=HttpEngine(session, directory.url_of),
+        tools=HttpTools(tool_session, directory.urls_of_tool),
+        table=_table(platform, session, clock),
+        objects=_objects(platform, session, clock),
+        machines=HttpMachines(session, platform.machines_url) if platform.machines_url else None,
         peers=peers,
         peer_address=_advertised(settings, peers),
     )
-    return OpenPorts(node, ports, directory, session, peers)
+    return OpenPorts(node, ports, directory, (session, tool_session), peers)
 
 
 def _advertised(settings: NodeSettings, peers: PeerService | None) -> PeerAddress:
@@ -64,3 +75,26 @@
         return NO_PEER_ADDRESS
     given = parse_address(settings.peer_advertised) if settings.peer_advertised else None
     return given or peers.address
+
+
+def _table(
+    platform: PlatformSettings, session: aiohttp.ClientSession, clock: Clock
+) -> HttpTable | None:
+    if platform.table_url is None:
+        return None
+    limiter = _limiter(clock, platform.table_requests_per_second)
+    return HttpTable(session, platform.table_url, limiter)
+
+
+def _objects(
+    platform: PlatformSettings, session: aiohttp.ClientSession, clock: Clock
+) -> HttpObjects | None:
+    if platform.object_url is None:
+        return None
+    limiter = _limiter(clock, platform.object_requests_per_second)
+    return HttpObjects(session, platform.object_url, limiter)
+
+
+def _limiter(clock: Clock, requests_per_second: float) -> RateLimiter:
+    burst = max(1.0, requests_per_second * BURST_SECONDS)
+    return RateLimiter(clock, requests_per_second, burst)
--- a/src/foxwinch/node/http_service.py
+++ b/src/foxwinch/node/http_service.py
@@ -21,9 +21,11 @@
     tls: ssl.SSLContext | None = None
     limits: CallerLimits | None = None
     bound_port: int = 0
+    handler_cancellation: bool = True
+    """Whether a request is dropped when its client goes away."""
 
     def __init__(self, application: web.Application, **kwargs: Any) -> None:
-        """Serve `application`; `host`, `port`, `tls` and `limits` may be given by name."""
+        """Serve `application`; the class attributes may be given by name."""
         super().__init__(**kwargs)
         self._application = application
         self._runner: web.AppRunner | None = None
@@ -35,7 +37,7 @@
             self._application,
             access_log=None,
             handle_signals=False,
-            handler_cancellation=True,
+            handler_cancellation=self.handler_cancellation,
             shutdown_timeout=SHUTDOWN_SECONDS,
             **server_options(limits),
         )
--- a/src/foxwinch/settings/process.py
+++ b/src/foxwinch/settings/process.py
@@ -64,6 +64,10 @@
     table_url: str | None = None
     object_url: str | None = None
     machines_url: str | None = None
+    table_requests_per_second: Annotated[float, Field(gt=0)] = 50.0
+    """This node's share of the table's rate; more requests wait, or are refused with a time."""
+    object_requests_per_second: Annotated[float, Field(gt=0)] = 20.0
+    """This node's share of the object store's rate."""
 
 
 class NodeSettings(StrictModel):
--- /dev/null
+++ b/tests/test_emulator_process.py
@@ -0,0 +1,47 @@
+"""`foxwinch emulator` as a real process."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import urllib.request
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+SECONDS = 60
+
+
+def emulator(*arguments):
+    return subprocess.Popen(
+        [sys.executable, "-m", "foxwinch", "emulator", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+    )
+
+
+def test_serves_the_example_and_stops_on_sigterm():
+    process = emulator("--settings", str(ROOT / "examples" / "emulator.toml"), "--port", "0")
+    try:
+        printed = dict(process.stdout.readline().strip().split("=", 1) for _ in range(6))
+        with urllib.request.urlopen(printed["machines_url"] + "/machines", timeout=SECONDS) as got:
+            machines = json.load(got)["machines"]
+        assert [machine["name"] for machine in machines] == ["llm-1", "llm-2", "booking-1"]
+        assert printed["emulator_url"].endswith(machines[0]["address"])
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(SECONDS) == 0
+    finally:
+        process.kill()
+        process.communicate(timeout=SECONDS)
+
+
+def test_wrong_settings_are_refused_naming_the_field(tmp_path):
+    file = tmp_path / "emulator.toml"
+    file.write_text("[faults.table]\nlose_answer = 1\n")
+    process = emulator("--settings", str(file))
+    _, errors = process.communicate(timeout=SECONDS)
+    assert process.returncode == 2
+    assert "faults.table.lose_answer: unknown field" in errors
+    assert "lose_answers" in errors
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,8 +6,13 @@
 import pytest
 from aiohttp.test_utils import TestServer
 
-from foxwinch.emulator.engine_http import build_engine_application
+from foxwinch.backends.ports import GenerateOrder, Message
+from foxwinch.emulator.engine_answers import plan_answer
+from foxwinch.emulator.server import build_application
+from foxwinch.emulator.settings import settings_of_cluster
+from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.gateway.authentication import hash_key
+from foxwinch.node.clock import SystemClock
 from foxwinch.node.node import build_single_node
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
@@ -25,7 +30,8 @@
 async def caller():
     document = check(ClusterConfiguration, read_toml(CLEDWYN), str(CLEDWYN))
     assert isinstance(document, ClusterConfiguration)
-    engines = TestServer(build_engine_application(0.0))
+    settings = settings_of_cluster(document).model_copy(update={"pace": "instant"})
+    engines = TestServer(build_application(StandIns(settings, SystemClock())))
     await engines.start_server()
     base = str(engines.make_url("/workers"))
     workers = tuple(w.model_copy(update={"url": f"{base}/{w.name}"}) for w in document.workers)
@@ -46,7 +52,11 @@
     async with caller.post("/v1/chat/completions", json=CALL) as response:
         document = await response.json()
     assert response.status == 200
-    assert document["choices"][0]["message"]["content"] == "the next train "
+    program = response.headers["X-Foxwinch-Program"]
+    messages = (Message("user", "To Wrecsam, please."),)
+    order = GenerateOrder("any", program, "rail-chat", messages, 3, 0, 1)
+    expected = "".join(plan_answer(order, 3).tokens)
+    assert document["choices"][0]["message"]["content"] == expected
     assert document["usage"]["completion_tokens"] == 3
 
 
