Measure a node's overhead against a bare pass-through

Cause: the cost that a node adds must be known before the data path is improved. Change: foxwinch bench overhead starts one stand-in engine process, a bare aiohttp pass-through and a real node, loads them in rounds of alternating order with a client that only counts whole answers, and writes ratios as JSON.

--- /dev/null
+++ b/src/foxwinch/bench/overhead.py
@@ -0,0 +1,243 @@
+"""What a node adds to a request, against a bare pass-through to the same engine.
+
+Both sides answer the same requests from the same engine process in the same run, in rounds whose
+order alternates, so that other work on the machine falls on both. Only ratios are compared.
+"""
+
+import asyncio
+import json
+import statistics
+import tempfile
+from collections.abc import Callable, Sequence
+from contextlib import ExitStack
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from foxwinch.backends.engine_http import (
+    HEADER_CALL,
+    HEADER_EPOCH,
+    HEADER_PRIORITY,
+    HEADER_PROGRAM,
+    HEADER_RESUME,
+)
+from foxwinch.bench.overhead_settings import CALLER_KEY, ENGINES, MODEL, write_settings
+from foxwinch.bench.processes import BenchProcess
+from foxwinch.bench.stream_client import Load, LoadResult, prepare_request, run_load
+
+DIRECT_HEADERS = {
+    HEADER_CALL: "direct",
+    HEADER_PROGRAM: "direct",
+    HEADER_EPOCH: "1",
+    HEADER_PRIORITY: "0",
+    HEADER_RESUME: "0",
+}
+PROMPT = "From Carmarthen to Wrecsam on Friday with two children, by the window, please."
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One load."""
+
+    outstanding: int
+    chunks: int
+    requests: int
+    """In one round, to each side."""
+
+
+CASES = (Case(1, 8, 200), Case(1, 200, 60), Case(32, 8, 1_500), Case(32, 200, 150))
+WARM_UP_REQUESTS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Side:
+    """A server under test."""
+
+    name: str
+    url: str
+    headers: dict[str, str]
+    process: BenchProcess
+
+
+@dataclass(frozen=True, slots=True)
+class SideFigures:
+    """Medians over the rounds."""
+
+    requests_per_second: float
+    chunks_per_second: float
+    median_latency_seconds: float
+    processor_seconds_per_request: float
+
+
+@dataclass(frozen=True, slots=True)
+class CaseFigures:
+    """Ratios of one case, each the median of the rounds' ratios."""
+
+    outstanding: int
+    chunks: int
+    throughput_ratio: float
+    """Requests a second of the node to those of the pass-through."""
+    chunk_ratio: float
+    added_latency_ratio: float | None
+    """Median latency above the engine's own: the node's to the pass-through's.
+
+    None above 1 outstanding request, where requests wait for each other at the engine too.
+    """
+    direct: SideFigures
+    pass_through: SideFigures
+    node: SideFigures
+
+
+@dataclass(frozen=True, slots=True)
+class OverheadReport:
+    """All cases and the ratios that have a goal."""
+
+    throughput_ratio: float
+    """Lowest at the most outstanding requests; goal: at least 0.5."""
+    chunk_ratio: float
+    """Lowest at the most outstanding requests; goal: at least 0.5."""
+    added_latency_ratio: float
+    """Highest at 1 outstanding request; goal: at most 2.5."""
+    rounds: int
+    journal: str
+    cases: tuple[CaseFigures, ...]
+
+    def to_json(self) -> str:
+        """Return the report as JSON."""
+        return json.dumps(asdict(self), indent=2) + "\n"
+
+
+def run_overhead(
+    rounds: int, tell: Callable[[str], None], cases: Sequence[Case] = CASES
+) -> OverheadReport:
+    """Start the processes, run every case, stop the processes."""
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        sides = _start(stack, directory)
+        figures = []
+        for case in cases:
+            figures.append(asyncio.run(_run_case(sides, case, rounds)))
+            tell(_line(figures[-1]))
+    busiest = [f for f in figures if f.outstanding == max(c.outstanding for c in cases)]
+    single = [f for f in figures if f.outstanding == min(c.outstanding for c in cases)]
+    return OverheadReport(
+        throughput_ratio=min(f.throughput_ratio for f in busiest),
+        chunk_ratio=min(f.chunk_ratio for f in busiest),
+        added_latency_ratio=max(f.added_latency_ratio or 0.0 for f in single),
+        rounds=rounds,
+        journal="one node, records in its memory",
+        cases=tuple(figures),
+    )
+
+
+def _start(stack: ExitStack, directory: Path) -> tuple[Side, Side, Side]:
+    log = directory / "log"
+    files = write_settings(directory)
+    emulator = stack.enter_context(
+        BenchProcess(
+            "foxwinch",
+            "emulator",
+            "--settings",
+            str(files.emulator),
+            expected=["workers_url", "machines_url"],
+            log=log,
+        )
+    )
+    workers = [f"{emulator.printed['workers_url']}/{name}" for name in ENGINES]
+    configuration = files.write_configuration(workers)
+    pass_through = stack.enter_context(
+        BenchProcess("foxwinch.bench.pass_through", *workers, expected=["caller_url"], log=log)
+    )
+    node = stack.enter_context(
+        BenchProcess(
+            "foxwinch",
+            "node",
+            "--settings",
+            str(files.node),
+            "--configuration",
+            str(configuration),
+            expected=["caller_url"],
+            log=log,
+        )
+    )
+    bearer = {"Authorization": f"Bearer {CALLER_KEY}"}
+    return (
+        Side("direct", workers[0], DIRECT_HEADERS, emulator),
+        Side("pass_through", pass_through.printed["caller_url"], bearer, pass_through),
+        Side("node", node.printed["caller_url"], bearer, node),
+    )
+
+
+async def _run_case(sides: tuple[Side, Side, Side], case: Case, rounds: int) -> CaseFigures:
+    results: dict[str, list[LoadResult]] = {side.name: [] for side in sides}
+    processor: dict[str, float] = dict.fromkeys(results, 0.0)
+    for side in sides:
+        await run_load(_load(side, case, min(case.requests, WARM_UP_REQUESTS)))
+    for number in range(rounds):
+        for side in sides if number % 2 == 0 else sides[::-1]:
+            before = side.process.processor_seconds()
+            results[side.name].append(await run_load(_load(side, case, case.requests)))
+            processor[side.name] += side.process.processor_seconds() - before
+    figures = {
+        name: _side_figures(rounds_of, processor[name]) for name, rounds_of in results.items()
+    }
+    compared = list(zip(*(results[side.name] for side in sides), strict=True))
+    return CaseFigures(
+        case.outstanding,
+        case.chunks,
+        statistics.median(n.requests_per_second / p.requests_per_second for _, p, n in compared),
+        statistics.median(n.chunks_per_second / p.chunks_per_second for _, p, n in compared),
+        _added_latency_ratio(case, compared),
+        figures["direct"],
+        figures["pass_through"],
+        figures["node"],
+    )
+
+
+def _added_latency_ratio(case: Case, compared: list[tuple[LoadResult, ...]]) -> float | None:
+    if case.outstanding > 1:
+        return None
+    return statistics.median(_added(d, n) / _added(d, p) for d, p, n in compared)
+
+
+def _load(side: Side, case: Case, requests: int) -> Load:
+    body = json.dumps(
+        {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": PROMPT}],
+            "max_tokens": case.chunks,
+            "stream": True,
+        }
+    ).encode()
+    request = prepare_request(side.url, body, side.headers)
+    return Load(side.url, request, requests, case.outstanding, case.chunks)
+
+
+def _added(direct: LoadResult, side: LoadResult) -> float:
+    """Return the median latency that a side adds to the engine's own."""
+    return _median(side) - _median(direct)
+
+
+def _median(result: LoadResult) -> float:
+    return statistics.median(result.latencies_seconds)
+
+
+def _side_figures(rounds: list[LoadResult], processor_seconds: float) -> SideFigures:
+    requests = sum(result.requests for result in rounds)
+    return SideFigures(
+        statistics.median(result.requests_per_second for result in rounds),
+        statistics.median(result.chunks_per_second for result in rounds),
+        statistics.median(_median(result) for result in rounds),
+        processor_seconds / requests,
+    )
+
+
+def _line(figures: CaseFigures) -> str:
+    added = figures.added_latency_ratio
+    return (
+        f"outstanding={figures.outstanding} chunks={figures.chunks} "
+        f"throughput_ratio={figures.throughput_ratio:.3f} chunk_ratio={figures.chunk_ratio:.3f} "
+        f"added_latency_ratio={'-' if added is None else f'{added:.3f}'} "
+        f"pass_through_requests_per_second={figures.pass_through.requests_per_second:.0f} "
+        f"node_requests_per_second={figures.node.requests_per_second:.0f} "
+        f"direct_requests_per_second={figures.direct.requests_per_second:.0f}"
+    )
--- /dev/null
+++ b/src/foxwinch/bench/overhead_settings.py
@@ -0,0 +1,89 @@
+"""Settings files of the processes that the overhead bench starts."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from foxwinch.gateway.authentication import hash_key
+
+MODEL = "bench-chat"
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+"""Engines of the one stand-in process; more than a node keeps busy at 8 calls each."""
+CALLER_KEY = "key-of-the-overhead-bench"
+EMULATOR = """\
+pace = "instant"
+maximum_answer_tokens = 1000
+"""
+EMULATED_ENGINE = """
+[[engines]]
+name = "{name}"
+models = ["{model}"]
+"""
+NODE = """\
+name = "bench"
+region = "bench"
+zone = "zone-1"
+"""
+CONFIGURATION = """\
+deployment = "bench"
+region = "bench"
+zones = ["zone-1"]
+default_template = "one-call"
+
+[[tenants]]
+name = "bench"
+key_hashes = ["{key_hash}"]
+requests_per_second = 1000000.0
+tokens_per_second = 1000000000.0
+
+[[classes]]
+name = "bench"
+rank = 1
+deadline_seconds = 60.0
+
+[[models]]
+name = "{model}"
+
+[[pools]]
+name = "engines"
+kind = "engine"
+models = ["{model}"]
+
+[[templates]]
+name = "one-call"
+class_name = "bench"
+models = ["{model}"]
+"""
+WORKER = """
+[[workers]]
+name = "{name}"
+pool = "engines"
+zone = "zone-1"
+url = "{url}"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFiles:
+    """The files written."""
+
+    directory: Path
+    emulator: Path
+    node: Path
+
+    def write_configuration(self, worker_urls: list[str]) -> Path:
+        """Write the cluster configuration, once the workers' URLs are known."""
+        path = self.directory / "configuration.toml"
+        text = CONFIGURATION.format(key_hash=hash_key(CALLER_KEY), model=MODEL)
+        named = zip(ENGINES, worker_urls, strict=True)
+        text += "".join(WORKER.format(name=name, url=url) for name, url in named)
+        path.write_text(text, encoding="utf-8")
+        return path
+
+
+def write_settings(directory: Path) -> SettingsFiles:
+    """Write what can be written before any process runs."""
+    emulator, node = directory / "emulator.toml", directory / "node.toml"
+    engines = "".join(EMULATED_ENGINE.format(name=name, model=MODEL) for name in ENGINES)
+    emulator.write_text(EMULATOR + engines, encoding="utf-8")
+    node.write_text(NODE, encoding="utf-8")
+    return SettingsFiles(directory, emulator, node)
--- /dev/null
+++ b/src/foxwinch/bench/processes.py
@@ -0,0 +1,59 @@
+"""Processes that a bench starts: each prints `name=value` lines when it is ready."""
+
+import os
+import subprocess
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+STOP_SECONDS = 10.0
+
+
+class BenchProcess:
+    """A Python module run as a process, stopped when the block is left."""
+
+    def __init__(self, *arguments: str, expected: Iterable[str], log: Path) -> None:
+        """Start `python -m ARGUMENTS` and wait for its lines; its log goes to a file."""
+        self._log = log.open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            text=True,
+        )
+        self.printed: dict[str, str] = {}
+        assert self.process.stdout is not None
+        while not set(expected) <= self.printed.keys():
+            line = self.process.stdout.readline()
+            if not line:
+                code = self.process.wait(STOP_SECONDS)
+                raise RuntimeError(f"{arguments[0]} ended with {code}; its log is {log}")
+            name, _, value = line.strip().partition("=")
+            self.printed[name] = value
+
+    def processor_seconds(self) -> float:
+        """Return the processor time that the process has used."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def __enter__(self) -> Self:
+        """Return the running process."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop it, by force when it does not stop by itself."""
+        self.process.terminate()
+        try:
+            self.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait(STOP_SECONDS)
+        self._log.close()
--- a/src/foxwinch/cli/bench.py
+++ b/src/foxwinch/cli/bench.py
@@ -7,6 +7,7 @@
 from foxwinch.cli.bench_capacity import CapacityCommand
 from foxwinch.cli.bench_detection import DetectionCommand
 from foxwinch.cli.bench_fleet import FleetCommand
+from foxwinch.cli.bench_overhead import OverheadCommand
 from foxwinch.cli.bench_peer import PeerCommand
 from foxwinch.cli.bench_schedule import BenchScheduleCommand
 
@@ -17,5 +18,10 @@
     """Measurements, and experiments on models."""
 
     command: cappa.Subcommands[
-        BenchScheduleCommand | FleetCommand | DetectionCommand | PeerCommand | CapacityCommand
+        BenchScheduleCommand
+        | FleetCommand
+        | DetectionCommand
+        | PeerCommand
+        | CapacityCommand
+        | OverheadCommand
     ]
