Keep an engine's connection when the reader stops at the end event

Cause: a reader that stops at GenerateFinished closed the generator before the end of the stream had arrived, and the connection with it. Conclusion: no new connection for each call.

--- a/src/foxwinch/backends/engine_http.py
+++ b/src/foxwinch/backends/engine_http.py
@@ -119,9 +119,11 @@
                     return
                 async with aclosing(read_events(response.content)) as events:
                     async for event in events:
-                        yield event
-                        if isinstance(event, GenerateFinished):
-                            await _drain(response)
+                        try:
+                            yield event
+                        finally:
+                            if isinstance(event, GenerateFinished):
+                                await _drain(response)
                         if isinstance(event, (GenerateFinished, Refused)):
                             return
             yield outcome_unknown(Reason.BACKEND_FAILED, f"worker {worker} ended its stream early")
--- a/tests/test_backends_http.py
+++ b/tests/test_backends_http.py
@@ -12,6 +12,7 @@
 from foxwinch.backends.ports import (
     CacheEventPage,
     Done,
+    GenerateFinished,
     GenerateOrder,
     LoadReport,
     Message,
@@ -274,6 +275,33 @@
         assert isinstance(await anext(stream), TokenChunk)
 
 
+async def test_a_stream_left_at_its_end_event_keeps_its_connection(world):
+    end_seen = asyncio.Event()
+    connections = []
+    usage = b'data: {"choices": [], "usage": {"prompt_tokens": 1, "completion_tokens": 0}}\n\n'
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        while await reader.read(65_536):
+            writer.write(head + f"{len(usage):x}\r\n".encode() + usage + b"\r\n")
+            await end_seen.wait()
+            writer.write(b"0\r\n\r\n")
+            end_seen.clear()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    engine = HttpEngine(world.session, {"w": url}.get)
+    async with server:
+        for _ in range(3):
+            async with aclosing(engine.generate("w", ORDER)) as stream:
+                assert isinstance(await anext(stream), GenerateFinished)
+                end_seen.set()
+        assert len(connections) == 1
+        for writer in connections:
+            writer.close()
+
+
 async def test_faults_and_state_over_http(world):
     async with world.session.post(
         f"{world.base}/faults", json={"tools": {"lose_answers": 1}}
