Wait for stewards in the whole path and the overhead bench

Cause: with the whole engine port in place a node grants through stewards, which settle for a second and need the table's epochs; the engines fence who holds no epoch. Conclusion: the stand-in fences as real engines do.

--- a/src/foxwinch/bench/overhead.py
+++ b/src/foxwinch/bench/overhead.py
@@ -9,7 +9,7 @@
 import statistics
 import tempfile
 from collections.abc import Callable, Sequence
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
@@ -20,9 +20,21 @@
     HEADER_PROGRAM,
     HEADER_RESUME,
 )
-from foxwinch.bench.overhead_settings import CALLER_KEY, ENGINES, MODEL, write_settings
+from foxwinch.bench.overhead_settings import (
+    CALLER_KEY,
+    ENGINES,
+    MODEL,
+    UNFENCED_ENGINES,
+    write_settings,
+)
 from foxwinch.bench.processes import BenchProcess
-from foxwinch.bench.stream_client import Load, LoadResult, prepare_request, run_load
+from foxwinch.bench.stream_client import (
+    IncompleteAnswerError,
+    Load,
+    LoadResult,
+    prepare_request,
+    run_load,
+)
 
 DIRECT_HEADERS = {
     HEADER_CALL: "direct",
@@ -46,6 +58,8 @@
 
 CASES = (Case(1, 8, 200), Case(1, 200, 60), Case(32, 8, 1_500), Case(32, 200, 150))
 WARM_UP_REQUESTS = 100
+START_SECONDS = 30.0
+START_RETRY_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +127,7 @@
     with ExitStack() as stack:
         directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         sides = _start(stack, directory)
+        asyncio.run(_wait_until_served(sides[2]))
         figures = []
         for case in cases:
             figures.append(asyncio.run(_run_case(sides, case, rounds)))
@@ -138,12 +153,13 @@
             "emulator",
             "--settings",
             str(files.emulator),
-            expected=["workers_url", "machines_url"],
+            expected=["workers_url", "table_url", "object_url", "machines_url"],
             log=log,
         )
     )
-    workers = [f"{emulator.printed['workers_url']}/{name}" for name in ENGINES]
-    configuration = files.write_configuration(workers)
+    workers_url = emulator.printed["workers_url"]
+    configuration = files.write_configuration([f"{workers_url}/{name}" for name in ENGINES])
+    workers = [f"{workers_url}/{name}" for name in UNFENCED_ENGINES]
     pass_through = stack.enter_context(
         BenchProcess("foxwinch.bench.pass_through", *workers, expected=["caller_url"], log=log)
     )
@@ -155,6 +171,7 @@
             str(files.node),
             "--configuration",
             str(configuration),
+            *_platform_flags(emulator),
             expected=["caller_url"],
             log=log,
         )
@@ -167,6 +184,24 @@
     )
 
 
+def _platform_flags(emulator: BenchProcess) -> list[str]:
+    flags = []
+    for name in ("table_url", "object_url", "machines_url"):
+        flags += [f"--{name.replace('_', '-')}", emulator.printed[name]]
+    return flags
+
+
+async def _wait_until_served(side: Side) -> None:
+    """Ask until a whole answer comes: the workers of a fresh node have no stewards yet."""
+    load = _load(side, Case(1, 1, 1), 1)
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            with suppress(IncompleteAnswerError):
+                await run_load(load)
+                return
+            await asyncio.sleep(START_RETRY_SECONDS)
+
+
 async def _run_case(sides: tuple[Side, Side, Side], case: Case, rounds: int) -> CaseFigures:
     results: dict[str, list[LoadResult]] = {side.name: [] for side in sides}
     processor: dict[str, float] = dict.fromkeys(results, 0.0)
--- a/src/foxwinch/bench/overhead_settings.py
+++ b/src/foxwinch/bench/overhead_settings.py
@@ -8,6 +8,8 @@
 MODEL = "bench-chat"
 ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 """Engines of the one stand-in process; more than a node keeps busy at 8 calls each."""
+UNFENCED_ENGINES = ("open-1", "open-2", "open-3", "open-4")
+"""Engines of the same process for who holds no epoch: the node's own refuse them."""
 CALLER_KEY = "key-of-the-overhead-bench"
 EMULATOR = """\
 pace = "instant"
@@ -83,7 +85,9 @@
 def write_settings(directory: Path) -> SettingsFiles:
     """Write what can be written before any process runs."""
     emulator, node = directory / "emulator.toml", directory / "node.toml"
-    engines = "".join(EMULATED_ENGINE.format(name=name, model=MODEL) for name in ENGINES)
+    engines = "".join(
+        EMULATED_ENGINE.format(name=name, model=MODEL) for name in ENGINES + UNFENCED_ENGINES
+    )
     emulator.write_text(EMULATOR + engines, encoding="utf-8")
     node.write_text(NODE, encoding="utf-8")
     return SettingsFiles(directory, emulator, node)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """A caller's request goes through a node to a stand-in engine and comes back whole."""
 
+import asyncio
 from pathlib import Path
 
 import aiohttp
@@ -7,6 +8,7 @@
 from aiohttp.test_utils import TestServer
 
 from foxwinch.backends.ports import GenerateOrder, Message
+from foxwinch.core.program.identity import scoped
 from foxwinch.emulator.engine_answers import plan_answer
 from foxwinch.emulator.server import build_application
 from foxwinch.emulator.settings import settings_of_cluster
@@ -26,6 +28,16 @@
 }
 
 
+async def until_served(client):
+    """Wait until the workers have stewards, asking again when the node says to."""
+    while True:
+        async with client.post("/v1/chat/completions", json=CALL) as response:
+            if response.status != 503:
+                return
+            assert (await response.json())["error"]["run_state"] == "not_run"
+            await asyncio.sleep(float(response.headers["Retry-After"]))
+
+
 @pytest.fixture
 async def caller():
     document = check(ClusterConfiguration, read_toml(CLEDWYN), str(CLEDWYN))
@@ -38,13 +50,17 @@
     tenant = document.tenants[0].model_copy(update={"key_hashes": (hash_key(KEY),)})
     document = document.model_copy(update={"workers": workers, "tenants": (tenant,)})
     async with aiohttp.ClientSession() as session:
-        gateway = TestServer(build_single_node(document, session).caller_application())
+        node = build_single_node(document, session)
+        await node.start()
+        gateway = TestServer(node.caller_application())
         await gateway.start_server()
         async with aiohttp.ClientSession(
             base_url=gateway.make_url("/"), headers={"Authorization": f"Bearer {KEY}"}
         ) as client:
+            await until_served(client)
             yield client
         await gateway.close()
+        await node.stop()
     await engines.close()
 
 
@@ -52,7 +68,7 @@
     async with caller.post("/v1/chat/completions", json=CALL) as response:
         document = await response.json()
     assert response.status == 200
-    program = response.headers["X-Foxwinch-Program"]
+    program = scoped("seat-reservations", response.headers["X-Foxwinch-Program"])
     messages = (Message("user", "To Wrecsam, please."),)
     order = GenerateOrder("any", program, "rail-chat", messages, 3, 0, 1)
     expected = "".join(plan_answer(order, 3).tokens)
