--- a/src/foxwinch/bench/overhead.py
+++ b/src/foxwinch/bench/overhead.py
@@ -25,6 +25,7 @@
     ENGINES,
     MODEL,
     UNFENCED_ENGINES,
+    SettingsFiles,
     write_settings,
 )
 from foxwinch.bench.processes import BenchProcess
@@ -58,7 +59,9 @@
 
 CASES = (Case(1, 8, 200), Case(1, 200, 60), Case(32, 8, 1_500), Case(32, 200, 150))
 WARM_UP_REQUESTS = 100
-START_SECONDS = 30.0
+START_SECONDS = 60.0
+SERVED_REQUESTS = 300
+"""In a row without a refusal, before anything is measured."""
 START_RETRY_SECONDS = 0.2
 
 
@@ -139,7 +142,7 @@
         chunk_ratio=min(f.chunk_ratio for f in busiest),
         added_latency_ratio=max(f.added_latency_ratio or 0.0 for f in single),
         rounds=rounds,
-        journal="one node, records in its memory",
+        journal="three nodes in three zones, records in the memory of a majority",
         cases=tuple(figures),
     )
 
@@ -163,19 +166,7 @@
     pass_through = stack.enter_context(
         BenchProcess("foxwinch.bench.pass_through", *workers, expected=["caller_url"], log=log)
     )
-    node = stack.enter_context(
-        BenchProcess(
-            "foxwinch",
-            "node",
-            "--settings",
-            str(files.node),
-            "--configuration",
-            str(configuration),
-            *_platform_flags(emulator),
-            expected=["caller_url"],
-            log=log,
-        )
-    )
+    node = _start_nodes(stack, files, configuration, emulator, log)
     bearer = {"Authorization": f"Bearer {CALLER_KEY}"}
     return (
         Side("direct", workers[0], DIRECT_HEADERS, emulator),
@@ -184,6 +175,27 @@
     )
 
 
+def _start_nodes(
+    stack: ExitStack,
+    files: SettingsFiles,
+    configuration: Path,
+    emulator: BenchProcess,
+    log: Path,
+) -> BenchProcess:
+    """Start a node in each zone, each after the first joining it; returns the first."""
+    nodes: list[BenchProcess] = []
+    for settings in files.nodes:
+        arguments = ["--settings", str(settings), "--configuration", str(configuration)]
+        arguments += _platform_flags(emulator)
+        if nodes:
+            arguments += ["--peer", nodes[0].printed["peer_address"]]
+        node = BenchProcess(
+            "foxwinch", "node", *arguments, expected=["caller_url", "peer_address"], log=log
+        )
+        nodes.append(stack.enter_context(node))
+    return nodes[0]
+
+
 def _platform_flags(emulator: BenchProcess) -> list[str]:
     flags = []
     for name in ("table_url", "object_url", "machines_url"):
@@ -192,8 +204,8 @@
 
 
 async def _wait_until_served(side: Side) -> None:
-    """Ask until a whole answer comes: the workers of a fresh node have no stewards yet."""
-    load = _load(side, Case(1, 1, 1), 1)
+    """Ask until a whole round is served: fresh nodes still take shards and workers over."""
+    load = _load(side, Case(1, 1, 1), SERVED_REQUESTS)
     async with asyncio.timeout(START_SECONDS):
         while True:
             with suppress(IncompleteAnswerError):
--- a/src/foxwinch/bench/overhead_settings.py
+++ b/src/foxwinch/bench/overhead_settings.py
@@ -10,6 +10,8 @@
 """Engines of the one stand-in process; more than a node keeps busy at 8 calls each."""
 UNFENCED_ENGINES = ("open-1", "open-2", "open-3", "open-4")
 """Engines of the same process for who holds no epoch: the node's own refuse them."""
+ZONES = ("zone-1", "zone-2", "zone-3")
+"""One node in each, so that a majority of the journal's replicas is in memory."""
 CALLER_KEY = "key-of-the-overhead-bench"
 EMULATOR = """\
 pace = "instant"
@@ -21,14 +23,14 @@
 models = ["{model}"]
 """
 NODE = """\
-name = "bench"
+name = "{name}"
 region = "bench"
-zone = "zone-1"
+zone = "{zone}"
 """
 CONFIGURATION = """\
 deployment = "bench"
 region = "bench"
-zones = ["zone-1"]
+zones = ["zone-1", "zone-2", "zone-3"]
 default_template = "one-call"
 
 [[tenants]]
@@ -70,7 +72,7 @@
 
     directory: Path
     emulator: Path
-    node: Path
+    nodes: tuple[Path, ...]
 
     def write_configuration(self, worker_urls: list[str]) -> Path:
         """Write the cluster configuration, once the workers' URLs are known."""
@@ -84,10 +86,12 @@
 
 def write_settings(directory: Path) -> SettingsFiles:
     """Write what can be written before any process runs."""
-    emulator, node = directory / "emulator.toml", directory / "node.toml"
+    emulator = directory / "emulator.toml"
     engines = "".join(
         EMULATED_ENGINE.format(name=name, model=MODEL) for name in ENGINES + UNFENCED_ENGINES
     )
     emulator.write_text(EMULATOR + engines, encoding="utf-8")
-    node.write_text(NODE, encoding="utf-8")
-    return SettingsFiles(directory, emulator, node)
+    nodes = tuple(directory / f"node-{zone}.toml" for zone in ZONES)
+    for zone, path in zip(ZONES, nodes, strict=True):
+        path.write_text(NODE.format(name=f"node-{zone}", zone=zone), encoding="utf-8")
+    return SettingsFiles(directory, emulator, nodes)
