Read all engine events that have arrived together in one go

Cause: the adapter read its stream line by line through the stream reader, and json decoded bytes whose encoding it had to detect. Change: whatever has arrived is read at once, split into lines and decoded in place.

--- a/src/foxwinch/backends/engine_stream.py
+++ b/src/foxwinch/backends/engine_stream.py
@@ -1,7 +1,7 @@
 """Server-sent events of an engine's chat completions, read into engine events."""
 
 import json
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Iterator
 from typing import Any
 
 import aiohttp
@@ -9,64 +9,82 @@
 from foxwinch.backends.ports import EngineEvent, GenerateFinished, TokenChunk
 from foxwinch.outcomes import Reason, Refused, RunState, outcome_unknown
 
-EVENT_PREFIX = b"data: "
-END_OF_STREAM = b"[DONE]"
+EVENT_PREFIX = "data: "
+END_OF_STREAM = "[DONE]"
+MAXIMUM_LINE_BYTES = 1024 * 1024
+"""A longer line without an end is no event of an engine."""
 MALFORMED_ERRORS = (ValueError, KeyError, TypeError, AttributeError, IndexError)
 """What reading an answer of another shape raises."""
+MALFORMED = outcome_unknown(Reason.BACKEND_FAILED, "an event of the engine is malformed")
+_decode_at = json.JSONDecoder().raw_decode
 
 
 async def read_events(content: aiohttp.StreamReader) -> AsyncGenerator[EngineEvent, None]:
-    """Yield the events of a stream until it ends; an unreadable one ends it as `unknown`."""
-    finish_reason = "stop"
-    async for line in content:
-        if not line.startswith(EVENT_PREFIX):
-            continue
-        data = line[len(EVENT_PREFIX) :].strip()
-        if data == END_OF_STREAM:
+    """Yield the events of a stream until it ends; an unreadable one ends it as `unknown`.
+
+    All lines that have arrived together are read without a pause between their events.
+    """
+    reader = _EventReader()
+    rest = b""
+    while data := await content.readany():
+        lines, _, rest = (rest + data).rpartition(b"\n")
+        if len(rest) > MAXIMUM_LINE_BYTES:
+            yield MALFORMED
             return
-        try:
-            document = json.loads(data)
-            finish_reason = _finish_reason(document) or finish_reason
-            events = _events(document, finish_reason)
-        except MALFORMED_ERRORS:
-            events = [outcome_unknown(Reason.BACKEND_FAILED, "an event of the engine is malformed")]
-        for event in events:
+        for event in reader.read(lines):
             yield event
             if isinstance(event, Refused):
                 return
+        if reader.ended:
+            return
+
 
+class _EventReader:
+    """Reads whole lines; `ended` tells that the end marker has been read."""
 
-def _finish_reason(document: dict[str, Any]) -> str | None:
-    for choice in document.get("choices") or ():
-        if choice.get("finish_reason"):
-            return str(choice["finish_reason"])
-    return None
+    def __init__(self) -> None:
+        self.ended = False
+        self._finish_reason = "stop"
 
+    def read(self, lines: bytes) -> Iterator[EngineEvent]:
+        try:
+            for line in lines.decode().split("\n"):
+                if not line.startswith(EVENT_PREFIX):
+                    continue
+                if line.startswith(END_OF_STREAM, len(EVENT_PREFIX)):
+                    self.ended = True
+                    return
+                document, _ = _decode_at(line, len(EVENT_PREFIX))
+                yield from self._events(document)
+        except MALFORMED_ERRORS:
+            yield MALFORMED
+
+    def _events(self, document: dict[str, Any]) -> Iterator[EngineEvent]:
+        if "error" in document:
+            yield _refused(document["error"])
+            return
+        for choice in document["choices"]:
+            if choice.get("finish_reason"):
+                self._finish_reason = str(choice["finish_reason"])
+            delta = choice["delta"]
+            text = delta.get("content") or ""
+            calls = delta.get("tool_calls")
+            if not isinstance(text, str):
+                raise TypeError
+            if text or calls:
+                yield TokenChunk(text, 1, tuple(calls) if calls else ())
+        usage = document.get("usage")
+        if usage:
+            yield self._finished(usage)
 
-def _events(document: dict[str, Any], finish_reason: str) -> list[EngineEvent]:
-    if "error" in document:
-        return [_refused(document["error"])]
-    events: list[EngineEvent] = []
-    for choice in document["choices"]:
-        delta = choice["delta"]
-        text = delta.get("content") or ""
-        calls = tuple(delta.get("tool_calls") or ())
-        if not isinstance(text, str):
-            raise TypeError
-        if text or calls:
-            events.append(TokenChunk(text, 1, calls))
-    usage = document.get("usage")
-    if usage:
+    def _finished(self, usage: dict[str, Any]) -> GenerateFinished:
         details = usage.get("prompt_tokens_details") or {}
-        events.append(
-            GenerateFinished(
-                finish_reason,
-                int(usage["prompt_tokens"]),
-                int(details.get("cached_tokens") or 0),
-                int(usage["completion_tokens"]),
-            )
+        return GenerateFinished(
+            self._finish_reason,
+            int(usage["prompt_tokens"]),
+            int(details.get("cached_tokens") or 0),
+            int(usage["completion_tokens"]),
         )
-    return events
 
 
 def _refused(error: dict[str, Any]) -> Refused:
