Let a withdrawn call's key name the earlier call again

Cause: a repeat under the key of a failed call, withdrawn while it waited, took the key with it: the live table then differed from the one a recovery builds. Found by the state machine. Change: withdrawing gives the key back to the call that it named before. Conclusion: the state machine and a test of its own pass.

--- a/src/foxwinch/core/program/table.py
+++ b/src/foxwinch/core/program/table.py
@@ -259,5 +259,11 @@
 
 
 def _forget_key(program: Program, key: str, call_id: CallId) -> None:
-    if key and program.keys.get(key) == call_id:
+    """Let a key name the call again that it named before `call_id`, as after a recovery."""
+    if not key or program.keys.get(key) != call_id:
+        return
+    earlier = [c for c in program.calls.values() if c.admitted.idempotency_key == key]
+    if earlier:
+        program.keys[key] = earlier[-1].call_id
+    else:
         del program.keys[key]
--- a/tests/test_program_machine.py
+++ b/tests/test_program_machine.py
@@ -71,7 +71,7 @@
         self.table = ProgramTable()
         self.programs = {name: ExpectedProgram() for name in PROGRAMS}
         self.calls: dict[CallId, ExpectedCall] = {}
-        self.keys: dict[tuple[ProgramId, str], CallId] = {}
+        self.keys: dict[tuple[ProgramId, str], list[CallId]] = {}
         self.dispatched: dict[tuple[ProgramId, str], int] = {}
         for name in PROGRAMS:
             parent = ROOT if name == CHILD else ""
@@ -105,7 +105,8 @@
             cost_per_token=0.0, call_cost=0.0, history_limit_bytes=10_000,
         )  # fmt: skip
         found = self.table.submit(self.table.find(name), call_id, key, intent.request_hash)
-        held = self.calls.get(self.keys.get((name, key), CallId("")))
+        named = self.keys.get((name, key)) or [CallId("")]
+        held = self.calls.get(named[-1])
         wanted = self.expected_answer(held, intent, expected)
         assert isinstance(found, wanted[0]), (found, wanted)
         if isinstance(found, Refused):
@@ -114,7 +115,7 @@
             self.calls[call_id] = ExpectedCall(intent)
             expected.queue.append(call_id)
             if key:
-                self.keys[name, key] = call_id
+                self.keys.setdefault((name, key), []).append(call_id)
 
     @staticmethod
     def expected_answer(held, intent, program):
@@ -175,9 +176,9 @@
             expected.queue.remove(call_id)
         if expected.active == call_id:
             expected.active = None
-        key = (name, call.intent.idempotency_key)
-        if self.keys.get(key) == call_id:
-            del self.keys[key]
+        named = self.keys.get((name, call.intent.idempotency_key), [])
+        if call_id in named:
+            named.remove(call_id)
         call.reserved = 0
         call.result = CallOutcome.FAILED_NOT_RUN
 
--- a/tests/test_program_table.py
+++ b/tests/test_program_table.py
@@ -149,6 +149,14 @@
     assert isinstance(submit(table, dataclasses.replace(tool, call_id=CallId("c4"))), Repeated)
 
 
+def test_a_withdrawn_repeat_leaves_the_key_as_a_recovery_would_find_it(table):
+    records = run(table, intent(1, user("a"), key="k"), result=CallOutcome.FAILED_RAN)
+    submit(table, intent(2, user("a"), key="k"))
+    table.withdraw(table.find(PROGRAM), CallId("c2"))
+    assert table.find(PROGRAM).keys == {"k": CallId("c1")}
+    assert state_of(table) == state_of(ProgramTable([created(), *records]))
+
+
 def test_history_must_be_repeated_exactly(table):
     run(table, intent(1, user("a")))
     answer = HistoryMessage(role="assistant", content="yes")
