--- a/src/foxwinch/commands/running_call.py
+++ b/src/foxwinch/commands/running_call.py
@@ -109,7 +109,7 @@
                 elif position < len(self.chunks):
                     batch = self.chunks[position:]
                     position += len(batch)
-                    yield CallChunks(batch)
+                    yield CallChunks(batch, more=self.final is not None)
                 elif self.final is not None:
                     yield self.final
                     return
--- a/src/foxwinch/core/program/call_events.py
+++ b/src/foxwinch/core/program/call_events.py
@@ -35,6 +35,8 @@
     """Pieces of the answer that are ready together."""
 
     chunks: Sequence[CallChunk]
+    more: bool = False
+    """True when the next event is ready too, so that both can be sent together."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/gateway/request_body.py
+++ b/src/foxwinch/gateway/request_body.py
@@ -50,8 +50,11 @@
             Reason.INVALID_REQUEST, f"headers are longer than {limits.header_bytes} bytes"
         )
     try:
-        async with asyncio.timeout(limits.read_seconds):
+        if request.content.is_eof():  # the whole body has arrived: no timer is needed
             data = await request.read()
+        else:
+            async with asyncio.timeout(limits.read_seconds):
+                data = await request.read()
     except TimeoutError:
         detail = f"the body did not arrive within {limits.read_seconds:g} seconds"
         return not_run(Reason.INVALID_REQUEST, detail)
--- a/src/foxwinch/gateway/respond.py
+++ b/src/foxwinch/gateway/respond.py
@@ -1,7 +1,7 @@
 """Turn the events of a request into an HTTP response."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 from typing import Any, cast
 
@@ -38,10 +38,14 @@
     """Stream an answer; a refusal before the first chunk becomes an error response."""
     response: web.StreamResponse | None = None
     encoder: ChunkEncoder | None = None
+    unsent = b""
     async with aclosing(cast(Any, events)):
         async for item in events:
             if isinstance(item, CallChunks) and response is not None and encoder is not None:
-                await _write(request, response, encoder.chunks(item.chunks))
+                unsent += encoder.chunks(item.chunks)
+                if not item.more:
+                    await _write(request, response.write, unsent)
+                    unsent = b""
             elif isinstance(item, CallStarted):
                 encoder = ChunkEncoder(item, created_seconds, first)
                 response = web.StreamResponse(headers={**EVENT_STREAM, **call_headers(item)})
@@ -49,9 +53,9 @@
             elif isinstance(item, Refused) and response is None:
                 return error_response(item)
             elif response is not None and encoder is not None:
-                await _write(request, response, _last(item, encoder, include_usage))
+                unsent += _last(item, encoder, include_usage)
     assert response is not None
-    await response.write_eof()
+    await _write(request, response.write_eof, unsent)
     return response
 
 
@@ -137,15 +141,17 @@
     return event(error_document(item))
 
 
-async def _write(request: web.Request, response: web.StreamResponse, data: bytes) -> None:
+async def _write(
+    request: web.Request, write: Callable[[bytes], Awaitable[None]], data: bytes
+) -> None:
     """Write; a client that does not read for too long is cut off."""
     transport = request.transport
     if transport is None or transport.get_write_buffer_size() == 0:
-        await response.write(data)
+        await write(data)
         return
     try:
         async with asyncio.timeout(WRITE_SECONDS):
-            await response.write(data)
+            await write(data)
     except TimeoutError:
         transport.abort()
         raise ConnectionResetError("the client does not read") from None
