Never tell a call not run of which one attempt may have run

Cause: a retry that was refused a worker, or a last attempt that certainly did not run, ended the whole call as not_run although an attempt before it may have run. Limits were asked for the upper bound of a prompt. Change: the run state of a call is the furthest of its attempts; limits are asked for the likely tokens; a failed call leaves a log line with program, call and cause. Conclusion: a test for model and tool calls, which fails without the change, passes.

--- a/src/foxwinch/commands/call_lifecycle.py
+++ b/src/foxwinch/commands/call_lifecycle.py
@@ -20,8 +20,10 @@
 from foxwinch.core.program.budget import Amount
 from foxwinch.core.program.requests import CallIntent
 from foxwinch.core.program.state import CallState, Program
+from foxwinch.log import EventLog
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
+log = EventLog("programs")
 RESULT_OF_RUN_STATE = {
     RunState.NOT_RUN: CallOutcome.FAILED_NOT_RUN,
     RunState.RAN: CallOutcome.FAILED_RAN,
@@ -111,6 +113,13 @@
             self._closing_records(outcome), self._tell_uncommitted
         )
         if done:
+            if outcome.result != CallOutcome.SUCCEEDED:
+                log.info(
+                    "call_failed",
+                    program=self.program.program_id,
+                    call=self.running.call_id,
+                    cause=outcome.reason,
+                )
             self.running.end(final)
             if self.single_call:
                 self.ports.grants.finish(self.program.program_id)
--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -12,6 +12,7 @@
 
 from foxwinch._generated.journal_pb2 import CallAdmitted, CallOutcome, HistoryMessage
 from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message, TokenChunk
+from foxwinch.commands.attempts import with_earlier
 from foxwinch.commands.call_lifecycle import CallLifecycle
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.admission import remaining_wall_seconds
@@ -81,7 +82,8 @@
             self.life.refuse(admitted)
             return False
         self.admitted = admitted
-        estimate = admitted.reserved.tokens
+        self._read_prompt()
+        estimate = self.prompt_estimate + admitted.maximum_tokens
         tenant = self.life.program.tenant
         share = self.ports.limits.admit(tenant, self.terms.class_name, estimate)
         if isinstance(share, Refused):
@@ -101,12 +103,7 @@
     async def _acquire(self) -> Grant | Refused:
         admitted = self._held_admitted()
         program = self.life.program
-        if not self.messages:
-            prompt = [*program.history, *admitted.appended]
-            self.messages = tuple(_engine_message(m) for m in prompt)
-            rendered = render_prompt(PromptMessage(m.role, m.content) for m in prompt)
-            self.prompt_estimate = count_tokens(rendered)
-            self.prefix_hashes = block_hashes(rendered)
+        self._read_prompt()
         now = self.ports.clock.monotonic()
         wall = remaining_wall_seconds(program, self.ports.clock.wall())
         request = GrantRequest(
@@ -128,21 +125,33 @@
             self.life.step(CallState.GRANTED)
         return grant
 
+    def _read_prompt(self) -> None:
+        """Prepare what does not change between attempts."""
+        if self.messages:
+            return
+        prompt = [*self.life.program.history, *self._held_admitted().appended]
+        self.messages = tuple(_engine_message(m) for m in prompt)
+        rendered = render_prompt(PromptMessage(m.role, m.content) for m in prompt)
+        self.prompt_estimate = count_tokens(rendered)
+        self.prefix_hashes = block_hashes(rendered)
+
     async def _attempts(self) -> GenerateFinished | Refused:
         """Dispatch, and retry within the bound."""
         attempt = 1
+        earlier: Refused | None = None
         while True:
             if self.grant is None:
                 grant = await self._acquire()
                 if isinstance(grant, Refused):
-                    return grant
+                    return with_earlier(grant, earlier)
                 self.grant = grant
             end = await self._stream(self.grant)
             self._settle_grant(end)
-            if isinstance(end, GenerateFinished) or end.reason not in RETRIED_REASONS:
-                return end
-            if attempt >= MAXIMUM_ATTEMPTS:
+            if isinstance(end, GenerateFinished):
                 return end
+            earlier = with_earlier(end, earlier)
+            if end.reason not in RETRIED_REASONS or attempt >= MAXIMUM_ATTEMPTS:
+                return earlier
             self.life.step(CallState.ADMITTED)
             pause = RETRY_SECONDS * 2**attempt * self.ports.clock.uniform()
             with self.life.running.interruptible():
--- a/src/foxwinch/commands/tool_call.py
+++ b/src/foxwinch/commands/tool_call.py
@@ -10,6 +10,7 @@
 
 from foxwinch._generated.journal_pb2 import CallAdmitted, CallOutcome, HistoryMessage
 from foxwinch.backends.ports import ToolOrder, ToolResult
+from foxwinch.commands.attempts import with_earlier
 from foxwinch.commands.call_lifecycle import CallLifecycle
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.budget import Amount
@@ -101,12 +102,14 @@
             )
         )
         attempt = 1
+        earlier: Refused | None = None
         while True:
             end = await self._call(order)
-            if isinstance(end, ToolResult) or attempt >= MAXIMUM_ATTEMPTS:
-                return end
-            if not self._may_retry(end):
+            if isinstance(end, ToolResult):
                 return end
+            earlier = with_earlier(end, earlier)
+            if attempt >= MAXIMUM_ATTEMPTS or not self._may_retry(end):
+                return earlier
             await self.ports.clock.sleep(RETRY_SECONDS * 2**attempt * self.ports.clock.uniform())
             attempt += 1
 
--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -171,6 +171,21 @@
     assert rig.program().ledger.reserved.tokens == 0
 
 
+async def test_a_call_of_which_one_attempt_may_have_run_is_never_told_not_run(rig):
+    rig.engine.failures = [(0, BROKEN)]
+    events = rig.model()
+    assert isinstance(await anext(events), CallStarted)
+    rig.grants.refusal = not_run(Reason.OVERLOADED, "busy", 2.0)
+    _, last = await collect(events)
+    assert (last.reason, last.run_state) == (Reason.OVERLOADED, RunState.UNKNOWN)
+    assert last.retry_after_seconds == 2.0
+    await create(rig, program=scoped(TENANT, "q"))
+    hung = Refused(Reason.TOOL_TIMEOUT, RunState.UNKNOWN, "hung")
+    rig.tools.answers = [hung, not_run(Reason.INVALID_REQUEST, "no")]
+    _, last = await collect(rig.tool("timetable", name="q"))
+    assert (last.reason, last.run_state) == (Reason.INVALID_REQUEST, RunState.UNKNOWN)
+
+
 async def test_an_outcome_that_cannot_be_committed_is_told_unknown_then_found(rig):
     lost = Refused(Reason.NO_QUORUM, RunState.UNKNOWN, "no replicas")
     rig.journal.refusals = [None, *[lost] * 10]
