--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -17,6 +17,7 @@
     retry_lines,
     store_lines,
 )
+from foxwinch.bench.fleet.scenarios import SCENARIOS
 
 INTRODUCTION = """# Capacity
 
@@ -34,10 +35,10 @@
     storm: list[dict[str, Any]] = read(measurements / "retry_storm.json", [])
     sections = (
         ("What one node carries", load_lines(size)),
-        ("Control code", control_lines(fleet, limits)),
+        (f"Control code{_scope(fleet, size)}", control_lines(fleet, limits)),
         ("The configuration document at its design size", document_lines(fleet, size, limits)),
         ("Gossip", budget_lines(size, limits)),
-        ("Table service", store_lines(fleet, size)),
+        (f"Table service{_scope(fleet, size)}", store_lines(fleet, size)),
         ("Requests between nodes", peer_lines(peer)),
         ("Repeats after a return (model of one back end)", retry_lines(storm)),
     )
@@ -62,6 +63,16 @@
     return f"{value:.{digits}f}"
 
 
+def _scope(fleet: dict[str, Any], size: DesignSize) -> str:
+    """Return what a heading must say where the largest run is not of the design size."""
+    if not fleet:
+        return ""
+    nodes = fleet["runs"][-1]["nodes"]
+    if nodes == size.nodes:
+        return f" (measured at {nodes} nodes)"
+    return f" (measured at {nodes} nodes only, not at the design size of {size.nodes})"
+
+
 def _design(size: DesignSize) -> str:
     return (
         f"## Design size\n\n{size.nodes} nodes in {size.regions} regions and {size.zones} zones; "
@@ -110,7 +121,7 @@
 
 def _first(run: dict[str, Any], name: str) -> float | None:
     """Return a figure of the first scenario that has it, as the fit does."""
-    for scenario in ("steady", "day", "rack"):
+    for scenario in run["scenarios"]:
         value: float | None = run["scenarios"].get(scenario, {}).get(name)
         if value:
             return value
@@ -131,8 +142,12 @@
     for name in names:
         cells = " | ".join(number(figures[name]) for figures in largest["scenarios"].values())
         rows.append(f"| `{name}` | {cells} |")
-    compression = number(fleet["day_compression"])
-    rows.append(f"\nThe day's failures come {compression} times faster than in a day.")
+    if "day" in largest["scenarios"]:
+        compression = number(fleet["day_compression"])
+        rows.append(f"\nThe day's failures come {compression} times faster than in a day.")
+    left_out = [name for name in SCENARIOS if name not in largest["scenarios"]]
+    if left_out:
+        rows.append(f"\nScenarios without a committed run: {', '.join(left_out)}.")
     return "\n".join(rows) + "\n"
 
 
