Go on flushing after a raise that led to nothing

Cause: a node that ended between raising a shard's row and sealing its replicas left a higher epoch in the row; the owner, never sealed, would not have flushed any more. Change: an owner leaves the row alone for 10 s after another node's raise, then flushes again. Conclusion: tested by a raise of a node that does not exist; fails without the change.

--- a/src/foxwinch/node/flush_service.py
+++ b/src/foxwinch/node/flush_service.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from foxwinch.core.journal.configuration import ShardRecord
+from foxwinch.core.journal.configuration import Configuration, ShardRecord
 from foxwinch.identifiers import ShardNumber
 from foxwinch.log import EventLog
 from foxwinch.node.interfaces import Clock
@@ -24,6 +24,8 @@
 RATE_STEP = 0.5
 TRANSACTION_BYTES = 1024 * 1024
 """Journal bytes in one transaction, so that a long backlog goes in steps."""
+RAISED_SECONDS = 10.0
+"""A takeover ends within this time, or its node has ended or was cut off."""
 DOWN_SECONDS = 2.0
 """Pause after a refusal that names no time of its own."""
 
@@ -45,6 +47,7 @@
         self._store = store
         self._client = client
         self._rate = RATE_MAXIMUM
+        self._raised_at: dict[ShardNumber, float] = {}
         self._task: asyncio.Task[None] | None = None
         self._flushed = Counter(
             "foxwinch_flush_records", "Records written to the table", registry=registry
@@ -121,8 +124,9 @@
         record = held.record
         start = record.stored_index
         newest = record.newest
-        raised = newest is not None and newest.epoch > journal.configuration.epoch
-        if raised or start > journal.committed_index or journal.fenced:
+        if start > journal.committed_index or journal.fenced:
+            return None
+        if self._is_being_taken(shard, journal, newest):
             return None
         snapshot = journal.log.snapshot
         if snapshot.index > record.snapshot_index and self._store.has_objects:
@@ -145,6 +149,20 @@
         written = record.activated() if activates else record
         return await self._store.store(shard, held, written, entries)
 
+    def _is_being_taken(
+        self, shard: ShardNumber, journal: ReplicatedJournal, newest: Configuration | None
+    ) -> bool:
+        """Tell whether another node has just raised the epoch; its next write should not fail.
+
+        Committed records may be stored by any owner, so a raise that leads to nothing does not
+        hold them up for long.
+        """
+        if newest is None or newest.epoch <= journal.configuration.epoch:
+            self._raised_at.pop(shard, None)
+            return False
+        now = self._clock.monotonic()
+        return now < self._raised_at.setdefault(shard, now) + RAISED_SECONDS
+
     async def _retire_former(
         self, shard: ShardNumber, former: ShardRecord, record: ShardRecord
     ) -> None:
--- a/tests/test_shard_cluster.py
+++ b/tests/test_shard_cluster.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from foxwinch.core.journal.configuration import CommitPlace, GroupMember
 from foxwinch.core.shard.epochs import step_of
 from foxwinch.node.interfaces import Appended
 from foxwinch.outcomes import Reason, Refused, RunState
@@ -227,6 +228,21 @@
     assert len(cluster.objects.objects) >= 1
 
 
+@on_three_nodes
+async def test_a_raise_that_leads_to_nothing_does_not_stop_the_flush(cluster):
+    owner = cluster.owner_of(PROGRAM)
+    shard = owner.part.ownership.locate(PROGRAM).shard
+    store = owner.part.services[2]._store
+    held = await store.read(shard)
+    ghost = GroupMember("ghost", ZONES[0], "127.0.0.1", 6999)
+    await store.raise_term(shard, held, ghost, (ghost,), CommitPlace.TABLE)
+    await append_many(owner, 0, 5)
+
+    await asyncio.sleep(30)
+    assert (await store.read(shard)).record.stored_index == 5
+    assert owner.numbers(PROGRAM) == list(range(5))
+
+
 @on_three_nodes
 async def test_rolling_replacement_of_every_node_loses_and_doubles_nothing(cluster):
     uncertain = []
