Serve the single node by the steward too; hand grants over before workers

Cause: two implementations of grants stood side by side; a drain let workers go before the last grants were given back and so ran into its limit; a starting node claimed workers whose holder it had only not heard of yet; each ask read all digests. Conclusion: the drain test passes on the real steward.

--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -286,7 +286,15 @@
         else:
             unused = end.run_state is RunState.NOT_RUN
             failed = end.reason is not Reason.CANCELLED
-            usage = GrantUsage(grant.call_id, 0, 0, self.chunk_tokens, failed, not_run=unused)
+            usage = GrantUsage(
+                grant.call_id,
+                0,
+                0,
+                self.chunk_tokens,
+                failed,
+                not_run=unused,
+                fenced=end.reason is Reason.FENCED,
+            )
         self.ports.grants.settle(grant, usage)
 
     def _settle_share(self) -> None:
--- a/src/foxwinch/core/steward/assignment.py
+++ b/src/foxwinch/core/steward/assignment.py
@@ -22,6 +22,8 @@
 suspicion with its refutation, so that a suspected member that comes back has cost nothing."""
 SETTLING_SECONDS = 1.0
 """After its start a node hears of the present holders before it claims anything unheld."""
+LONGEST_SETTLING_SECONDS = 5.0
+"""It waits so long for members that it has heard nothing of; gossip takes about a second."""
 CLAIM_RETRY_SECONDS = 0.5
 """Pause after a refused claim."""
 NO_EPOCH = Epoch(0)
@@ -141,6 +143,7 @@
         self._held: dict[str, _Held] = {}
         self._candidates: tuple[Candidate, ...] = ()
         self._holders: Mapping[str, Holder] = {}
+        self._unheard = False
         self._epochs: Mapping[str, Epoch] = {}
         self._draining = False
 
@@ -170,6 +173,10 @@
         """Replace the highest epoch heard of each resource, from nodes that are dead included."""
         self._epochs = epochs
 
+    def update_unheard(self, unheard: bool) -> None:
+        """Tell whether there are live members whose holdings have not been heard."""
+        self._unheard = unheard
+
     def drain(self) -> None:
         """Hand everything over and claim nothing more."""
         self._draining = True
@@ -242,8 +249,7 @@
 
     def _maybe_claim(self, name: str, held: _Held, now: float) -> list[AssignmentAction]:
         resource = self._resources.get(name)
-        settling = now < self._started_at + SETTLING_SECONDS
-        if resource is None or self._draining or settling or now < held.retry_at:
+        if resource is None or self._draining or now < held.retry_at or self._is_settling(now):
             return []
         if preferred_node(resource, self._candidates, self._region) != self._node:
             return []
@@ -253,6 +259,10 @@
         held.state = StewardState.CLAIMING
         return [Claim(name)]
 
+    def _is_settling(self, now: float) -> bool:
+        seconds = LONGEST_SETTLING_SECONDS if self._unheard else SETTLING_SECONDS
+        return now < self._started_at + seconds
+
     def _maybe_release(self, name: str, held: _Held, now: float) -> list[AssignmentAction]:
         resource = self._resources.get(name)
         if resource is None or self._draining:
--- a/src/foxwinch/node/grants_service.py
+++ b/src/foxwinch/node/grants_service.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from foxwinch._generated.steward_pb2 import GrantGiven
-from foxwinch.identifiers import NodeId, ProgramId, WorkerId
+from foxwinch.identifiers import ProgramId, WorkerId
 from foxwinch.log import EventLog
 from foxwinch.node.grant_reports import GrantReports, Report
 from foxwinch.node.interfaces import (
@@ -15,16 +15,21 @@
     GrantUsage,
 )
 from foxwinch.node.service_tasks import ServiceTasks
+from foxwinch.node.steward_choices import StewardChoices
 from foxwinch.node.steward_client import StewardClient
-from foxwinch.node.steward_directory import ServingSteward, StewardDirectory, worker_resource
+from foxwinch.node.steward_directory import ServingSteward, StewardDirectory
 from foxwinch.node.steward_messages import ask_message, grant_of
 from foxwinch.node.waiting import wait_for_event
 from foxwinch.outcomes import Reason, Refused, not_run
 
 REPORT_SECONDS = 2.0
 """Held grants are confirmed this often; their lease is a multiple of it."""
+GATHER_SECONDS = 0.005
+"""Reports of so long go together; short beside a call, which lasts tenths of a second."""
 RETRY_SECONDS = 0.2
 """Pause before an unanswered report, and before a further search for a steward."""
+DRAIN_SECONDS = 5.0
+"""A planned stop waits so long for stewards to answer the last reports."""
 NO_STEWARD_SECONDS = 10.0
 """A request waits at most so long for a worker to get a steward: about two detections of a dead
 node with the takeover after them. Then it is refused, with a time to come back."""
@@ -69,6 +74,7 @@
     ) -> None:
         """Ask by `client` whom `directory` names."""
         self._directory = directory
+        self._choices = StewardChoices(directory, clock)
         self._client = client
         self._configuration = configuration
         self._clock = clock
@@ -85,8 +91,12 @@
         await self._tasks.stop()
 
     async def drain(self) -> None:
-        """Return when everything has been told."""
-        while self._reports.pending():
+        """Return when everything has been told, or what is left can wait.
+
+        Releases that an engine does not answer are asked for again by the programs' next owner.
+        """
+        give_up_at = self._clock.monotonic() + DRAIN_SECONDS
+        while self._reports.pending() and self._clock.monotonic() < give_up_at:
             self._news.set()
             await self._clock.sleep(RETRY_SECONDS)
 
@@ -135,11 +145,11 @@
 
     def _choose(self, request: GrantRequest) -> ServingSteward | None:
         """Return the cheapest of the steward with the prefix and two others drawn at random."""
-        serving = self._directory.serving(request.model)
+        serving = self._choices.serving(request.model)
         if len(serving) <= 1:
             return serving[0] if serving else None
         worker = self._reports.last_worker(request.program_id)
-        holder = self._directory.steward_of(worker) if worker else None
+        holder = self._choices.steward_of(worker) if worker else None
         chosen = [steward for steward in serving if steward.member.node == holder]
         chosen += [self._draw(serving), self._draw(serving)]
         return min(chosen, key=lambda s: _cost(s, request, s.member.node == holder))
@@ -208,6 +218,7 @@
 
     async def _report_for_ever(self) -> None:
         while True:
+            await self._clock.sleep(GATHER_SECONDS)
             self._news.clear()
             await self._report_once()
             if self._reports.pending() and not self._news.is_set():
@@ -217,13 +228,7 @@
 
     async def _report_once(self) -> None:
         self._reports.forget_gone(self._known_workers(), self._directory.present())
-        holders = self._directory.holders()
-
-        def steward_of(worker: WorkerId) -> NodeId | None:
-            holder = holders.get(worker_resource(worker))
-            return None if holder is None else holder.node
-
-        reports = self._reports.build(steward_of)
+        reports = self._reports.build(self._choices.steward_of)
         await asyncio.gather(*(self._deliver(report) for report in reports))
 
     def _known_workers(self) -> set[WorkerId]:
--- a/src/foxwinch/node/parts/grants.py
+++ b/src/foxwinch/node/parts/grants.py
@@ -1,15 +1,12 @@
 """Part: grants of workers, their stewards and the orders to engines."""
 
 from dataclasses import dataclass, field
-from typing import cast
 
-from foxwinch.backends.ports import EnginePort
 from foxwinch.commands.operator import FixedWorkers, WorkerDrains
 from foxwinch.core.orders.reconciler import OrderPolicy
 from foxwinch.identifiers import RegionName
 from foxwinch.node.grants_service import GrantsService
 from foxwinch.node.interfaces import GrantView
-from foxwinch.node.local import LocalGrants
 from foxwinch.node.orders_service import OrdersService
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext, NodeService
@@ -32,15 +29,42 @@
     services: tuple[NodeService, ...] = ()
 
 
+class GrantServices:
+    """Steward, orders and grants as one service: their orders of start and drain differ."""
+
+    def __init__(
+        self, steward: StewardService, orders: OrdersService, grants: GrantsService
+    ) -> None:
+        """Hold the three."""
+        self._steward = steward
+        self._orders = orders
+        self._grants = grants
+
+    async def start(self) -> None:
+        """Start the steward first: the others use it."""
+        await self._steward.start()
+        await self._orders.start()
+        await self._grants.start()
+
+    async def stop(self) -> None:
+        """Stop in reverse."""
+        await self._grants.stop()
+        await self._orders.stop()
+        await self._steward.stop()
+
+    async def drain(self) -> None:
+        """Give every grant back before the workers are handed over."""
+        await self._grants.drain()
+        await self._steward.drain()
+
+
 def build_grants(
     context: NodeContext,
     membership: MembershipPart,
     configuration: ConfigurationPart,
     journal: JournalPart,
 ) -> GrantsPart:
-    """Build the part; an engine port that only generates is granted without a steward."""
-    if not hasattr(context.ports.engine, "load"):
-        return GrantsPart(LocalGrants(configuration.configuration, context.ports.clock))
+    """Build the part; a node without fellow nodes is steward of every worker."""
     directory = StewardDirectory(membership.membership, membership.gossip)
     steward = StewardService(_steward_ports(context, membership, configuration, journal), directory)
     client = StewardClient(context.node, steward.desk, context.ports.peers)
@@ -59,7 +83,7 @@
         grants=grants,
         facts=StewardFacts(context.node, steward),
         drains=GossipedDrains(configuration.configuration, membership.gossip),
-        services=(steward, orders, grants),
+        services=(GrantServices(steward, orders, grants),),
     )
 
 
@@ -72,7 +96,7 @@
     return StewardPorts(
         node=context.node,
         clock=context.ports.clock,
-        engine=cast(EnginePort, context.ports.engine),
+        engine=context.ports.engine,
         configuration=configuration.configuration,
         membership=membership.membership,
         gossip=membership.gossip,
--- a/src/foxwinch/node/ports.py
+++ b/src/foxwinch/node/ports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from foxwinch.backends.ports import GeneratePort, ToolPort
+from foxwinch.backends.ports import EnginePort, ToolPort
 from foxwinch.node.interfaces import Clock
 from foxwinch.peer.ports import PeerAddress, PeerPort
 from foxwinch.platform.ports import MachinePort, ObjectPort, TablePort
@@ -16,7 +16,7 @@
     """Ports of one node, opened before it is built and closed after it has stopped."""
 
     clock: Clock
-    engine: GeneratePort
+    engine: EnginePort
     tools: ToolPort | None = None
     table: TablePort | None = None
     """None: the platform's table service is not configured."""
--- a/src/foxwinch/node/steward_directory.py
+++ b/src/foxwinch/node/steward_directory.py
@@ -127,6 +127,16 @@
         """Return the members that hold something."""
         return {member.node for member, digest in self._digests() if digest.held}
 
+    def unheard(self) -> bool:
+        """Tell whether there is a live member whose digest has not arrived."""
+        entries = self._gossip.entries(GossipKind.STEWARD)
+        this = self._membership.this_member()
+        return any(
+            node not in entries
+            for node, member in self._present().items()
+            if node != this.node and member.region == this.region
+        )
+
     def queued(self) -> dict[ModelName, int]:
         """Return the number of waiting calls of each model over all stewards."""
         found: dict[ModelName, int] = {}
--- a/src/foxwinch/node/steward_service.py
+++ b/src/foxwinch/node/steward_service.py
@@ -136,8 +136,7 @@
     async def start(self) -> None:
         """Serve fellow nodes and begin to claim."""
         member = self._ports.membership.this_member()
-        now = self._ports.clock.monotonic()
-        self._assignment = StewardAssignment(self._ports.node, member.region, now)
+        self._assignment = StewardAssignment(self._ports.node, member.region, self._began_at())
         self._ports.configuration.subscribe(self._configured)
         snapshot = self._ports.configuration.current()
         if not isinstance(snapshot, Refused):
@@ -170,6 +169,12 @@
             self._wake.set()
             await self._ports.clock.sleep(TICK_SECONDS)
 
+    def _began_at(self) -> float:
+        """A node without fellow nodes has nobody to hear of before it claims."""
+        if self._ports.peers is None:
+            return float("-inf")
+        return self._ports.clock.monotonic()
+
     # --- the loop ----------------------------------------------------------------------------
 
     async def _run(self) -> None:
@@ -183,6 +188,7 @@
         now = self._ports.clock.monotonic()
         assignment.update_candidates(self._directory.candidates())
         assignment.update_holders(self._directory.holders())
+        assignment.update_unheard(self._directory.unheard())
         assignment.update_epochs(self._directory.epochs())
         for action in assignment.advance(now):
             self._carry_out(action)
@@ -295,7 +301,7 @@
         digest.hot_prefixes.extend(self._grants.hot_prefixes())
         payload = digest.SerializeToString(deterministic=True)
         due = held_part != self._digest_held or now - self._digest_at >= DIGEST_SECONDS
-        if payload == self._digest or not due:
+        if self._digest_version and (payload == self._digest or not due):
             return
         self._digest, self._digest_held, self._digest_at = payload, held_part, now
         self._digest_version += 1
--- /dev/null
+++ b/tests/idle_engine.py
@@ -0,0 +1,24 @@
+"""What a fake engine needs for a steward to hold it: an idle load, and every order done."""
+
+from foxwinch.backends.ports import CacheEventPage, Done, LoadReport
+
+
+class IdleEngine:
+    """Base of fake engines; `generate` is the subclass's."""
+
+    models = ("rail-chat",)
+
+    async def load(self, worker):
+        return LoadReport(0, 0, 0, 1_000, self.models)
+
+    async def cache_events(self, worker, after):
+        return CacheEventPage((), after, gap=False)
+
+    async def release(self, worker, program_id):
+        return Done()
+
+    async def cancel(self, worker, call_id):
+        return Done()
+
+    async def apply_order(self, worker, order):
+        return Done()
--- a/tests/program_fakes.py
+++ b/tests/program_fakes.py
@@ -18,6 +18,7 @@
 from foxwinch.outcomes import Reason, Refused, RunState
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
+from idle_engine import IdleEngine
 
 CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
 TENANT = TenantName("seat-reservations")
@@ -31,7 +32,7 @@
     return checked
 
 
-class FakeEngine:
+class FakeEngine(IdleEngine):
     """Answers with `words`, one each `pause_seconds`; `failures` end runs after some chunks."""
 
     def __init__(self):
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -12,12 +12,13 @@
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
+from idle_engine import IdleEngine
 
 CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
 CALL = {"model": "rail-chat", "messages": [{"role": "user", "content": "Hello"}]}
 
 
-class HeldEngine:
+class HeldEngine(IdleEngine):
     """An engine that ends its answer when told to."""
 
     def __init__(self) -> None:
@@ -70,6 +71,7 @@
     engine = HeldEngine()
     settings = NodeSettings(name="node-1", region="cymru", zone="caerdydd", drain_seconds=0.05)
     node = build_node(settings, NodePorts(SystemClock(), engine), keyed(_document()))
+    await node.start()
     headers = {"Authorization": f"Bearer {caller_key}"}
     async with TestClient(TestServer(node.caller_application()), headers=headers) as client:
         running = asyncio.create_task(client.post("/v1/chat/completions", json=CALL))
@@ -77,3 +79,4 @@
         assert not await node.drain()
         engine.released.set()
         assert (await running).status == 200
+    await node.stop()
--- a/tests/test_steward_assignment.py
+++ b/tests/test_steward_assignment.py
@@ -74,6 +74,16 @@
     assert assignment.advance(101.0) == [Claim(WORKER.name)]
 
 
+def test_a_starting_node_waits_for_members_that_it_has_not_heard():
+    assignment = StewardAssignment(NodeId("a"), REGION, 0.0)
+    assignment.update_resources([WORKER])
+    assignment.update_candidates(candidates("a"))
+    assignment.update_unheard(True)
+    assert assignment.advance(SETTLING_SECONDS) == []
+    assignment.update_unheard(False)
+    assert assignment.advance(SETTLING_SECONDS) == [Claim(WORKER.name)]
+
+
 def test_a_refused_claim_is_tried_again():
     assignment = StewardAssignment(NodeId("a"), REGION, 0.0)
     assignment.update_resources([WORKER])
