Measure failover on real node processes under load

Change: foxwinch bench failover with seven scenarios, a caller that repeats under its key, and a verdict from histories read back and from the stand-ins' own counts.

--- a/src/foxwinch/cli/bench.py
+++ b/src/foxwinch/cli/bench.py
@@ -6,6 +6,7 @@
 
 from foxwinch.cli.bench_capacity import CapacityCommand
 from foxwinch.cli.bench_detection import DetectionCommand
+from foxwinch.cli.bench_failover import FailoverCommand
 from foxwinch.cli.bench_fleet import FleetCommand
 from foxwinch.cli.bench_overhead import OverheadCommand
 from foxwinch.cli.bench_peer import PeerCommand
@@ -18,7 +19,8 @@
     """Measurements, and experiments on models."""
 
     command: cappa.Subcommands[
-        BenchScheduleCommand
+        FailoverCommand
+        | BenchScheduleCommand
         | FleetCommand
         | DetectionCommand
         | PeerCommand
