Read histories out only after a commit has proved the ownership

Change: a read of a program commits a record that says nothing else first; a refusal is 'not run' with the time to come back. A plain test refuses the read of a fenced owner and of one without quorum. Conclusion: reads cost one commit.

--- a/src/foxwinch/commands/execute.py
+++ b/src/foxwinch/commands/execute.py
@@ -63,8 +63,16 @@
             case AttachRequest():
                 return self._attach(held, request)
             case HistoryRequest():
-                program = self._find(held, request)
-                return one_event(NOT_FOUND if program is None else program_details(program))
+                return self._read(held, request)
+
+    async def _read(self, held: HeldShard, request: HistoryRequest) -> AsyncIterator[ProgramEvent]:
+        """Read a program once it is certain that no other node has taken it over."""
+        refused = await held.confirm_read()
+        if refused is not None:
+            yield refused
+            return
+        program = self._find(held, request)
+        yield NOT_FOUND if program is None else program_details(program)
 
     # --- calls ---------------------------------------------------------------------------
 
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_shard.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
-from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch._generated.journal_pb2 import JournalRecord, ReadConfirmed
 from foxwinch.commands.running_call import RunningCall
 from foxwinch.core.program.requests import Applied, Dropped
 from foxwinch.core.program.table import ProgramTable
@@ -12,6 +12,8 @@
 from foxwinch.node.interfaces import Appended, Clock, JournalView
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
+READ_RETRY_SECONDS = 0.5
+"""When to read again after too few replicas have confirmed a read."""
 COMMIT_RETRY_SECONDS = 0.2
 """First pause between tries to commit an outcome; doubles up to `COMMIT_RETRY_LIMIT_SECONDS`."""
 COMMIT_RETRY_LIMIT_SECONDS = 2.0
@@ -55,6 +57,17 @@
             return None
         return appended
 
+    async def confirm_read(self) -> Refused | None:
+        """Prove that no other node has taken the shard over; returns why that was not possible.
+
+        An owner that is cut off or has slept would else read out what is no longer the newest.
+        """
+        refused = await self.commit([JournalRecord(read_confirmed=ReadConfirmed())])
+        if refused is None:
+            return None
+        retry = refused.retry_after_seconds or READ_RETRY_SECONDS
+        return not_run(refused.reason, refused.detail, retry)
+
     async def commit_until_done(
         self, records: Sequence[JournalRecord], on_delay: Callable[[Refused], None]
     ) -> bool:
--- a/src/foxwinch/core/program/table.py
+++ b/src/foxwinch/core/program/table.py
@@ -65,6 +65,8 @@
             return self._finish(record.program_finished)
         if kind == "program_snapshot":
             return self._restore(record.program_snapshot)
+        if kind == "read_confirmed":
+            return Applied()
         return Dropped("record of an unknown kind")
 
     def submit(
--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -383,6 +383,20 @@
     assert len(owner.engine.orders) == 1
 
 
+@pytest.mark.parametrize(
+    "refusal",
+    [not_run(Reason.FENCED, "taken over"), Refused(Reason.NO_QUORUM, RunState.UNKNOWN, "")],
+)
+async def test_a_history_is_read_out_only_by_an_owner_that_is_not_replaced(rig, refusal):
+    await collect(rig.model())
+    rig.journal.refusals = [refusal]
+    _, refused = await collect(rig.router.execute(HistoryRequest(TENANT, PROGRAM)))
+    assert (refused.reason, refused.run_state) == (refusal.reason, RunState.NOT_RUN)
+    assert refused.retry_after_seconds
+    _, details = await collect(rig.router.execute(HistoryRequest(TENANT, PROGRAM)))
+    assert [m.content for m in details.history] == ["hello", TEXT]
+
+
 async def test_a_client_that_goes_at_the_first_node_is_seen_by_the_owner():
     _, _, _, first, owner = networked()
     events = first.model()
