Name what a refused call had been answered before; change the configuration at a node that is not cut

Cause: an untrue refusal could not be traced; the change of configuration was given to the cut node. Change: details carry reason and earlier attempts.

--- a/src/foxwinch/bench/failover/calls.py
+++ b/src/foxwinch/bench/failover/calls.py
@@ -46,6 +46,7 @@
     message: dict[str, Any] = field(default_factory=dict)
     """Of a tool's answer, or the document of the program API."""
     reason: str = ""
+    detail: str = ""
     retry_after_seconds: float | None = None
     streaming: bool = False
     """True when the answer had begun."""
@@ -149,6 +150,7 @@
     return Attempt(
         Outcome(error["run_state"]),
         reason=str(error["code"]),
+        detail=str(error["message"]),
         retry_after_seconds=float(retry_after) if retry_after is not None else None,
         streaming=streaming,
     )
--- a/src/foxwinch/bench/failover/operators.py
+++ b/src/foxwinch/bench/failover/operators.py
@@ -47,7 +47,8 @@
 
     None when the change was not accepted; the fault of a scenario may prevent that.
     """
-    async with client_of(cluster, cluster.usable()[0]) as client:
+    reachable = [node for node in cluster.usable() if not node.cut]
+    async with client_of(cluster, reachable[0]) as client:
         got = await client.query(lambda stub: stub.GetConfiguration, pb.GetConfigurationRequest())
         if isinstance(got, Refused):
             return None
--- a/src/foxwinch/bench/failover/programs.py
+++ b/src/foxwinch/bench/failover/programs.py
@@ -186,7 +186,11 @@
         self._check_known(history)
         added = history[len(self.record.expected) :]
         if attempt.outcome is Outcome.NOT_RUN and added:
-            self.record.untrue_not_run.append(f"history grew by {len(added)} messages")
+            cuts = ",".join(self.record.calls[-2].cuts)
+            self.record.untrue_not_run.append(
+                f"history grew by {len(added)} messages after {attempt.reason}"
+                f" ({attempt.detail}); earlier attempts: {cuts or 'none'}"
+            )
         self._check_own(added)
         self.record.expected = history
 
