Never call a known call not run because its driver has ended

Change: a call that is known and has neither driver nor outcome is answered unknown, with the time to come back; a plain test.

--- a/src/foxwinch/commands/execute.py
+++ b/src/foxwinch/commands/execute.py
@@ -29,7 +29,7 @@
 from foxwinch.core.program.requests import Attached, CallIntent, Repeated
 from foxwinch.core.program.state import Program
 from foxwinch.identifiers import CallId, ProgramId
-from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
 from foxwinch.settings.cluster import ClusterConfiguration, TemplateSettings
 
 MAXIMUM_WAITING_CALLS = 64
@@ -37,6 +37,13 @@
 WAITING_RETRY_SECONDS = 1.0
 NOT_FOUND = not_run(Reason.NOT_FOUND, "the program is not known")
 CALL_NOT_FOUND = not_run(Reason.NOT_FOUND, "the call is not known")
+CALL_UNSETTLED = Refused(
+    Reason.NOT_OWNER,
+    RunState.UNKNOWN,
+    "the program has changed hands and what became of the call is not settled yet",
+    retry_after_seconds=1.0,
+)
+"""The call is known and its driver has ended: its outcome may be committed already."""
 
 
 class ProgramExecutor:
@@ -206,7 +213,7 @@
     def _follow(self, held: HeldShard, call_id: CallId, offset: int) -> AsyncIterator[ProgramEvent]:
         running = held.running.get(call_id)
         if running is None:
-            return one_event(CALL_NOT_FOUND)
+            return one_event(CALL_UNSETTLED)
         if running.rerun and offset > 0:
             detail = "the answer is being made anew after the loss of a node: read from offset 0"
             return one_event(not_run(Reason.CONFLICT, detail))
--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -397,6 +397,16 @@
     assert [m.content for m in details.history] == ["hello", TEXT]
 
 
+async def test_a_known_call_without_driver_or_outcome_is_not_called_not_run(rig):
+    events = rig.model(idempotency_key="k")
+    assert isinstance(await anext(events), CallStarted)
+    (held,) = rig.owner.shards()
+    held.running.clear()
+    _, repeated = await collect(rig.model(idempotency_key="k"))
+    assert (repeated.reason, repeated.run_state) == (Reason.NOT_OWNER, RunState.UNKNOWN)
+    assert repeated.retry_after_seconds
+
+
 async def test_a_client_that_goes_at_the_first_node_is_seen_by_the_owner():
     _, _, _, first, owner = networked()
     events = first.model()
