Keep preferred stewards until members change; spread queue lengths less often

Cause: at the design size each look at the assignment hashed 640 workers over a zone's candidates, four times a second; queue lengths each second spend the gossip budget that holders need. Change: the preferred node is kept until resources or candidates differ; digests in which only queues changed go at most each 2 s, or 0.3 s for each member.

--- a/src/foxwinch/core/steward/assignment.py
+++ b/src/foxwinch/core/steward/assignment.py
@@ -142,6 +142,8 @@
         self._resources: dict[str, Resource] = {}
         self._held: dict[str, _Held] = {}
         self._candidates: tuple[Candidate, ...] = ()
+        self._preferred: dict[str, NodeId | None] = {}
+        """Kept until resources or candidates change: hashing them all costs milliseconds."""
         self._holders: Mapping[str, Holder] = {}
         self._unheard = False
         self._epochs: Mapping[str, Epoch] = {}
@@ -159,11 +161,17 @@
 
     def update_resources(self, resources: Iterable[Resource]) -> None:
         """Replace the set of resources, from the configuration."""
-        self._resources = {resource.name: resource for resource in resources}
+        found = {resource.name: resource for resource in resources}
+        if found != self._resources:
+            self._resources = found
+            self._preferred.clear()
 
     def update_candidates(self, candidates: Iterable[Candidate]) -> None:
         """Replace the live members: alive and suspected ones, not leaving ones."""
-        self._candidates = tuple(candidates)
+        found = tuple(candidates)
+        if found != self._candidates:
+            self._candidates = found
+            self._preferred.clear()
 
     def update_holders(self, holders: Mapping[str, Holder]) -> None:
         """Replace the holders heard of, live nodes only (a leaving one counts as live)."""
@@ -242,7 +250,7 @@
         resource = self._resources.get(name)
         if resource is None or self._draining:
             return []
-        if preferred_node(resource, self._candidates, self._region) != self._node:
+        if self._preferred_node(resource) != self._node:
             return []
         held.state = StewardState.UNASSIGNED
         return [Lost(name, held.epoch)]
@@ -251,7 +259,7 @@
         resource = self._resources.get(name)
         if resource is None or self._draining or now < held.retry_at or self._is_settling(now):
             return []
-        if preferred_node(resource, self._candidates, self._region) != self._node:
+        if self._preferred_node(resource) != self._node:
             return []
         holder = self._holders.get(name)
         if holder and holder.node != self._node and not holder.releasing:
@@ -259,6 +267,12 @@
         held.state = StewardState.CLAIMING
         return [Claim(name)]
 
+    def _preferred_node(self, resource: Resource) -> NodeId | None:
+        if resource.name not in self._preferred:
+            chosen = preferred_node(resource, self._candidates, self._region)
+            self._preferred[resource.name] = chosen
+        return self._preferred[resource.name]
+
     def _is_settling(self, now: float) -> bool:
         seconds = LONGEST_SETTLING_SECONDS if self._unheard else SETTLING_SECONDS
         return now < self._started_at + seconds
@@ -268,7 +282,7 @@
         if resource is None or self._draining:
             held.state = StewardState.RELEASING
             return [Release(name, held.epoch)]
-        preferred = preferred_node(resource, self._candidates, self._region)
+        preferred = self._preferred_node(resource)
         if preferred in (self._node, None):
             held.other_since = None
             return []
--- a/src/foxwinch/node/steward_service.py
+++ b/src/foxwinch/node/steward_service.py
@@ -49,8 +49,10 @@
 """Period of looking at members, leases and waiting calls when nothing wakes the service."""
 HANDOVER_SECONDS = 5.0
 """For word of the next steward's claim, which comes by gossip and may stand behind much else."""
-DIGEST_SECONDS = 1.0
-"""A digest is spread at most this often while only queue lengths change."""
+DIGEST_SECONDS = 2.0
+DIGEST_SECONDS_PER_MEMBER = 0.3
+"""While only queue lengths change a digest is spread at most once in the longer of these, the
+latter times the members: with more the gossip budget would be spent on them."""
 
 log = EventLog("steward")
 
@@ -300,7 +302,9 @@
         digest.queues.extend(self._queues())
         digest.hot_prefixes.extend(self._grants.hot_prefixes())
         payload = digest.SerializeToString(deterministic=True)
-        due = held_part != self._digest_held or now - self._digest_at >= DIGEST_SECONDS
+        due = (
+            held_part != self._digest_held or now - self._digest_at >= self._digest_pause_seconds()
+        )
         if self._digest_version and (payload == self._digest or not due):
             return
         self._digest, self._digest_held, self._digest_at = payload, held_part, now
@@ -310,6 +314,10 @@
         )
         self._ports.gossip.publish(entry)
 
+    def _digest_pause_seconds(self) -> float:
+        members = len(self._ports.membership.members())
+        return max(DIGEST_SECONDS, DIGEST_SECONDS_PER_MEMBER * members)
+
     def _held_resources(self, assignment: StewardAssignment) -> list[HeldResource]:
         found: list[HeldResource] = []
         for resource, epoch in sorted(assignment.held().items()):
