Run a family's journey plan in the demo; test clusters of real processes

Cause: the demo sent two calls; no test ran several node processes; two tests had the same process class. Change: make demo runs turns, tool calls, a sub-agent, a hold, a confirmation sent twice under one key, and prints worker, cached tokens, wait, latency and reason of each call; three node processes are killed and drained under a program that goes on; the process class of the tests stands once. Conclusion: a call through a node that has just been killed is unknown, and its key makes it safe to repeat.

--- /dev/null
+++ b/tests/test_cluster_processes.py
@@ -0,0 +1,130 @@
+"""Three real node processes: one program through all of them, a kill and a planned stop."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from foxwinch.gateway.authentication import hash_key
+from foxwinch_process import ROOT, SECONDS, Foxwinch
+
+KEY = "a-key-of-the-tests"
+ZONES = ("tvm-hall", "kollam-hall", "nedu-hall")
+NODE_ADDRESSES = ("caller_url", "operator_address", "peer_address")
+RETRIED = (502, 503)
+"""Answers after which a request may be sent again under its idempotency key."""
+
+
+class Cluster:
+    """An emulator process and node processes."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        physio = str(ROOT / "examples" / "physio.toml")
+        names = ("emulator_url", "table_url", "object_url", "machines_url")
+        self.emulator = Foxwinch("emulator", "--configuration", physio, expected=names)
+        self.processes = [self.emulator]
+        self.urls = self.emulator.wait_printed().printed
+        text = (ROOT / "examples" / "physio.toml").read_text(encoding="utf-8")
+        text = text.replace("http://127.0.0.1:7100", self.urls["emulator_url"])
+        hashes = f'key_hashes = ["{hash_key(KEY)}"]\n'
+        first = 'name = "ward-discharge"\n'
+        text = text.replace(first, first + hashes)
+        (directory / "cluster.toml").write_text(text, encoding="utf-8")
+        self.nodes = []
+
+    def start(self, count):
+        """Start nodes; those after the first join by its address, side by side."""
+        first = self._start(0, ())
+        seeds = (first.wait_printed().printed["peer_address"],)
+        others = [self._start(number, seeds) for number in range(1, count)]
+        self.nodes = [first, *(other.wait_printed() for other in others)]
+
+    def _start(self, number, seeds):
+        path = self.directory / f"node-{number}.toml"
+        lines = [
+            f'name = "node-{number}"',
+            'region = "kerala-south"',
+            f'zone = "{ZONES[number % len(ZONES)]}"',
+            f'operator_key_hashes = ["{hash_key(KEY)}"]',
+            'configuration_file = "cluster.toml"',
+            f"seeds = {list(seeds)}",
+            "[platform]",
+            *(f'{n} = "{self.urls[n]}"' for n in ("table_url", "object_url", "machines_url")),
+        ]
+        path.write_text("\n".join(lines), encoding="utf-8")
+        node = Foxwinch("node", "--settings", str(path), expected=NODE_ADDRESSES)
+        self.processes.append(node)
+        return node
+
+    def say(self, node, program, text):
+        """Send a turn under a key of its own, and again until it is answered."""
+        body = {
+            "model": "plan-llm",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 4,
+        }
+        ends_at = time.monotonic() + SECONDS
+        while True:
+            status, answer = node.post(f"/v1/programs/{program}/calls", body, KEY, text)
+            if status == 200:
+                return answer["choices"][0]["message"]["content"]
+            assert status in RETRIED, answer
+            assert time.monotonic() < ends_at, answer
+            time.sleep(0.2)
+
+    def history(self, node, program):
+        """Return the contents of a program's history."""
+        status, answer = node.get(f"/v1/programs/{program}/history", KEY)
+        assert status == 200, answer
+        return answer
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    started = Cluster(tmp_path)
+    try:
+        yield started
+    finally:
+        for process in started.processes:
+            process.end()
+
+
+def test_a_program_outlives_a_killed_owner(cluster):
+    cluster.start(3)
+    first = cluster.nodes[0]
+    listed = first.query("nodes", "list", key=KEY)["nodes"]
+    assert sorted(node["state"] for node in listed) == ["alive"] * 3
+    status, _ = first.post("/v1/programs", {"template": "plan-draft", "name": "plan"}, KEY)
+    assert status == 201
+    answers = [cluster.say(node, "plan", f"turn {i}") for i, node in enumerate(cluster.nodes)]
+
+    program = first.query("programs", "show", "ward-discharge/plan", key=KEY)["program"]
+    owner = next(n for n in listed if n["node"] == program["summary"]["owner"])
+    by_address = {node.printed["peer_address"]: node for node in cluster.nodes}
+    killed = by_address[owner["address"]]
+    killed.process.kill()
+    survivors = [node for node in cluster.nodes if node is not killed]
+    answers.append(cluster.say(survivors[0], "plan", "after the kill"))
+    history = cluster.history(survivors[1], "plan")
+    for text in ("turn 0", "turn 1", "turn 2", "after the kill", *answers):
+        assert history.count(text) == 1, text
+
+
+def test_a_planned_stop_cuts_no_request(cluster):
+    cluster.start(3)
+    stopping, staying = cluster.nodes[:2]
+    status, _ = staying.post("/v1/programs", {"template": "plan-draft", "name": "plan"}, KEY)
+    assert status == 201
+    answers = []
+    with ThreadPoolExecutor(1) as caller:
+        turns = [caller.submit(cluster.say, staying, "plan", f"turn {i}") for i in range(20)]
+        answers.append(turns[0].result(SECONDS))
+        stopping.process.send_signal(signal.SIGTERM)
+        assert stopping.process.wait(SECONDS) == 0
+        answers += [turn.result(SECONDS) for turn in turns[1:]]
+    history = cluster.history(staying, "plan")
+    for text in [f"turn {i}" for i in range(20)]:
+        assert history.count(f'"{text}"') == 1, text
+    assert all(history.count(answer) == 1 for answer in answers)
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,25 @@
+"""The demonstration runs a whole journey plan and prints what was decided."""
+
+import os
+import subprocess
+import sys
+
+from foxwinch_process import ROOT, SECONDS
+
+
+def test_the_demo_prints_its_decisions_and_ends_with_zero():
+    demo = subprocess.run(
+        [sys.executable, str(ROOT / "examples" / "demo.py")],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        text=True,
+        timeout=SECONDS,
+        check=False,
+    )
+    assert demo.returncode == 0, demo.stderr
+    table = demo.stdout.partition("What was decided:")[2].strip().splitlines()
+    kinds = [line.split()[1] for line in table[1:]]
+    assert kinds.count("model") == 5
+    assert kinds.count("tool") == 3
+    assert kinds.count("spawn") == 1
+    assert demo.stdout.count("[confirm-seats] confirmed:") == 2
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -5,51 +5,12 @@
 import signal
 import subprocess
 import sys
-import urllib.request
-from pathlib import Path
 
 import pytest
 
-ROOT = Path(__file__).parents[1]
-EXAMPLES = ROOT / "examples"
-SECONDS = 60
-
-
-class Foxwinch:
-    """A foxwinch process that has printed its addresses."""
-
-    def __init__(self, *arguments, expected):
-        self.environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "foxwinch", *arguments],
-            stdout=subprocess.PIPE,
-            text=True,
-            env=self.environment,
-        )
-        self.printed = {}
-        while not set(expected) <= self.printed.keys():
-            line = self.process.stdout.readline()
-            assert line, f"ended with {self.process.wait(SECONDS)} before it was ready"
-            name, _, value = line.strip().partition("=")
-            self.printed[name] = value
+from foxwinch_process import ROOT, SECONDS, Foxwinch
 
-    def command(self, *arguments, key):
-        """Run an operators' command against the process."""
-        address = self.printed["operator_address"]
-        variables = {"FOXWINCH_OPERATOR_ADDRESS": address, "FOXWINCH_OPERATOR_KEY": key}
-        return subprocess.run(
-            [sys.executable, "-m", "foxwinch", *arguments],
-            env={**self.environment, **variables},
-            capture_output=True,
-            text=True,
-            timeout=SECONDS,
-            check=False,
-        )
-
-    def get(self, path):
-        """Read a path of the caller side; returns status and body."""
-        with urllib.request.urlopen(self.printed["caller_url"] + path, timeout=SECONDS) as answer:
-            return answer.status, answer.read().decode()
+EXAMPLES = ROOT / "examples"
 
 
 @pytest.fixture
@@ -58,12 +19,11 @@
 
     def start(*arguments, expected):
         processes.append(Foxwinch(*arguments, expected=expected))
-        return processes[-1]
+        return processes[-1].wait_printed()
 
     yield start
     for one in processes:
-        one.process.kill()
-        one.process.wait(SECONDS)
+        one.end()
 
 
 def test_dev_answers_operators_and_stops_on_sigterm(started):
