--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -459,3 +459,11 @@
     asked = AttachRequest(TENANT, PROGRAM, CallId("nothing"), 0)
     assert (await collect(rig.router.execute(asked)))[1].reason is Reason.NOT_FOUND
     assert (await collect(rig.tool(name="q")))[1].reason is Reason.NOT_FOUND
+
+
+async def test_a_refused_repeat_does_not_hide_that_an_earlier_attempt_may_have_run(rig):
+    await create(rig)
+    down = Refused(Reason.BACKEND_UNAVAILABLE, RunState.NOT_RUN, "down")
+    rig.tools.answers = [Refused(Reason.TOOL_TIMEOUT, RunState.UNKNOWN, "lost"), *[down] * 9]
+    _, last = await collect(rig.tool("timetable"))
+    assert (last.reason, last.run_state) == (Reason.BACKEND_UNAVAILABLE, RunState.UNKNOWN)
