Tell everyone who asked for a release that it is done

Cause: a release asked for while the same one was under way was dropped with its callback, so its end was not noted and the engine was asked again for most programs. Change: who asks for a matter under way is added to those who are told of its end.

--- a/src/foxwinch/node/engine_retries.py
+++ b/src/foxwinch/node/engine_retries.py
@@ -45,14 +45,17 @@
         """Start with nothing to do."""
         self._clock = clock
         self._tasks: dict[RetriedKey, asyncio.Task[None]] = {}
+        self._when_done: dict[RetriedKey, list[Callable[[], None]]] = {}
 
     def submit(
         self, key: RetriedKey, operation: Operation, when_done: Callable[[], None] | None = None
     ) -> None:
-        """Repeat `operation` until done, unless that is being done already."""
+        """Repeat `operation` until done; one that is being done already is only waited for."""
+        if when_done is not None:
+            self._when_done.setdefault(key, []).append(when_done)
         if key in self._tasks:
             return
-        task = asyncio.get_running_loop().create_task(self._repeat(key, operation, when_done))
+        task = asyncio.get_running_loop().create_task(self._repeat(key, operation))
         self._tasks[key] = task
 
     def is_pending(self, key: RetriedKey) -> bool:
@@ -65,6 +68,7 @@
 
     def drop(self, key: RetriedKey) -> None:
         """Give up one operation that has become wrong."""
+        self._when_done.pop(key, None)
         task = self._tasks.pop(key, None)
         if task is not None:
             task.cancel()
@@ -85,11 +89,10 @@
         for task in tasks:
             task.cancel()
         self._tasks.clear()
+        self._when_done.clear()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _repeat(
-        self, key: RetriedKey, operation: Operation, when_done: Callable[[], None] | None
-    ) -> None:
+    async def _repeat(self, key: RetriedKey, operation: Operation) -> None:
         pause = FIRST_PAUSE_SECONDS
         while isinstance(refused := await operation(), Refused):
             log.debug(
@@ -102,5 +105,5 @@
             await self._clock.sleep(pause * (0.5 + self._clock.uniform() / 2))
             pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
         self._tasks.pop(key, None)
-        if when_done is not None:
+        for when_done in self._when_done.pop(key, ()):
             when_done()
