Never tell a call not run that an earlier owner may have run

Cause: a call that an earlier owner admitted is run again by the next owner, whose driver started from "no attempt yet". When the only new run was refused not_run, its grant was refused, or the program was abandoned first, the call was recorded and told as not_run, although the earlier owner's attempt may have taken effect.

Change: commands/attempts.before_first gives both drivers what is known before the first attempt; for a call that is run again that is "unknown". Applied to attempts, grants and cancellation.

Conclusion: after a takeover only an end that is certain (an answer, or ran) is told as such.

--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -12,7 +12,7 @@
 
 from foxwinch._generated.journal_pb2 import CallAdmitted, CallOutcome, HistoryMessage
 from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message, TokenChunk
-from foxwinch.commands.attempts import with_earlier
+from foxwinch.commands.attempts import before_first, with_earlier
 from foxwinch.commands.call_lifecycle import CallLifecycle
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.admission import remaining_wall_seconds
@@ -138,7 +138,7 @@
     async def _attempts(self) -> GenerateFinished | Refused:
         """Dispatch, and retry within the bound."""
         attempt = 1
-        earlier: Refused | None = None
+        earlier = before_first(self.life.running.rerun)
         while True:
             if self.grant is None:
                 grant = await self._acquire()
@@ -236,6 +236,7 @@
         )
         if self.grant is not None:
             self._settle_grant(refused)
+        refused = with_earlier(refused, before_first(running.rerun))
         if running.intent_sent:
             await self._fail(refused)
         else:
--- a/src/foxwinch/commands/tool_call.py
+++ b/src/foxwinch/commands/tool_call.py
@@ -10,7 +10,7 @@
 
 from foxwinch._generated.journal_pb2 import CallAdmitted, CallOutcome, HistoryMessage
 from foxwinch.backends.ports import ToolOrder, ToolResult
-from foxwinch.commands.attempts import with_earlier
+from foxwinch.commands.attempts import before_first, with_earlier
 from foxwinch.commands.call_lifecycle import CallLifecycle
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.budget import Amount
@@ -91,8 +91,10 @@
             arguments=json.loads(self.admitted.parameters_json or "{}"),
             timeout_seconds=self.terms.timeout_seconds,
         )
+        earlier = before_first(self.life.running.rerun)
         if self.life.running.cancel_cause:
-            return not_run(Reason.CANCELLED, "the call was cancelled before it was dispatched")
+            detail = "the call was cancelled before it was dispatched"
+            return with_earlier(not_run(Reason.CANCELLED, detail), earlier)
         self.ports.grants.pause(order.program_id, order.tool)
         self.life.step(CallState.RUNNING)
         running = self.life.running
@@ -102,7 +104,6 @@
             )
         )
         attempt = 1
-        earlier: Refused | None = None
         while True:
             end = await self._call(order)
             if isinstance(end, ToolResult):
--- a/tests/test_program_commands.py
+++ b/tests/test_program_commands.py
@@ -467,3 +467,52 @@
     rig.tools.answers = [Refused(Reason.TOOL_TIMEOUT, RunState.UNKNOWN, "lost"), *[down] * 9]
     _, last = await collect(rig.tool("timetable"))
     assert (last.reason, last.run_state) == (Reason.BACKEND_UNAVAILABLE, RunState.UNKNOWN)
+
+
+async def left_running(call):
+    """Return a call in the middle of which its first owner was lost, and the next owner."""
+    first = Rig().load()
+    await create(first)
+    waiting = asyncio.create_task(collect(call(first)))
+    await asyncio.sleep(0.5)
+    records = list(first.journal.records)
+    first.owner.drop_shard(SHARD)
+    await waiting
+    return Rig(seed=2), records
+
+
+def keyed_tool(rig):
+    return rig.tool("timetable", idempotency_key="k")
+
+
+def keyed_model(rig):
+    return rig.model(idempotency_key="k")
+
+
+@pytest.mark.parametrize("call", [keyed_model, keyed_tool])
+async def test_a_refused_run_after_a_takeover_does_not_hide_the_earlier_owners_run(call):
+    later, records = await left_running(call)
+    refused = not_run(Reason.INVALID_REQUEST, "no")
+    later.engine.failures, later.tools.answers = [(0, refused)], [refused]
+    later.load(records, epoch=2)
+    _, last = await collect(call(later))
+    assert (last.reason, last.run_state) == (Reason.INVALID_REQUEST, RunState.UNKNOWN)
+    assert [result for result, _ in results(later)] == [CallOutcome.FAILED_UNKNOWN]
+    assert len(later.engine.orders) + len(later.tools.orders) == 1
+
+
+async def test_a_refused_grant_after_a_takeover_does_not_hide_the_earlier_owners_run():
+    later, records = await left_running(keyed_model)
+    later.grants.refusal = not_run(Reason.OVERLOADED, "busy", 2.0)
+    later.load(records, epoch=2)
+    _, last = await collect(keyed_model(later))
+    assert (last.reason, last.run_state) == (Reason.OVERLOADED, RunState.UNKNOWN)
+
+
+@pytest.mark.parametrize("call", [keyed_model, keyed_tool])
+async def test_abandoning_after_a_takeover_does_not_hide_the_earlier_owners_run(call):
+    later, records = await left_running(call)
+    later.load(records, epoch=2)
+    await end(later, abandoned=True)
+    await later.owner.wait_idle()
+    assert results(later) == [(CallOutcome.FAILED_UNKNOWN, Reason.CANCELLED)]
