Tell stewards the family of a program

Change: GrantRequest.family_id is the root of program_id (core/program/identity.root_of), and the steward hands it to the pool's scheduler. A steward now ends a program in its pools also when only its sub-agents asked there, so that no root is remembered for ever.

--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -13,6 +13,7 @@
 from foxwinch.core.membership.entry import GossipKind as GossipKind
 from foxwinch.core.membership.member import Member as Member
 from foxwinch.core.membership.member import MemberState as MemberState
+from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import (
     CallId,
     ClassName,
@@ -185,6 +186,11 @@
     """On the clock of the event loop of the asking node; sent between nodes as a remainder."""
     repeatable: bool = True
 
+    @property
+    def family_id(self) -> ProgramId:
+        """The root of the program's family; sub-agents share the arrival time of its step."""
+        return root_of(self.program_id)
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
--- a/src/foxwinch/node/steward_programs.py
+++ b/src/foxwinch/node/steward_programs.py
@@ -50,9 +50,9 @@
         """Release a program's memory; True once none is held at the named workers."""
         program_id = ProgramId(finished.program_id)
         self._last_worker.pop(program_id, None)
-        if self._last_ask.pop(program_id, None) is not None:
-            for _, pool in self._pools.pools():
-                pool.handle(ProgramEnded(program_id))
+        self._last_ask.pop(program_id, None)
+        for _, pool in self._pools.pools():  # also one that has seen only its sub-agents
+            pool.handle(ProgramEnded(program_id))
         released = [self._release(WorkerId(w), program_id) for w in finished.workers]
         return all(released)
 
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -68,6 +68,34 @@
         assert (refused.reason, refused.run_state) == (Reason.DEADLINE, "not_run")
 
 
+async def test_parallel_sub_agents_share_the_step_of_their_root_across_nodes():
+    async with StewardCluster(workers=1) as cluster:
+        (name,) = set(cluster.serving().values())
+        owner = next(node for node in cluster.nodes.values() if node.name != name)
+        scheduler = cluster.nodes[name].steward.pools.pool("llm-1").scheduler
+        held = [await owner.grants.acquire(request(f"c{i}", f"p{i}", 600.0)) for i in range(16)]
+        order, waiting = [], []
+        for program in ("t/root~a", "t/newcomer", "t/root~b"):
+            asked = asyncio.create_task(owner.grants.acquire(request(program, program, 600.0)))
+            asked.add_done_callback(lambda done: order.append(done.result().call_id))
+            waiting.append(asked)
+            await asyncio.sleep(1.0)
+        assert order == []
+        for number, grant in enumerate(held[:3]):
+            owner.grants.settle(grant, GrantUsage(grant.call_id, 1, 0, 1, False))
+            await until(lambda expected=number + 1: len(order) == expected)
+        assert order == ["t/root~a", "t/root~b", "t/newcomer"]
+        for asked in waiting:
+            owner.grants.settle(await asked, GrantUsage((await asked).call_id, 1, 0, 1, False))
+        for grant in held[3:]:
+            owner.grants.settle(grant, GrantUsage(grant.call_id, 1, 0, 1, False))
+        await until(lambda: granted(cluster) == 0)
+        ended = ("t/root~a", "t/newcomer", "t/root~b", "t/root", *(f"p{i}" for i in range(16)))
+        for program in ended:
+            owner.grants.finish(program)
+        await until(lambda: len(scheduler._programs) == 0)
+
+
 async def test_a_steward_killed_with_waiting_requests_is_replaced():
     async with StewardCluster(workers=1) as cluster:
         (name,) = set(cluster.serving().values())
