Test that programs show tells the scheduler's reason

Cause: no test followed the reason of a placement from PoolScheduler to the command line. Change: the test of three node processes checks the reason of each call that foxwinch programs show prints: the sentence of placement_reason with the worker of that call. Nothing had to be wired.

--- a/tests/test_cluster_processes.py
+++ b/tests/test_cluster_processes.py
@@ -1,5 +1,6 @@
 """Three real node processes: one program through all of them, a kill and a planned stop."""
 
+import re
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -101,6 +102,10 @@
     answers = [cluster.say(node, "plan", f"turn {i}") for i, node in enumerate(cluster.nodes)]
 
     program = first.query("programs", "show", "ward-discharge/plan", key=KEY)["program"]
+    for call in program["calls"]:
+        pattern = rf"waited \d+\.\d\d s for a place; {call['worker']} had the least predicted cost"
+        assert re.match(pattern, call["reason"]), call
+    assert len(program["calls"]) == 3
     owner = next(n for n in listed if n["node"] == program["summary"]["owner"])
     by_address = {node.printed["peer_address"]: node for node in cluster.nodes}
     killed = by_address[owner["address"]]
