Break the connection of a lost answer in the emulator process too

Cause: the stand-ins broke a connection only when its transport was an asyncio.Transport by class. The emulator process runs on uvloop, whose transports are not, so a lost answer came as a 500. Change: abort whatever transport there is; a test on the real process. Figures: the new test fails without the change (HTTPError 500) and passes with it. Conclusion: lost answers now look to nodes as the faults' name says.

--- a/src/foxwinch/emulator/http_faults.py
+++ b/src/foxwinch/emulator/http_faults.py
@@ -1,7 +1,5 @@
 """Faults of a stand-in as they look over HTTP."""
 
-import asyncio
-
 from aiohttp import web
 
 from foxwinch.emulator.faults import AnswerFate, FaultGate, Gated, GateVerdict
@@ -43,7 +41,7 @@
 def break_connection(request: web.Request) -> web.StreamResponse:
     """Break the connection without an answer."""
     transport = request.transport
-    if isinstance(transport, asyncio.Transport):
+    if transport is not None:  # uvloop's transports are no asyncio.Transport by class
         transport.abort()
     return web.Response(status=500)
 
--- a/tests/test_emulator_process.py
+++ b/tests/test_emulator_process.py
@@ -8,6 +8,8 @@
 import urllib.request
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parents[1]
 SECONDS = 60
 
@@ -37,6 +39,23 @@
         process.communicate(timeout=SECONDS)
 
 
+def test_lost_answer_breaks_the_connection():
+    process = emulator("--settings", str(ROOT / "examples" / "emulator.toml"), "--port", "0")
+    try:
+        printed = dict(process.stdout.readline().strip().split("=", 1) for _ in range(6))
+        faults = b'{"machines": {"lose_answers": 1}}'
+        request = urllib.request.Request(
+            printed["emulator_url"] + "/faults", faults, {"Content-Type": "application/json"}
+        )
+        with urllib.request.urlopen(request, timeout=SECONDS) as taken:
+            assert taken.status == 200
+        with pytest.raises(ConnectionError):
+            urllib.request.urlopen(printed["machines_url"] + "/machines", timeout=SECONDS)
+    finally:
+        process.kill()
+        process.communicate(timeout=SECONDS)
+
+
 def test_wrong_settings_are_refused_naming_the_field(tmp_path):
     file = tmp_path / "emulator.toml"
     file.write_text("[faults.table]\nlose_answer = 1\n")
