Give a silent engine up in time for another worker to answer

Change: the wait is bounded by multiples of the design size's figures: 10 x 1.8 s to the first event plus the prompt's computation, 150 x 34 ms between events, at most half of what is left of the call's deadline and never below 1.8 s. The call is then resumed as after a broken stream, on a worker that has not failed it. Figures: tests with a lost answer, an engine that never answers, and a stream that falls silent after two tokens: the caller has the whole answer from the second worker. Conclusion: the bounds hold; their cost on a pool under overload is not measured.

--- a/src/foxwinch/backends/engine_http.py
+++ b/src/foxwinch/backends/engine_http.py
@@ -17,6 +17,7 @@
 
 from foxwinch.backends.engine_load import read_load
 from foxwinch.backends.engine_stream import read_events
+from foxwinch.backends.engine_waits import bound_gaps, engine_waits, first_timeout
 from foxwinch.backends.ports import (
     CacheEvent,
     CacheEventPage,
@@ -28,7 +29,6 @@
     ModelOrder,
 )
 from foxwinch.http_exchange import (
-    CONNECT_SECONDS,
     HEADER_RETRY_AFTER,
     HttpAnswer,
     HttpRequest,
@@ -52,13 +52,10 @@
 """For the export or import of a program's cache."""
 ORDER_SECONDS = 120.0
 """Loading a model takes tens of seconds; a later answer is had by sending the token again."""
-IDLE_SECONDS = 120.0
-"""A stream in which nothing arrives for so long is given up."""
 DRAIN_SECONDS = 0.5
 """For the end marker after the last event; later the connection is given up."""
 SNAPSHOT_AFTER = 0
 """Reading cache events after 0 gives a snapshot, whose numbers do not follow on."""
-STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=CONNECT_SECONDS, sock_read=IDLE_SECONDS)
 
 
 class CacheEventDocument(BaseModel):
@@ -101,23 +98,26 @@
     async def generate(
         self, worker: WorkerId, order: GenerateOrder
     ) -> AsyncGenerator[EngineEvent, None]:
-        """Stream an answer; see the port."""
+        """Stream an answer; see the port. An engine that falls silent is given up as `unknown`."""
         url = self._url_of(worker)
         if url is None:
             yield _unknown_worker(worker)
             return
+        body = json.dumps(_body(order)).encode()
+        waits = engine_waits(order.deadline_seconds, len(body))
         try:
             async with self._session.post(
                 f"{url}/v1/chat/completions",
-                data=json.dumps(_body(order)).encode(),
+                data=body,
                 headers=_headers(order),
-                timeout=STREAM_TIMEOUT,
+                timeout=first_timeout(waits),
                 allow_redirects=False,
             ) as response:
                 if response.status != 200:
                     yield _refused_generation(worker, response)
                     return
-                async with aclosing(read_events(response.content)) as events:
+                reading = read_events(response.content, lambda: bound_gaps(response, waits))
+                async with aclosing(reading) as events:
                     async for event in events:
                         try:
                             yield event
--- a/src/foxwinch/backends/engine_stream.py
+++ b/src/foxwinch/backends/engine_stream.py
@@ -1,7 +1,7 @@
 """Server-sent events of an engine's chat completions, read into engine events."""
 
 import json
-from collections.abc import AsyncGenerator, Iterator
+from collections.abc import AsyncGenerator, Callable, Iterator
 from typing import Any
 
 import aiohttp
@@ -19,14 +19,21 @@
 _decode_at = json.JSONDecoder().raw_decode
 
 
-async def read_events(content: aiohttp.StreamReader) -> AsyncGenerator[EngineEvent, None]:
+async def read_events(
+    content: aiohttp.StreamReader, on_begun: Callable[[], None]
+) -> AsyncGenerator[EngineEvent, None]:
     """Yield the events of a stream until it ends; an unreadable one ends it as `unknown`.
 
     All lines that have arrived together are read without a pause between their events.
+    `on_begun` is called once, when the first data has arrived.
     """
     reader = _EventReader()
+    begun = False
     rest = b""
     while data := await content.readany():
+        if not begun:
+            begun = True
+            on_begun()
         lines, _, rest = (rest + data).rpartition(b"\n")
         if len(rest) > MAXIMUM_LINE_BYTES:
             yield MALFORMED
--- a/src/foxwinch/backends/ports.py
+++ b/src/foxwinch/backends/ports.py
@@ -41,6 +41,8 @@
     """Sampling parameters passed through unchanged."""
     resume_offset: int = 0
     """Number of chunks already received of this very call; the engine sends what follows."""
+    deadline_seconds: float | None = None
+    """What is left of the call's deadline; bounds how long the worker may be silent."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -204,6 +204,7 @@
             epoch=grant.epoch,
             parameters=parameters,
             resume_offset=len(self.life.running.chunks),
+            deadline_seconds=max(0.0, self.terms.deadline_seconds - self.service_seconds),
         )
 
     async def _finish(self, end: GenerateFinished | Refused) -> None:
