Count the failover bench's cut requests by kind and reason; end recorded outcomes

Cause: answers_lost showed 247 cut requests with 8 callers (a trial). 241 of them were 4 calls of tools that may not be repeated: their answer was lost, the recorded outcome is backend_unavailable and unknown, and the caller, which took that reason for a passing one, asked for the same record about once a second for a minute. 6 were attempts of 3 model calls that had no answer within 30 s. Change: cuts_by_reason in the report. A call that may not be repeated ends at the second answer backend_unavailable with an unknown outcome; the one repetition stays, so that a second run would still be counted. Everything else is asked for as before, and every attempt is still counted. Conclusion: the count had been one of repetitions, not of calls.

--- a/src/foxwinch/bench/failover/calls.py
+++ b/src/foxwinch/bench/failover/calls.py
@@ -21,6 +21,10 @@
 LONGEST_PAUSE_SECONDS = 1.0
 LASTING_REASONS = frozenset({"outcome_unknown", "tool_timeout", "backend_failed", "cancelled"})
 """Outcomes that are recorded: asking again under the key gives the same."""
+LASTING_REASON_ONCE = "backend_unavailable"
+"""Recorded too, for a call that may not be repeated: its service broke off."""
+LASTING_ANSWERS = 2
+"""Such a call is asked for once more: the repetition must not run it, which the stand-ins count."""
 
 
 class Outcome(StrEnum):
@@ -76,6 +80,8 @@
     body: dict[str, Any] | None
     key: str
     stream: bool = False
+    once: bool = False
+    """The call may not be repeated."""
     resend_not_run: Callable[[], bool] = lambda: True
     """False: a truthful "not run" ends the call, to be checked against the stand-ins."""
 
@@ -112,6 +118,8 @@
         if attempt.outcome is Outcome.UNREACHED:
             return False
         call.cuts.append(attempt.reason or attempt.outcome)
+        if ask.once and attempt.reason == LASTING_REASON_ONCE:
+            return call.cuts.count(attempt.reason) >= LASTING_ANSWERS
         return attempt.reason in LASTING_REASONS
 
     async def _attempt(self, ask: Ask) -> Attempt:
--- a/src/foxwinch/bench/failover/programs.py
+++ b/src/foxwinch/bench/failover/programs.py
@@ -156,6 +156,7 @@
             f"{self._path}/tools",
             body,
             self._key(f"{tool}-{turn}"),
+            once=once,
             resend_not_run=lambda: not give_up,
         )
         answer = await self._call(tool, ask)
--- a/src/foxwinch/bench/failover/verdict.py
+++ b/src/foxwinch/bench/failover/verdict.py
@@ -29,6 +29,8 @@
     double_runs: int = 0
     untrue_not_run: int = 0
     cut_requests: int = 0
+    cuts_by_reason: dict[str, int] = field(default_factory=dict)
+    """The cut requests under "kind of call: reason"."""
     unknown: int = 0
     """Of calls in flight at the fault."""
     unknown_outside_fault: int = 0
@@ -109,6 +111,9 @@
 def _judge_call(call: LogicalCall, windows: list[FaultWindow], result: ScenarioResult) -> None:
     result.calls += 1
     result.cut_requests += len(call.cuts)
+    for cut in call.cuts:
+        name = f"{call.kind}: {cut}"
+        result.cuts_by_reason[name] = result.cuts_by_reason.get(name, 0) + 1
     if result.planned:
         result.details += [f"cut: {call.program}: {call.kind}: {cut}" for cut in call.cuts]
     if call.kind in READS:
