Finish or refuse the calls that other nodes forward to a draining node

Cause: the admission gate counts only requests of callers at the draining node. Calls forwarded by other nodes were accepted until their shard moved, and a shard without a pause never moved; answers that a fellow node had not read to the end were not waited for. Both were cut at the stop.

Change: a leaving node takes new calls of a busy shard for 2 s, then refuses them (draining, not run, Retry-After 1 s; repeats and reconnects still find their call) and finishes what it accepted. The drain also waits until every forwarded answer is sent.

A slowly read answer was cut before and is whole after.

Conclusion: tests/test_drain_forwarding.py fails twice without the change and passes with it.

--- a/src/foxwinch/commands/execute.py
+++ b/src/foxwinch/commands/execute.py
@@ -37,6 +37,9 @@
 WAITING_RETRY_SECONDS = 1.0
 NOT_FOUND = not_run(Reason.NOT_FOUND, "the program is not known")
 CALL_NOT_FOUND = not_run(Reason.NOT_FOUND, "the call is not known")
+LEAVING = not_run(
+    Reason.DRAINING, "the program's owner is about to stop; another node takes over", 1.0
+)
 CALL_UNSETTLED = Refused(
     Reason.NOT_OWNER,
     RunState.UNKNOWN,
@@ -196,6 +199,10 @@
             case Repeated():
                 child = held.table.find(ProgramId(found.call.admitted.target))
                 return ended_call(program, found.call, child, offset)
+        if held.closing:
+            held.table.withdraw(program, intent.call_id)
+            self._drop_if_unused(held, program)
+            return one_event(LEAVING)
         return self._owner.open_call(held, program, intent.call_id, intent.idempotency_key)
 
     def _attach(self, held: HeldShard, request: AttachRequest) -> AsyncIterator[ProgramEvent]:
--- a/src/foxwinch/commands/forward.py
+++ b/src/foxwinch/commands/forward.py
@@ -27,6 +27,12 @@
     def __init__(self, peers: PeerPort) -> None:
         """Use the streams between nodes."""
         self._peers = peers
+        self._served = 0
+
+    @property
+    def served(self) -> int:
+        """Return the requests of other nodes whose answers are not wholly sent."""
+        return self._served
 
     def serve(self, execute_here: Callable[[ProgramRequest], AsyncIterator[ProgramEvent]]) -> None:
         """Serve requests that other nodes send on."""
@@ -37,9 +43,13 @@
                 yield not_run(Reason.INVALID_REQUEST, "the operation is not known to this node")
                 return
             events = execute_here(request)
-            async with aclosing(cast(Any, events)):
-                async for event in events:
-                    yield encode_event(event)
+            self._served += 1
+            try:
+                async with aclosing(cast(Any, events)):
+                    async for event in events:
+                        yield encode_event(event)
+            finally:
+                self._served -= 1
 
         self._peers.handle_stream(METHOD, handle)
 
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_shard.py
@@ -42,6 +42,8 @@
         """Creations that go into the journal with the program's first call."""
         self.ending: set[ProgramId] = set()
         """Programs that are being finished or abandoned: they take no new calls."""
+        self.closing = False
+        """True while this node is leaving and finishes only what it has accepted."""
         self.lost = False
         self._journal = journal
         self._clock = clock
--- a/src/foxwinch/commands/program_owner.py
+++ b/src/foxwinch/commands/program_owner.py
@@ -102,6 +102,7 @@
         if held is None:
             detail = "the program's shard is being taken over"
             return not_run(Reason.NOT_OWNER, detail, LOADING_RETRY_SECONDS)
+        held.closing = located.closing
         return held
 
     # --- calls ---------------------------------------------------------------------------
--- a/src/foxwinch/commands/router.py
+++ b/src/foxwinch/commands/router.py
@@ -5,7 +5,7 @@
 from foxwinch.commands.execute import ProgramExecutor
 from foxwinch.commands.forward import Forwarder
 from foxwinch.commands.held_shard import HeldShard
-from foxwinch.commands.program_owner import ProgramOwner
+from foxwinch.commands.program_owner import IDLE_POLL_SECONDS, ProgramOwner
 from foxwinch.commands.requests import ProgramRequest
 from foxwinch.commands.views import one_event
 from foxwinch.core.program.call_events import ProgramEvent
@@ -46,6 +46,11 @@
             return self._executor.execute(located, request)
         return one_event(located if isinstance(located, Refused) else _not_owner())
 
+    async def wait_sent(self) -> None:
+        """Return when every answer to a request that another node sent on is sent."""
+        while self._forwarder is not None and self._forwarder.served:
+            await self._owner.ports.clock.sleep(IDLE_POLL_SECONDS)
+
     def new_program_name(self, tenant: str) -> str:
         """Return a fresh name whose program this node owns, where one is found quickly."""
         name = ""
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -122,6 +122,8 @@
 
     shard: ShardNumber
     epoch: Epoch
+    closing: bool = False
+    """This node is leaving: calls that were accepted are finished, new ones are refused."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -57,6 +57,9 @@
 IDLE_SECONDS = 20.0
 """A handover that is not urgent waits so long for the shard's running calls, then tries later."""
 IDLE_POLL_SECONDS = 0.05
+CLOSING_SECONDS = 2.0
+"""A leaving node takes new calls of a shard so long while it waits for the running ones. A shard
+that is busy without a pause would otherwise stay until the drain's limit cuts its calls."""
 RETIRE_SECONDS = 10.0
 """Longest wait of a leaving node for its replicas to be replaced; while the table is down they
 cannot be."""
@@ -91,6 +94,8 @@
         self._decisions: OwnershipDecisions | None = None
         self._tasks = ServiceTasks("ownership")
         self._leaving = False
+        self._closing: set[ShardNumber] = set()
+        """Shards of this leaving node that take no new calls any more."""
         self._failing: set[ShardNumber] = set()
         """Shards whose last claim by this node failed."""
         self._running_calls: RunningCalls = lambda shard: 0
@@ -142,7 +147,7 @@
             return not_run(Reason.NOT_OWNER, "the node is starting", RETRY_SECONDS)
         if owned is not None and decisions.serves(shard):
             if decisions.state(shard) is not ShardState.HANDING_OVER or owned.ready.is_set():
-                return OwnedHere(shard, owned.epoch)
+                return OwnedHere(shard, owned.epoch, shard in self._closing)
             return not_run(Reason.NOT_OWNER, "the shard is being handed over", RETRY_SECONDS)
         configuration = decisions.configuration(shard)
         if configuration is None or not self._is_other_and_present(configuration.owner.node):
@@ -294,6 +299,7 @@
         reply = None if isinstance(payload, Refused) else HandoverReply.FromString(payload)
         if reply is not None and reply.serving:
             log.info("shard_handed_over", shard=shard, to=successor)
+            self._closing.discard(shard)
             await self._ports.journals.close(shard)
             configuration = decode_configuration(reply.configuration)
             self._handle(OwnerHeard(shard, configuration))
@@ -313,9 +319,11 @@
         return await self._ports.takeover.table_answers(shard)
 
     async def _wait_idle(self, shard: ShardNumber) -> bool:
-        """Wait until no call of the shard runs; True at once when this node is leaving late."""
-        until = self._ports.clock.monotonic() + IDLE_SECONDS
-        while self._ports.clock.monotonic() < until:
+        """Wait until no call of the shard runs; False when some still do after the bound."""
+        started = self._ports.clock.monotonic()
+        while (waited := self._ports.clock.monotonic() - started) < IDLE_SECONDS:
+            if self._leaving and waited >= CLOSING_SECONDS:
+                self._closing.add(shard)
             owned = self._ports.journals.get(shard)
             if owned is None:
                 return False
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -45,9 +45,10 @@
 class ProgramService:
     """The owner and its sweeper as one service."""
 
-    def __init__(self, owner: ProgramOwner) -> None:
+    def __init__(self, owner: ProgramOwner, router: ProgramRouter) -> None:
         """Run `owner`, whose shards the journal's service loads and drops."""
         self._owner = owner
+        self._router = router
         self._sweeper = ProgramSweeper(owner)
 
     async def start(self) -> None:
@@ -60,8 +61,9 @@
         await self._owner.stop()
 
     async def drain(self) -> None:
-        """Wait until every call has ended, those that nobody follows included."""
+        """Wait until every call has ended, also without followers, and every answer is sent."""
         await self._owner.wait_idle()
+        await self._router.wait_sent()
 
 
 def build_programs(
@@ -109,5 +111,5 @@
         router.execute,
         facts,
         AbandonCommand(owner),
-        (ProgramService(owner),),
+        (ProgramService(owner, router),),
     )
--- /dev/null
+++ b/tests/test_drain_forwarding.py
@@ -0,0 +1,97 @@
+"""Requests that other nodes forward to a draining node are finished or refused truthfully."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from foxwinch._generated.journal_pb2 import HistoryMessage
+from foxwinch.commands.requests import ModelCallRequest
+from foxwinch.core.program.call_events import CallChunks, CallFinished, CallStarted
+from foxwinch.core.shard.placement import shard_of
+from foxwinch.emulator.virtual_cluster import DRAIN_SECONDS
+from foxwinch.identifiers import ModelName, ProgramId
+from foxwinch.node.interfaces import OwnedHere
+from foxwinch.outcomes import Refused, RunState
+from test_virtual_cluster import TENANT, cluster_of, settled, until
+
+pytestmark = [pytest.mark.looptime]
+ANSWER_TOKENS = 200
+
+
+def long_answers(cluster):
+    for engine in cluster.engines.values():
+        engine.settings = replace(engine.settings, maximum_answer_tokens=ANSWER_TOKENS)
+
+
+def names_in_one_shard(virtual, count):
+    """Return programs that share a shard owned by a node."""
+    found = {}
+    number = 0
+    while True:
+        name = f"program-{number}"
+        number += 1
+        located = virtual.node.parts.journal.ownership.locate(ProgramId(f"{TENANT}/{name}"))
+        if isinstance(located, OwnedHere):
+            names = found.setdefault(shard_of(ProgramId(f"{TENANT}/{name}")), [])
+            names.append(name)
+            if len(names) == count:
+                return names
+
+
+def call_of(name, text="hello"):
+    return ModelCallRequest(
+        tenant=TENANT,
+        program_id=ProgramId(f"{TENANT}/{name}"),
+        model=ModelName("plan-llm"),
+        messages=(HistoryMessage(role="user", content=text),),
+        append=True,
+        maximum_tokens=ANSWER_TOKENS,
+    )
+
+
+async def test_a_forwarded_answer_that_is_read_slowly_is_not_cut_by_a_drain():
+    async with cluster_of(3) as cluster:
+        await until(cluster, lambda: settled(cluster))
+        long_answers(cluster)
+        leaving, first, _ = cluster.nodes.values()
+        (name,) = names_in_one_shard(leaving, 1)
+        answer = first.execute(call_of(name))
+        assert isinstance(await anext(answer), CallStarted)
+        drained = asyncio.create_task(cluster.drain(leaving))
+        await cluster.clock.sleep(DRAIN_SECONDS / 2)
+        tokens, last = 0, None
+        async for last in answer:
+            if isinstance(last, CallChunks):
+                tokens += len(last.chunks)
+        assert isinstance(last, CallFinished)
+        assert tokens == ANSWER_TOKENS
+        assert await drained
+
+
+async def test_a_shard_that_is_never_idle_is_handed_over_without_cutting_a_call():
+    async with cluster_of(3) as cluster:
+        await until(cluster, lambda: settled(cluster))
+        long_answers(cluster)
+        leaving, first, second = cluster.nodes.values()
+        names = names_in_one_shard(leaving, 12)
+        ends = []
+
+        async def converse(number, name):
+            await cluster.clock.sleep(number / 4)
+            for turn in range(16):
+                node = (first, second)[turn % 2]
+                last = [event async for event in node.execute(call_of(name, f"turn {turn}"))][-1]
+                ends.append((cluster.clock.monotonic(), last))
+                if isinstance(last, Refused):
+                    await cluster.clock.sleep(last.retry_after_seconds)
+
+        talks = [asyncio.create_task(converse(*item)) for item in enumerate(names)]
+        await cluster.clock.sleep(3.0)
+        whole = await cluster.drain(leaving)
+        handed_over_at = cluster.clock.monotonic()
+        await asyncio.gather(*talks)
+        refused = [last for _, last in ends if isinstance(last, Refused)]
+        assert {refusal.run_state for refusal in refused} <= {RunState.NOT_RUN}
+        assert whole
+        assert any(isinstance(last, CallFinished) for at, last in ends if at > handed_over_at)
