Split the simulation of schedules by job

Cause: bench/schedule/simulation.py had 443 lines and four jobs: virtual time, engines, the pool that a policy decides for, and programs as callers. Change: timers.py, engines.py, pool.py and simulation.py, with the results in result.py and the protocol of a policy in pool_policy.py (Policy is now PoolPolicy).

--- /dev/null
+++ b/src/foxwinch/bench/schedule/engines.py
@@ -0,0 +1,134 @@
+"""The engine models of a simulation, driven by its timers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from foxwinch.bench.schedule.result import TimelinePoint
+from foxwinch.bench.schedule.timers import TimerQueue
+from foxwinch.core.steward.calls import WorkerDescription
+from foxwinch.core.steward.events import BlockChange
+from foxwinch.emulator import engine_events as engine_side
+from foxwinch.emulator.block_cache import CacheLedger
+from foxwinch.emulator.engine_model import EngineModel
+from foxwinch.emulator.engine_parameters import EngineParameters
+from foxwinch.identifiers import ModelName, WorkerId
+
+MODEL = ModelName("model")
+TakeOutput = Callable[[int, engine_side.EngineOutput, float], None]
+"""Called with an engine's number, what it gave and the time in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class CachePage:
+    """What changed in an engine's cache since the last page."""
+
+    changes: tuple[BlockChange, ...]
+    gap: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTotals:
+    """What the engines did in the whole run."""
+
+    prefill_tokens: dict[str, int]
+    wasted_prefill_tokens: dict[str, int]
+    held_dead_token_seconds: dict[str, float]
+    ended_tokens: int
+    busy_seconds: float
+
+
+class Engines:
+    """Engines with one model loaded, by number."""
+
+    def __init__(
+        self,
+        parameters: EngineParameters,
+        count: int,
+        seed: int,
+        timers: TimerQueue,
+        take_output: TakeOutput,
+    ) -> None:
+        """Start so many engines; each draws its random numbers from a seed of its own."""
+        self._parameters = parameters
+        self._timers = timers
+        self._take_output = take_output
+        self._ledger = CacheLedger()
+        self._engines = [
+            EngineModel(parameters, [MODEL], seed * 100 + number, self._ledger)
+            for number in range(count)
+        ]
+        self.names = [WorkerId(f"w{number}") for number in range(count)]
+        self.numbers = {name: number for number, name in enumerate(self.names)}
+        self._versions = [0] * count
+        self._last_sequence = [0] * count
+
+    def description(self, number: int) -> WorkerDescription:
+        """Return what a policy is told of an engine."""
+        return WorkerDescription(
+            self.names[number],
+            (MODEL,),
+            self._parameters.maximum_running,
+            self._parameters.cache_blocks,
+            self._parameters.block_tokens,
+        )
+
+    def feed(self, number: int, event: engine_side.EngineInput, now: float) -> None:
+        """Give an engine an event and pass on what comes out of it."""
+        engine = self._engines[number]
+        outputs = engine.handle(event, now)
+        self._versions[number] += 1
+        at = engine.next_event_time()
+        if at is not None:
+            version = self._versions[number]
+            self._timers.add(at, lambda then: self._wake(number, version, then))
+        for output in outputs:
+            self._take_output(number, output, now)
+
+    def feed_all(self, event: engine_side.EngineInput, now: float) -> None:
+        """Give every engine an event."""
+        for number in range(len(self._engines)):
+            self.feed(number, event, now)
+
+    def new_cache_changes(self, number: int, now: float) -> CachePage | None:
+        """Return what changed in an engine's cache since the last page; None without a change."""
+        page = self._engines[number].cache_events(max(1, self._last_sequence[number]), now)
+        if not page.events and not page.gap:
+            return None
+        self._last_sequence[number] = page.next_sequence
+        changes = tuple(BlockChange(e.kind, e.block_hashes) for e in page.events)
+        return CachePage(changes, page.gap)
+
+    def whole_cache(self, number: int, now: float) -> CachePage:
+        """Return all that is in an engine's cache."""
+        page = self._engines[number].cache_events(0, now)
+        self._last_sequence[number] = page.next_sequence
+        changes = tuple(BlockChange(e.kind, e.block_hashes) for e in page.events)
+        return CachePage(changes, gap=False)
+
+    def timeline_point(self, unfinished_calls: int, now: float) -> TimelinePoint:
+        """Return the load of all engines."""
+        loads = [engine.load_report(now) for engine in self._engines]
+        return TimelinePoint(
+            now,
+            tuple(load.running for load in loads),
+            tuple(load.cache_blocks_used for load in loads),
+            unfinished_calls,
+        )
+
+    def totals(self, now: float) -> EngineTotals:
+        """Close the measurements and return them."""
+        prefill: dict[str, int] = {}
+        wasted: dict[str, int] = {}
+        for engine in self._engines:
+            engine.cache.close_measurement(now)
+            for program, tokens in engine.prefill_tokens.items():
+                prefill[program] = prefill.get(program, 0) + tokens
+            for program, tokens in engine.wasted_prefill_tokens.items():
+                wasted[program] = wasted.get(program, 0) + tokens
+        held = {str(p): value for p, value in self._ledger.held_dead_token_seconds.items()}
+        busy = sum(engine.busy_seconds for engine in self._engines)
+        return EngineTotals(prefill, wasted, held, self._ledger.ended_tokens, busy)
+
+    def _wake(self, number: int, version: int, now: float) -> None:
+        if version == self._versions[number]:
+            self.feed(number, engine_side.TimePassed(), now)
--- a/src/foxwinch/bench/schedule/experiment.py
+++ b/src/foxwinch/bench/schedule/experiment.py
@@ -16,12 +16,9 @@
 )
 from foxwinch.bench.schedule.plans import program_alone_seconds
 from foxwinch.bench.schedule.policies import build_policy
-from foxwinch.bench.schedule.simulation import (
-    RELEASE_LAG_SECONDS,
-    Simulation,
-    SimulationResult,
-    TimelinePoint,
-)
+from foxwinch.bench.schedule.pool import RELEASE_LAG_SECONDS
+from foxwinch.bench.schedule.result import SimulationResult, TimelinePoint
+from foxwinch.bench.schedule.simulation import Simulation
 from foxwinch.bench.schedule.workload import (
     STANDARD_WINDOW,
     Window,
--- a/src/foxwinch/bench/schedule/figures.py
+++ b/src/foxwinch/bench/schedule/figures.py
@@ -6,8 +6,8 @@
 import numpy as np
 from scipy import stats
 
+from foxwinch.bench.schedule.result import SimulationResult
 from foxwinch.bench.schedule.runs import ProgramRun
-from foxwinch.bench.schedule.simulation import SimulationResult
 from foxwinch.bench.schedule.workload import Workload
 
 ALL_CLASSES = "all"
--- a/src/foxwinch/bench/schedule/policies.py
+++ b/src/foxwinch/bench/schedule/policies.py
@@ -11,13 +11,13 @@
     RoundRobin,
 )
 from foxwinch.bench.schedule.clairvoyant import Clairvoyant
-from foxwinch.bench.schedule.simulation import Policy
+from foxwinch.bench.schedule.pool_policy import PoolPolicy
 from foxwinch.core.steward.policy import Features, Objective, PolicySettings, policy_for
 from foxwinch.core.steward.scheduler import PoolScheduler
 
 FOXWINCH = "foxwinch"
 CLAIRVOYANT = "clairvoyant"
-BASELINES: dict[str, Callable[[], Policy]] = {
+BASELINES: dict[str, Callable[[], PoolPolicy]] = {
     "round-robin": RoundRobin,
     "least-loaded": LeastLoaded,
     "prefix-affinity": PrefixAffinity,
@@ -32,7 +32,7 @@
 OBJECTIVES = ("objective-latency", "objective-cache")
 
 
-def build_policy(name: str, objective: Objective) -> Policy:
+def build_policy(name: str, objective: Objective) -> PoolPolicy:
     """Return a fresh policy; `without-FEATURE` is foxwinch with that feature turned off."""
     if name in BASELINES:
         return BASELINES[name]()
--- /dev/null
+++ b/src/foxwinch/bench/schedule/pool_policy.py
@@ -0,0 +1,15 @@
+"""What an experiment asks of a policy."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from foxwinch.core.steward.actions import PoolAction
+from foxwinch.core.steward.events import PoolEvent
+
+
+class PoolPolicy(Protocol):
+    """What decides for the pool."""
+
+    def handle(self, event: PoolEvent, now: float) -> Sequence[PoolAction]:
+        """Take in an event and return what is to be done."""
+        ...
