Declare the methods of base classes as abstract

Cause: two base classes raised NotImplementedError, so a subclass without the method failed only when it was called. Change: FrameProtocol.envelope_received and ImmediateDispatch.choose are abstract methods. Conclusion: an incomplete subclass cannot be made.

--- a/src/foxwinch/bench/schedule/baselines.py
+++ b/src/foxwinch/bench/schedule/baselines.py
@@ -6,6 +6,7 @@
 foxwinch.
 """
 
+from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
 from foxwinch.core.steward.actions import Dispatch, PoolAction, ResyncCache
@@ -28,7 +29,7 @@
 """And so many calls more, so that the bound means something on an idle pool."""
 
 
-class ImmediateDispatch:
+class ImmediateDispatch(ABC):
     """Common to all baselines: choose a worker on arrival; subclasses say which."""
 
     uses_priority = False
@@ -52,9 +53,9 @@
                     calls.pop(event.call_id, None)
         return []
 
+    @abstractmethod
     def choose(self, call: PoolCall, now: float) -> WorkerId:
         """Return the worker for a call."""
-        raise NotImplementedError
 
     def least_loaded(self) -> WorkerId:
         """Return the worker with the fewest calls."""
--- a/src/foxwinch/peer/frames.py
+++ b/src/foxwinch/peer/frames.py
@@ -1,6 +1,7 @@
 """Framing of envelopes on a TCP stream: a 4-byte big-endian length, then one protobuf message."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
 from google.protobuf.message import DecodeError
@@ -55,7 +56,7 @@
         raise FrameError("frame holds no envelope") from error
 
 
-class FrameProtocol(asyncio.Protocol):
+class FrameProtocol(asyncio.Protocol, ABC):
     """One connection: decodes, coalesces writes of one loop turn, and knows backpressure."""
 
     def __init__(self) -> None:
@@ -96,9 +97,9 @@
             self.log.warning("peer_frame_refused", peer=self.remote(), cause=str(error))
             self.abort()
 
+    @abstractmethod
     def envelope_received(self, envelope: Envelope) -> None:
         """Act on one envelope; raises `FrameError` where the protocol is broken."""
-        raise NotImplementedError
 
     def hello_received(self) -> None:
         """Accept frames of full size from now on."""
