Let both benches on virtual time use one simulator

Cause: bench/schedule/timers.py and bench/fleet/simulator.py did one job, a queue of callbacks in the order of their times. Change: the fleet's simulator is now bench/simulator.py with run_while; the schedule bench uses it. Conclusion: one virtual time for both benches.

--- a/src/foxwinch/bench/fleet/fleet.py
+++ b/src/foxwinch/bench/fleet/fleet.py
@@ -6,7 +6,7 @@
 
 from foxwinch.bench.fleet.network import FleetNetwork, NetworkModel, Place
 from foxwinch.bench.fleet.node import HollowNode
-from foxwinch.bench.fleet.simulator import Simulator
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import NodeId, PeerAddress, RegionName
 
--- a/src/foxwinch/bench/fleet/network.py
+++ b/src/foxwinch/bench/fleet/network.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from foxwinch.bench.fleet.simulator import Simulator
+from foxwinch.bench.simulator import Simulator
 from foxwinch.identifiers import PeerAddress, RegionName
 
 if TYPE_CHECKING:
--- a/src/foxwinch/bench/fleet/node.py
+++ b/src/foxwinch/bench/fleet/node.py
@@ -5,7 +5,7 @@
 from typing import TypeVar
 
 from foxwinch.bench.fleet.network import FleetNetwork, Place
-from foxwinch.bench.fleet.simulator import Simulator
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.membership.actions import Action, EntryChanged, MemberChanged, SendDatagram
 from foxwinch.core.membership.engine import MembershipEngine
 from foxwinch.core.membership.entry import GossipEntry
--- a/src/foxwinch/bench/fleet/table.py
+++ b/src/foxwinch/bench/fleet/table.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from foxwinch.bench.fleet.simulator import Simulator
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.configuration.change import Change
 
 Result = TypeVar("Result")
--- a/src/foxwinch/bench/schedule/engines.py
+++ b/src/foxwinch/bench/schedule/engines.py
@@ -1,10 +1,10 @@
-"""The engine models of a simulation, driven by its timers."""
+"""The engine models of a simulation, on its virtual time."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxwinch.bench.schedule.result import TimelinePoint
-from foxwinch.bench.schedule.timers import TimerQueue
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.steward.calls import WorkerDescription
 from foxwinch.core.steward.events import BlockChange
 from foxwinch.emulator import engine_events as engine_side
@@ -45,12 +45,12 @@
         parameters: EngineParameters,
         count: int,
         seed: int,
-        timers: TimerQueue,
+        simulator: Simulator,
         take_output: TakeOutput,
     ) -> None:
         """Start so many engines; each draws its random numbers from a seed of its own."""
         self._parameters = parameters
-        self._timers = timers
+        self._simulator = simulator
         self._take_output = take_output
         self._ledger = CacheLedger()
         self._engines = [
@@ -80,7 +80,7 @@
         at = engine.next_event_time()
         if at is not None:
             version = self._versions[number]
-            self._timers.add(at, lambda then: self._wake(number, version, then))
+            self._simulator.at(at, lambda: self._wake(number, version, self._simulator.now))
         for output in outputs:
             self._take_output(number, output, now)
 
--- a/src/foxwinch/bench/schedule/pool.py
+++ b/src/foxwinch/bench/schedule/pool.py
@@ -1,13 +1,14 @@
 """A pool in a simulation: one policy, the engines it decides for, and the calls in flight."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from foxwinch.bench.schedule.engines import MODEL, Engines
 from foxwinch.bench.schedule.pool_policy import PoolPolicy
 from foxwinch.bench.schedule.result import TimelinePoint
 from foxwinch.bench.schedule.runs import Chain
-from foxwinch.bench.schedule.timers import Callback, TimerQueue
 from foxwinch.bench.schedule.workload import Workload
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.steward.actions import (
     Dispatch,
     MovePrefix,
@@ -59,17 +60,17 @@
         workload: Workload,
         parameters: EngineParameters,
         policy: PoolPolicy,
-        timers: TimerQueue,
+        simulator: Simulator,
         callers: PoolCallers,
         keep_timeline: bool,
     ) -> None:
         """Prepare engines with the model loaded."""
         self._policy = policy
-        self._timers = timers
+        self._simulator = simulator
         self._callers = callers
         self._keep_timeline = keep_timeline
         count = workload.deployment.engines
-        self.engines = Engines(parameters, count, workload.seed, timers, self._engine_output)
+        self.engines = Engines(parameters, count, workload.seed, simulator, self._engine_output)
         self.chains: dict[CallId, Chain] = {}
         """Chains whose call is queued or running."""
         self.timeline: list[TimelinePoint] = []
@@ -80,7 +81,7 @@
         count = len(self.engines.names)
         for number in range(count):
             self.decide(WorkerJoined(self.engines.description(number)), 0.0)
-            self._timers.add(POLL_SECONDS * (1 + number / count), self._poll_of(number))
+            self._simulator.at(POLL_SECONDS * (1 + number / count), self._poll_of(number))
 
     def decide(self, event: PoolEvent, now: float) -> None:
         """Give the policy an event and carry out what it decides."""
@@ -106,8 +107,9 @@
         self.engines.feed_all(engine_side.ProgramEnded(program_id), now)
         self.decide(ProgramEnded(program_id), now)
 
-    def _poll_of(self, number: int) -> Callback:
-        def poll(now: float) -> None:
+    def _poll_of(self, number: int) -> Callable[[], None]:
+        def poll() -> None:
+            now = self._simulator.now
             page = self.engines.new_cache_changes(number, now)
             if page is not None:
                 name = self.engines.names[number]
@@ -116,7 +118,7 @@
                 self.decide(TimePassed(), now)
             if self._keep_timeline and number == 0:
                 self.timeline.append(self.engines.timeline_point(len(self.chains), now))
-            self._timers.add(now + POLL_SECONDS, poll)
+            self._simulator.after(POLL_SECONDS, poll)
 
         return poll
 
@@ -136,10 +138,10 @@
                 self.engines.feed(source, export, now)
             case ReleaseCache():
                 at = now + RELEASE_LAG_SECONDS
-                self._timers.add(at, lambda then: self._release(action, then))
+                self._simulator.at(at, lambda: self._release(action, self._simulator.now))
             case ResyncCache():
                 at = now + RELEASE_LAG_SECONDS
-                self._timers.add(at, lambda then: self._resync(action.worker, then))
+                self._simulator.at(at, lambda: self._resync(action.worker, self._simulator.now))
 
     def _dispatch(self, action: Dispatch, now: float) -> None:
         chain = self.chains[action.call_id]
--- a/src/foxwinch/bench/schedule/simulation.py
+++ b/src/foxwinch/bench/schedule/simulation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import replace
+from functools import partial
 
 from foxwinch.bench.schedule.context import system_context
 from foxwinch.bench.schedule.engines import MODEL
@@ -10,8 +11,8 @@
 from foxwinch.bench.schedule.pool_policy import PoolPolicy
 from foxwinch.bench.schedule.result import SimulationResult
 from foxwinch.bench.schedule.runs import Chain, ProgramRun
-from foxwinch.bench.schedule.timers import TimerQueue
 from foxwinch.bench.schedule.workload import Workload
+from foxwinch.bench.simulator import Simulator
 from foxwinch.core.steward.calls import PoolCall
 from foxwinch.core.steward.events import ProgramPaused
 from foxwinch.emulator.engine_parameters import EngineParameters
@@ -40,8 +41,8 @@
         self._parameters = parameters
         self._shapes = {shape.name: shape for shape in workload.deployment.classes}
         self._workload = workload
-        self._timers = TimerQueue()
-        self._pool = Pool(workload, parameters, policy, self._timers, self, keep_timeline)
+        self._simulator = Simulator()
+        self._pool = Pool(workload, parameters, policy, self._simulator, self, keep_timeline)
         self._unfinished = 0
         self._calls = 0
         self._children = CHILD_NUMBERS
@@ -53,10 +54,11 @@
         for plan in self._workload.programs:
             run = ProgramRun(plan, ProgramId(f"p{plan.number}"))
             self._runs.append(run)
-            self._timers.add(plan.arrival_seconds, lambda now, run=run: self._start(run, now))  # type: ignore[misc]
+            self._simulator.at(plan.arrival_seconds, partial(self._start, run))
         self._unfinished = len(self._runs)
         end = self._workload.duration_seconds + LONGEST_DRAIN_SECONDS
-        return self._result(self._timers.run(end, lambda: self._unfinished > 0))
+        self._simulator.run_while(lambda: self._unfinished > 0, end)
+        return self._result(self._simulator.now)
 
     def _result(self, now: float) -> SimulationResult:
         totals = self._pool.engines.totals(now)
@@ -84,14 +86,14 @@
         """Return the true length of a call's answer, for a clairvoyant policy."""
         return self._pool.chains[call_id].plan.output_tokens
 
-    def _start(self, run: ProgramRun, now: float) -> None:
+    def _start(self, run: ProgramRun) -> None:
         plan = run.plan
         context = system_context(
             plan.number, plan.system_prefix, plan.system_tokens, self._parameters.block_tokens
         )
         chain = Chain(run, run.program_id, context, plan.calls)
         run.chains[chain.program_id] = chain
-        self._ask(chain, now)
+        self._ask(chain, self._simulator.now)
 
     def _ask(self, chain: Chain, now: float) -> None:
         """Ask for the chain's current call, unless the program has ended."""
@@ -126,7 +128,7 @@
             return
         if plan.abandoned_during is not None:
             at = now + plan.abandoned_during
-            self._timers.add(at, lambda then: self._end(chain.run, "abandoned", then))
+            self._simulator.at(at, lambda: self._end(chain.run, "abandoned", self._simulator.now))
 
     def call_finished(self, chain: Chain, now: float) -> None:
         """Go on after a finished call."""
@@ -149,7 +151,9 @@
         if run.refusals > RETRIES or retry_after_seconds is None:
             self._end(run, "refused", now)
         else:
-            self._timers.add(now + retry_after_seconds, lambda then: self._ask(chain, then))
+            self._simulator.at(
+                now + retry_after_seconds, lambda: self._ask(chain, self._simulator.now)
+            )
 
     def _pause(self, chain: Chain, tool: str, seconds: float, now: float) -> None:
         run = chain.run
@@ -158,9 +162,11 @@
             run.paused_seconds += seconds
         leaves = not chain.is_child and run.plan.abandoned_after == chain.position - 1
         if leaves:
-            self._timers.add(now + seconds, lambda then: self._end(run, "abandoned", then))
+            self._simulator.at(
+                now + seconds, lambda: self._end(run, "abandoned", self._simulator.now)
+            )
         else:
-            self._timers.add(now + seconds, lambda then: self._ask(chain, then))
+            self._simulator.at(now + seconds, lambda: self._ask(chain, self._simulator.now))
 
     def _start_children(
         self, parent: Chain, children: Sequence[Sequence[CallPlan]], now: float
--- a/src/foxwinch/bench/fleet/simulator.py
+++ b/src/foxwinch/bench/simulator.py
@@ -37,3 +37,9 @@
             self.now, _, callback = heapq.heappop(self._queue)
             callback()
         self.now = seconds
+
+    def run_while(self, goes_on: Callable[[], bool], limit_seconds: float) -> None:
+        """Run events one by one while `goes_on`, none after the first at or past the limit."""
+        while goes_on() and self._queue and self.now < limit_seconds:
+            self.now, _, callback = heapq.heappop(self._queue)
+            callback()
