Keep the tasks of limits, configuration and membership in ServiceTasks

Cause: three services kept their tasks in code of their own; that of membership told nobody when a task failed. Change: all three use node/service_tasks.py. A failed task of membership is now logged and given to the loop's handler like those of the others; it says that it leaves before its tasks are cancelled, in the same turn of the loop. Conclusion: one place that keeps tasks. node/flush_service.py and the two journals still have their own.

--- a/src/foxwinch/node/configuration_service.py
+++ b/src/foxwinch/node/configuration_service.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any
 
 from google.protobuf.message import DecodeError
 from prometheus_client import CollectorRegistry
@@ -44,6 +43,7 @@
     MembershipView,
     MemberState,
 )
+from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerContext, PeerPort
 from foxwinch.platform.ports import TablePort
@@ -89,7 +89,7 @@
         self._replica = ConfigurationReplica()
         self._listeners: list[Callable[[ConfigurationSnapshot], None]] = []
         self._snapshot: ConfigurationSnapshot | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = ServiceTasks("configuration")
         self._wanted = asyncio.Event()
         self._ready = asyncio.Event()
         self._log = EventLog("configuration")
@@ -103,18 +103,15 @@
         self._ports.gossip.subscribe(GossipKind.CONFIGURATION, self._on_gossip)
         for entry in self._ports.gossip.entries(GossipKind.CONFIGURATION).values():
             self._on_gossip(entry)
-        self._spawn(self._poll_loop())
-        self._spawn(self._fetch_loop())
+        self._tasks.keep(self._poll_loop())
+        self._tasks.keep(self._fetch_loop())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_WAIT_SECONDS):
                 await self._ready.wait()
 
     async def stop(self) -> None:
         """Stop looking; what is held stays served until the process ends."""
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     def current(self) -> ConfigurationSnapshot | Refused:
         """Return the newest snapshot, or `STALE_CONFIGURATION` when a newer one is known."""
@@ -328,7 +325,7 @@
         for listener in self._listeners:
             listener(self._snapshot)
         if held.revision % SNAPSHOT_REVISIONS == 0 and self._is_poller():
-            self._spawn(self._prune(held.revision))
+            self._tasks.keep(self._prune(held.revision))
 
     def _publish(self, before: Revision) -> None:
         """Spread what is new here; entries that the gossip has already are ignored there."""
@@ -358,16 +355,3 @@
 
     async def _serve_status(self, context: PeerContext, payload: bytes) -> bytes | Refused:
         return self.status().SerializeToString()
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.append(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        if task in self._tasks:
-            self._tasks.remove(task)
-        if not task.cancelled() and task.exception() is not None:
-            asyncio.get_running_loop().call_exception_handler(
-                {"message": "configuration task failed", "exception": task.exception()}
-            )
--- a/src/foxwinch/node/limits_service.py
+++ b/src/foxwinch/node/limits_service.py
@@ -1,6 +1,5 @@
 """Limits of tenants and classes across all nodes, without a call on the way of a request."""
 
-import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -23,6 +22,7 @@
     MembershipView,
     MemberState,
 )
+from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.settings.cluster import ClassSettings, TenantSettings
 
@@ -70,7 +70,7 @@
         self._digest = UsageDigest()
         self._told_at = float("-inf")
         self._version = 0
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = ServiceTasks("limits")
         self._log = EventLog("limits")
         self._refusals = Counter(
             "foxwinch_limit_refusals_total",
@@ -96,15 +96,11 @@
         for entry in self._ports.gossip.entries(GossipKind.USAGE).values():
             self._on_gossip(entry)
         self._update()
-        self._task = asyncio.get_running_loop().create_task(self._run())
-        self._task.add_done_callback(self._task_done)
+        self._tasks.keep(self._run())
 
     async def stop(self) -> None:
         """Stop telling; the others keep this node's share for the time of its lease."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
+        await self._tasks.stop()
 
     def admit(
         self, tenant: TenantName, class_name: ClassName, estimated_tokens: int
@@ -205,12 +201,6 @@
             {entry.name: entry for entry in document.classes},
         )
 
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            asyncio.get_running_loop().call_exception_handler(
-                {"message": "limits task failed", "exception": task.exception()}
-            )
-
 
 def _is_counted(member: Member) -> bool:
     return member.state in (MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING)
--- a/src/foxwinch/node/membership_service.py
+++ b/src/foxwinch/node/membership_service.py
@@ -1,6 +1,5 @@
 """Drives membership and gossip over the peer port."""
 
-import asyncio
 from collections.abc import Callable, Iterable, Sequence
 from typing import TypeVar
 
@@ -17,6 +16,7 @@
 from foxwinch.identifiers import PeerAddress
 from foxwinch.log import EventLog
 from foxwinch.node.interfaces import Clock, GossipEntry
+from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort
 from foxwinch.platform.ports import MachinePort
@@ -51,27 +51,27 @@
         self._engine: MembershipEngine | None = None
         self._member_listeners: list[Callable[[Member], None]] = []
         self._entry_listeners: list[Callable[[GossipEntry], None]] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = ServiceTasks("membership")
+        self._started = False
         self._log = EventLog("membership")
         peers.handle_datagrams(self._receive)
 
     async def start(self) -> None:
         """Start probing and looking for other nodes."""
         engine = self.engine
-        self._tasks = [asyncio.create_task(self._run())]
+        self._started = True
+        self._tasks.keep(self._run())
         if self._machines is not None:
-            self._tasks.append(asyncio.create_task(self._read_list(self._machines)))
+            self._tasks.keep(self._read_list(self._machines))
         this = engine.this_member()
         self._log.info("membership_started", node=this.node, zone=this.zone, region=this.region)
 
     async def stop(self) -> None:
         """Say that this node is gone and stop."""
-        for task in self._tasks:
-            task.cancel()
-        if self._tasks:
+        if self._started:
+            self._started = False
             self.apply(self.engine.left(self._clock.monotonic()))
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._tasks = []
+        await self._tasks.stop()
 
     def leave(self) -> None:
         """Announce that this node is about to leave; it goes on answering."""
