Write the reports of two benches in one place

Cause: bench peer and bench detection wrote and printed their reports in the same two lines. Change: write_report in cli/output.py. Conclusion: same files, same lines.

--- a/src/foxwinch/cli/bench_detection.py
+++ b/src/foxwinch/cli/bench_detection.py
@@ -1,6 +1,5 @@
 """`foxwinch bench detection`."""
 
-import json
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -8,6 +7,7 @@
 import cappa
 
 from foxwinch.cli.help import examples
+from foxwinch.cli.output import write_report
 
 
 @cappa.command(
@@ -29,5 +29,4 @@
         from foxwinch.bench.fleet.detection import run_detection
 
         report = run_detection(self.nodes, self.seconds, self.seed)
-        self.json.write_text(json.dumps(report, indent=1) + "\n", encoding="utf-8")
-        print(json.dumps(report))
+        write_report(self.json, report)
--- a/src/foxwinch/cli/bench_peer.py
+++ b/src/foxwinch/cli/bench_peer.py
@@ -1,6 +1,5 @@
 """`foxwinch bench peer`."""
 
-import json
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -8,6 +7,7 @@
 import cappa
 
 from foxwinch.cli.help import examples
+from foxwinch.cli.output import write_report
 
 
 @cappa.command(
@@ -28,5 +28,4 @@
         from foxwinch.bench.peer_echo import run_echo
 
         report = run_echo(self.calls, self.rounds)
-        self.json.write_text(json.dumps(report, indent=1) + "\n", encoding="utf-8")
-        print(json.dumps(report))
+        write_report(self.json, report)
--- a/src/foxwinch/cli/output.py
+++ b/src/foxwinch/cli/output.py
@@ -1,8 +1,9 @@
-"""What commands print: tables or JSON on standard output, errors on standard error."""
+"""What commands print: tables, JSON or reports on standard output, errors on standard error."""
 
 import json
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Any, NoReturn
 
 import cappa
@@ -30,6 +31,12 @@
     return [_plain(item) for item in value]
 
 
+def write_report(path: Path, report: Any) -> None:
+    """Write a bench's report to a file, and print it in one line."""
+    path.write_text(json.dumps(report, indent=1) + "\n", encoding="utf-8")
+    print(json.dumps(report))
+
+
 def print_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
     """Print rows under headings; plain tabulated text when the output is no terminal."""
     if not sys.stdout.isatty():
