Send a call that every worker of a steward has failed to another steward

Cause: a steward does not give a call to a worker that has failed it. When it had no other worker, it kept the call in its queue until the deadline, 60 s, and refused it. Change: the steward refuses at once as NOT_OWNER, and forgets the failures, so that an owner that finds no other steward is given the worker once more. An owner asks the stewards that have not refused the request before those that have. Conclusion: the retries of a failed model call reach another worker at once. Limit: a queued call whose other workers leave afterwards still waits.

--- a/src/foxwinch/node/grants_service.py
+++ b/src/foxwinch/node/grants_service.py
@@ -1,10 +1,10 @@
 """The owner's side of grants: finds stewards, asks them, and reports until it is answered."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from foxwinch._generated.steward_pb2 import GrantGiven
-from foxwinch.identifiers import ProgramId, WorkerId
+from foxwinch.identifiers import NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
 from foxwinch.node.grant_reports import GrantReports, Report
 from foxwinch.node.interfaces import (
@@ -60,6 +60,8 @@
     waiting_since: float
     """Since when no steward has kept the request in its queue."""
     last_refusal: Refused | None = None
+    refused_by: set[NodeId] = field(default_factory=set)
+    """Stewards that could not grant it; the others are asked before them."""
 
 
 class GrantsService:
@@ -111,13 +113,14 @@
             if self._clock.monotonic() >= request.deadline_at_seconds:
                 detail = "no worker was granted before the deadline"
                 return not_run(Reason.DEADLINE, detail, COME_BACK_SECONDS)
-            steward = self._choose(request)
+            steward = self._choose(search)
             if steward is None:
                 refused = await self._wait_for_steward(search)
             else:
                 answer = await self._ask(steward, search)
                 if not isinstance(answer, Refused):
                     return self._accept(request, answer, search)
+                search.refused_by.add(steward.member.node)
                 refused = await self._after_refusal(answer, search)
             if refused is not None:
                 return refused
@@ -143,9 +146,14 @@
 
     # --- asking ------------------------------------------------------------------------------
 
-    def _choose(self, request: GrantRequest) -> ServingSteward | None:
+    def _choose(self, search: _Search) -> ServingSteward | None:
         """Return the cheapest of the steward with the prefix and two others drawn at random."""
+        request = search.request
         serving = self._choices.serving(request.model)
+        unasked = [s for s in serving if s.member.node not in search.refused_by]
+        if not unasked:
+            search.refused_by.clear()
+        serving = unasked or serving
         if len(serving) <= 1:
             return serving[0] if serving else None
         worker = self._reports.last_worker(request.program_id)
--- a/src/foxwinch/node/pool_driver.py
+++ b/src/foxwinch/node/pool_driver.py
@@ -1,7 +1,7 @@
 """Drives the scheduler of one pool: feeds it events and carries its actions out."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from foxwinch.backends.ports import Done, EnginePort
 from foxwinch.core.steward.actions import (
@@ -62,11 +62,11 @@
         """Workers that the scheduler knows; one that was leaving from the start never joins."""
         self._transfers: set[asyncio.Task[None]] = set()
 
-    def serves(self, model: ModelName) -> bool:
-        """Tell whether a worker here may be given calls of a model."""
+    def serves(self, model: ModelName, excluded: Collection[WorkerId] = ()) -> bool:
+        """Tell whether a worker here, not one of `excluded`, may be given calls of a model."""
         return any(
-            model in description.models and not leaving
-            for description, leaving in self._workers.values()
+            model in description.models and not leaving and worker not in excluded
+            for worker, (description, leaving) in self._workers.items()
         )
 
     def queued(self, model: ModelName) -> int:
--- a/src/foxwinch/node/steward_grants.py
+++ b/src/foxwinch/node/steward_grants.py
@@ -68,6 +68,11 @@
             detail = f"no worker of model {call.model} is served here"
             return not_run(Reason.NOT_OWNER, detail, ASK_ELSEWHERE_SECONDS)
         name, pool = found
+        if call.excluded_workers and not pool.serves(call.model, call.excluded_workers):
+            # Whoever comes back has found no better worker and may have these once more.
+            self._failed_on.pop(call.call_id, None)
+            detail = "every worker that this steward has for the call has failed it"
+            return not_run(Reason.NOT_OWNER, detail, ASK_ELSEWHERE_SECONDS)
         try:
             async with asyncio.timeout(ask.remaining_seconds):
                 answer = await pool.place(call)
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -96,6 +96,20 @@
         await until(lambda: len(scheduler._programs) == 0)
 
 
+@pytest.mark.parametrize("workers", [1, 2])
+async def test_a_call_that_has_failed_at_a_stewards_only_worker_is_granted_again(workers):
+    async with StewardCluster(nodes=workers, workers=workers) as cluster:
+        node = cluster.nodes["n0"]
+        used = []
+        for _ in range(3):
+            grant = await node.grants.acquire(request("c1"))
+            assert isinstance(grant, Grant), grant
+            used.append(grant.worker)
+            node.grants.settle(grant, GrantUsage("c1", 0, 0, 0, failed=True))
+            await asyncio.sleep(0.1)
+        assert len(set(used[:2])) == workers
+
+
 async def test_a_steward_killed_with_waiting_requests_is_replaced():
     async with StewardCluster(workers=1) as cluster:
         (name,) = set(cluster.serving().values())
