--- a/src/foxwinch/bench/cluster_fuzz/client.py
+++ b/src/foxwinch/bench/cluster_fuzz/client.py
@@ -82,6 +82,10 @@
         """The program's identifier in the cluster."""
         return ProgramId(f"{TENANT}/{self.name}")
 
+    def told(self) -> list[ClientCall]:
+        """Return the calls whose whole answer the caller has by now."""
+        return [call for call in self.calls if call.succeeded]
+
     @property
     def busy(self) -> bool:
         """True while an answer is awaited."""
