Give the capacity page lines for the roles without figures

Change: lines from overhead.json (when it is there) and from unit_costs.json, which `python -m foxwinch.bench.unit_costs` writes; both are absent so far, and the page says 'not measured'.

--- a/src/foxwinch/bench/capacity/lines.py
+++ b/src/foxwinch/bench/capacity/lines.py
@@ -33,12 +33,16 @@
     how: str
     breaks_first: str
     limit: float | None = None
+    at_least: bool = False
+    """The limit is a goal that the value must reach."""
 
     @property
     def headroom(self) -> float | None:
-        """Limit over value: below 1 is a shortfall."""
+        """Limit over value, value over a goal to be reached: below 1 is a shortfall."""
         if self.limit is None or not self.value:
             return None
+        if self.at_least:
+            return self.value / self.limit
         return self.limit / self.value
 
 
--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -8,6 +8,7 @@
 
 from foxwinch.bench.capacity.design import DesignSize, Limits
 from foxwinch.bench.capacity.lines import (
+    NOT_MEASURED,
     Line,
     budget_lines,
     control_lines,
@@ -17,6 +18,14 @@
     retry_lines,
     store_lines,
 )
+from foxwinch.bench.capacity.units import (
+    decision_lines,
+    decision_load_lines,
+    journal_lines,
+    limit_lines,
+    operator_lines,
+    overhead_lines,
+)
 from foxwinch.bench.fleet.scenarios import SCENARIOS
 
 INTRODUCTION = """# Capacity
@@ -32,6 +41,8 @@
     size, limits = DesignSize(), Limits()
     fleet: dict[str, Any] = read(measurements / "fleet.json", {})
     peer: dict[str, Any] = read(measurements / "peer.json", {})
+    overhead: dict[str, Any] = read(measurements / "overhead.json", {})
+    units: dict[str, Any] = read(measurements / "unit_costs.json", {})
     storm: list[dict[str, Any]] = read(measurements / "retry_storm.json", [])
     sections = (
         ("What one node carries", load_lines(size)),
@@ -40,11 +51,17 @@
         ("Gossip", budget_lines(size, limits)),
         (f"Table service{_scope(fleet, size)}", store_lines(fleet, size)),
         ("Requests between nodes", peer_lines(peer)),
+        ("Gateway and program owner", overhead_lines(overhead, size)),
+        ("Stewards' decisions", decision_lines(units) + decision_load_lines(units, size)),
+        ("Journal replicas", journal_lines(units, size)),
+        ("Limits", limit_lines(units, size)),
+        ("Operator side", operator_lines(units)),
         ("Repeats after a return (model of one back end)", retry_lines(storm)),
     )
     parts = [INTRODUCTION, _design(size)]
     parts += [f"## {title}\n\n{_table(lines)}" for title, lines in sections]
-    parts += [_slopes(fleet), _scenarios(fleet), _gaps(fleet, sections), _sources(fleet, peer)]
+    parts += [_slopes(fleet), _scenarios(fleet), _gaps(fleet, sections)]
+    parts.append(_sources(fleet, peer, overhead, units))
     return "\n".join(parts)
 
 
@@ -167,18 +184,26 @@
             *short,
             f"- Not driven by the hollow fleet yet: {', '.join(absent)}.",
             f"- Keys without a figure: {', '.join(keys) or 'none'}.",
-            "- Not in any file here yet: gateway, stewards' decisions, journal replicas, operator "
-            "side.\n",
+            f"- Lines without a measurement: {_unmeasured(sections)}.\n",
         ]
     )
 
 
+def _unmeasured(sections: Sequence[tuple[str, Sequence[Line]]]) -> str:
+    """Return how many lines of each section nothing has measured."""
+    counted = [
+        (title, sum(line.how == NOT_MEASURED for line in lines)) for title, lines in sections
+    ]
+    return "; ".join(f"{title}: {count}" for title, count in counted if count) or "none"
+
+
 def _sources(*measurements: dict[str, Any]) -> str:
     rows = ["## Sources\n"]
     for found in measurements:
         if found:
             commit = found.get("commit", "not recorded")
             machine = found.get("machine", {}).get("processor", "not recorded")
-            rows.append(f"- `{found['command']}`, commit {commit}, processor {machine}.")
+            command = found.get("command", "foxwinch bench overhead")
+            rows.append(f"- `{command}`, commit {commit}, processor {machine}.")
     rows.append("- `python -m foxwinch.bench.retry_storm --seed 1`, virtual time.")
     return "\n".join(rows) + "\n"
--- /dev/null
+++ b/src/foxwinch/bench/unit_costs.py
@@ -0,0 +1,220 @@
+"""Processor time and bytes of single steps, in memory: `python -m foxwinch.bench.unit_costs FILE`.
+
+Each figure is the median of several rounds of one process; nothing here crosses a socket, so the
+cost of the request itself between nodes (`foxwinch bench peer`) comes on top where there is one.
+"""
+
+import json
+import platform
+import statistics
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from foxwinch._generated.operator_pb2 import FactsRequest, FactsResponse, NodeStatus, WorkerStatus
+from foxwinch._generated.replication_pb2 import AppendRequest, ReplicaReply
+from foxwinch.bench.commit import current_commit
+from foxwinch.bench.schedule.decision_cost import measure_decisions
+from foxwinch.core.journal.framing import FIRST_CHAIN, Entry, chain_entries
+from foxwinch.core.journal.replica import ShardReplica
+from foxwinch.core.limits.shares import SPREAD_SECONDS, ShareTable
+from foxwinch.core.limits.usage import DIGEST_ENTRIES, UsageDigest, decode, encode
+from foxwinch.identifiers import Epoch, NodeId
+from foxwinch.node.replication_codec import (
+    decode_answer,
+    decode_batch,
+    encode_answer,
+    encode_batch,
+)
+
+ROUNDS = 5
+NODES_OF_A_REGION = 71
+WORKERS_OF_A_NODE = 9
+TENANTS = 7_800
+RECORD_BYTES = (200, 4_000, 32_000)
+APPENDS = 500
+QUERIES = 20
+STEWARD_WORKERS = (9, 36, 100)
+STEWARD_QUEUES = (0, 100, 1_000)
+
+
+@dataclass(frozen=True, slots=True)
+class AppendCost:
+    """One record to one replica: request made, read, appended, answered, answer read."""
+
+    record_bytes: int
+    processor_seconds: float
+    request_bytes: int
+    reply_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShareCost:
+    """Shares of all tenants' limits among the nodes of a region."""
+
+    nodes: int
+    tenants: int
+    digest_entries: int
+    digest_bytes: int
+    share_seconds: float
+    """One share, as a request asks for it."""
+    digest_seconds: float
+    """Reading and counting one digest of another node."""
+    update_seconds: float
+    """Adding up all nodes' demand, once a second."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueryCost:
+    """An operator's query of all nodes of a region: their answers made, read and put in order."""
+
+    nodes: int
+    workers: int
+    processor_seconds: float
+    answer_bytes: int
+    """Of all nodes together."""
+
+
+def median_seconds(steps: int, run: Callable[[], None]) -> float:
+    """Return the median processor time of a step, where `run` takes `steps` of them."""
+    found = []
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        run()
+        found.append((time.process_time() - began) / steps)
+    return statistics.median(found)
+
+
+def append_cost(record_bytes: int, appends: int = APPENDS) -> AppendCost:
+    """Measure the append of one record at a time to one replica's log."""
+    entries = chain_entries([bytes(record_bytes)] * appends, 1, FIRST_CHAIN)
+    sizes = [0, 0]
+
+    def run() -> None:
+        replica = ShardReplica(promised=Epoch(1), accepted=Epoch(1))
+        chain = FIRST_CHAIN
+        for entry in entries:
+            sizes[:] = _append(replica, entry, chain)
+            chain = entry.chain
+        assert replica.log.last_index == appends
+
+    seconds = median_seconds(appends, run)
+    return AppendCost(record_bytes, seconds, sizes[0], sizes[1])
+
+
+def share_cost(nodes: int = NODES_OF_A_REGION, tenants: int = TENANTS) -> ShareCost:
+    """Measure shares with every node busy for other tenants, as many as a digest tells."""
+    table = ShareTable(NodeId("node-0"), 0.0)
+    digests = [
+        UsageDigest({(n * DIGEST_ENTRIES + k) % tenants: 0.5 for k in range(DIGEST_ENTRIES)})
+        for n in range(nodes)
+    ]
+    names = [NodeId(f"node-{n}") for n in range(nodes)]
+    payloads = [encode(digest) for digest in digests]
+    table.tell_own(digests[0], 0.0)
+    for name, digest in zip(names[1:], digests[1:], strict=True):
+        table.tell(name, digest, 0.0)
+    now = SPREAD_SECONDS
+    table.update(names, now)
+
+    def shares() -> None:
+        for tenant in range(tenants):
+            table.share(tenant, now)
+
+    def tell() -> None:
+        for name, payload in zip(names[1:], payloads[1:], strict=True):
+            digest = decode(payload)
+            assert digest is not None
+            table.tell(name, digest, now)
+
+    def update() -> None:
+        table.update(names, now)
+
+    return ShareCost(
+        nodes,
+        tenants,
+        DIGEST_ENTRIES,
+        max(map(len, payloads)),
+        median_seconds(tenants, shares),
+        median_seconds(nodes - 1, tell),
+        median_seconds(1, update),
+    )
+
+
+def query_cost(nodes: int = NODES_OF_A_REGION, workers: int = WORKERS_OF_A_NODE) -> QueryCost:
+    """Measure the list of all workers of a region."""
+    facts = [_facts(node, workers) for node in range(nodes)]
+    size = sum(len(answer.SerializeToString()) for answer in facts)
+    request = FactsRequest(workers=True).SerializeToString()
+
+    def run() -> None:
+        for _ in range(QUERIES):
+            found: list[WorkerStatus] = []
+            for answer in facts:
+                assert FactsRequest.FromString(request).workers
+                found += FactsResponse.FromString(answer.SerializeToString()).workers
+            found.sort(key=lambda worker: worker.worker)
+            assert len(found) == nodes * workers
+
+    return QueryCost(nodes, nodes * workers, median_seconds(QUERIES, run), size)
+
+
+def report(
+    steward_workers: Sequence[int] = STEWARD_WORKERS, steward_queues: Sequence[int] = STEWARD_QUEUES
+) -> dict[str, object]:
+    """Measure everything."""
+    return {
+        "command": "python -m foxwinch.bench.unit_costs docs/measurements/unit_costs.json",
+        "commit": current_commit(),
+        "machine": {"processor": platform.processor() or platform.machine()},
+        "rounds": ROUNDS,
+        "journal_append": [asdict(append_cost(size)) for size in RECORD_BYTES],
+        "limit_shares": asdict(share_cost()),
+        "operator_query": asdict(query_cost()),
+        "steward_decisions": [
+            asdict(cost) for cost in measure_decisions(steward_workers, steward_queues)
+        ],
+    }
+
+
+def _append(replica: ShardReplica, entry: Entry, chain: int) -> tuple[int, int]:
+    """Take one record from the owner's side to the replica's and its answer back."""
+    batch = encode_batch([entry], chain)
+    sent = AppendRequest(target_node="0" * 32, shard=1, epoch=1, entries=batch).SerializeToString()
+    request = AppendRequest.FromString(sent)
+    received = decode_batch(request.entries)
+    assert isinstance(received, tuple)
+    answer = replica.append(
+        Epoch(request.epoch), request.entries.previous_chain, received, request.committed_index
+    )
+    reply = encode_answer(answer).SerializeToString()
+    assert decode_answer(ReplicaReply.FromString(reply)).last_index == entry.index
+    return len(sent), len(reply)
+
+
+def _facts(node: int, workers: int) -> FactsResponse:
+    name = f"{node:032x}"
+    status = NodeStatus(
+        node=name, address=f"10.0.0.{node}:7000", zone="zone-1", region="region-1",
+        state="alive", incarnation=1, answered=True, configuration_revision=9, owned_shards=1,
+    )  # fmt: skip
+    found = [
+        WorkerStatus(
+            worker=f"worker-{node}-{number}", pool="engines", zone="zone-1",
+            url=f"http://10.1.{node}.{number}:8000", steward=name, epoch=1 << 32, state="ready",
+            running=12, waiting=3, models=["model-0"],
+        )
+        for number in range(workers)
+    ]  # fmt: skip
+    return FactsResponse(node=status, workers=found)
+
+
+def main(path: Path) -> None:
+    """Write the report."""
+    path.write_text(json.dumps(report(), indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main(Path(sys.argv[1]))
