Find a shard's owner by its highest known epoch, not by its row alone

Cause: while the table is down a replica raises the step, which is not in the row. Once the table was back, the step's owner could not change its replicas (the row names another, live node), closed the shard, claimed it, was declined by the row and then followed the row's older owner; that one, as all others, followed the step's owner by gossip. Ruled out for these shards: lost quorum (all replicas of the group answered and agreed), unfinished raises (none), a group of dead members. The same circle follows when the answer to a raise is lost, or when a raise's node sees the former owner alive again. Beside it: a failed handover or repair of a shard lost meanwhile left it "serving". Change: takeover and repair go by the highest epoch of row, hearsay and own replica; a decline never goes back in epochs; whoever raised goes on; a claim that is declined asks the named node to serve, and claims again after 5 s until that one is heard. No seal, quorum or read rule is touched. Conclusion: three pure tests and two cluster tests, which fail without the change.

--- a/src/foxwinch/bench/fleet/ownership.py
+++ b/src/foxwinch/bench/fleet/ownership.py
@@ -34,7 +34,8 @@
 )
 from foxwinch.core.shard.placement import SHARDS_PER_REGION
 from foxwinch.identifiers import Epoch, NodeId, PeerAddress, ShardNumber
-from foxwinch.node.ownership_service import HANDOVER_ANSWER_SECONDS, TICK_SECONDS
+from foxwinch.node.handover_client import HANDOVER_ANSWER_SECONDS
+from foxwinch.node.ownership_service import TICK_SECONDS
 from foxwinch.node.replication_codec import (
     core_member,
     decode_configuration,
--- a/src/foxwinch/core/shard/ownership.py
+++ b/src/foxwinch/core/shard/ownership.py
@@ -26,6 +26,8 @@
 """A lack of replicas must last so long before the epoch is raised to replace them."""
 HANDOVER_SECONDS = 5.0
 """Another node must be the better owner for so long before a shard moves to it."""
+DECLINED_SECONDS = 5.0
+"""A node that the shard's row names and that nobody heard serve is asked again after so long."""
 LOST_SECONDS = 1.0
 """After losing a shard, time to hear who has it."""
 ANEW_FRACTION = 8
@@ -83,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimDeclined:
-    """A claim found that a live node owns the shard already."""
+    """A claim found that a live node was given the shard; whether it serves is not known."""
 
     shard: ShardNumber
     configuration: Configuration
@@ -150,6 +152,8 @@
 class _Shard:
     state: ShardState = ShardState.FOLLOWING
     configuration: Configuration | None = None
+    heard: bool = True
+    """Whether the configuration was heard as active, and not only found in the row."""
     unowned_since: float | None = None
     lacking_since: float | None = None
     lacks: bool | None = None
@@ -205,8 +209,7 @@
             case OwnerHeard(shard, configuration):
                 self._on_owner(self._shards[shard], configuration)
             case ClaimDeclined(shard, configuration):
-                self._shards[shard].state = ShardState.FOLLOWING
-                self._shards[shard].configuration = configuration
+                self._on_declined(self._shards[shard], configuration, now)
             case Serving(shard, configuration):
                 self._on_serving(self._shards[shard], configuration)
             case AttemptFailed(shard):
@@ -251,15 +254,32 @@
     def _on_owner(self, shard: _Shard, configuration: Configuration) -> None:
         held = shard.configuration
         if held is not None and configuration.epoch <= held.epoch:
+            shard.heard = shard.heard or configuration.epoch == held.epoch
             return
         shard.configuration = configuration
+        shard.heard = True
         shard.lacks = None
         shard.unowned_since = None
         shard.misplaced_since = None
 
+    def _on_declined(self, shard: _Shard, configuration: Configuration, now: float) -> None:
+        """Follow the node that was found, unless a later configuration is known.
+
+        A step is not in the row: the row's owner may long have been replaced by its replicas.
+        """
+        shard.state = ShardState.FOLLOWING
+        shard.not_before = now + DECLINED_SECONDS
+        held = shard.configuration
+        if held is None or configuration.epoch > held.epoch:
+            shard.configuration = configuration
+            shard.heard = False
+            shard.lacks = None
+            shard.misplaced_since = None
+
     def _on_serving(self, shard: _Shard, configuration: Configuration) -> None:
         shard.state = ShardState.SERVING
         shard.configuration = configuration
+        shard.heard = True
         shard.unowned_since = None
         shard.lacking_since = None
         shard.lacks = None
@@ -269,8 +289,8 @@
         shard.attempts += 1
         limit = min(BACKOFF_MAXIMUM_SECONDS, 0.25 * 2**shard.attempts)
         shard.not_before = now + limit * self._jitter(number, shard)
-        claimed = shard.state is ShardState.CLAIMING
-        shard.state = ShardState.FOLLOWING if claimed else ShardState.SERVING
+        served = shard.state in (ShardState.REPAIRING, ShardState.HANDING_OVER)
+        shard.state = ShardState.SERVING if served else ShardState.FOLLOWING
 
     def _decide(self, now: float) -> list[OwnershipAction]:
         actions: list[OwnershipAction] = []
@@ -301,7 +321,7 @@
     def _decide_claim(self, number: ShardNumber, shard: _Shard, now: float) -> Claim | None:
         holder = shard.configuration.owner.node if shard.configuration is not None else None
         held = holder is not None and holder != self._this.node and holder in self._members
-        if held or self._leaving or now < self._started_at + START_SECONDS:
+        if (held and shard.heard) or self._leaving or now < self._started_at + START_SECONDS:
             shard.unowned_since = None
             return None
         if shard.unowned_since is None:
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -25,6 +25,7 @@
 from foxwinch.core.shard.placement import SHARDS_PER_REGION, shard_of
 from foxwinch.identifiers import NodeId, ProgramId, ShardNumber
 from foxwinch.log import EventLog
+from foxwinch.node.handover_client import HANDOVER, ask_to_serve
 from foxwinch.node.interfaces import (
     Clock,
     GossipEntry,
@@ -36,9 +37,10 @@
     OwnedBy,
     OwnedHere,
 )
-from foxwinch.node.journal_service import JournalService, RunningCalls
+from foxwinch.node.journal_service import JournalService, OwnedShard, RunningCalls
 from foxwinch.node.replica_service import ReplicaService
 from foxwinch.node.replication_codec import (
+    core_member,
     decode_configuration,
     encode_configuration,
     peer_address,
@@ -50,10 +52,8 @@
 
 log = EventLog("ownership")
 
-HANDOVER = "shard.handover"
 TICK_SECONDS = 0.1
 RETRY_SECONDS = 0.2
-HANDOVER_ANSWER_SECONDS = 6.0
 IDLE_SECONDS = 20.0
 """A handover that is not urgent waits so long for the shard's running calls, then tries later."""
 IDLE_POLL_SECONDS = 0.05
@@ -217,30 +217,46 @@
     # --- actions -------------------------------------------------------------------------
 
     async def _claim(self, shard: ShardNumber) -> None:
-        await self._take(shard, self._may_displace)
-
-    async def _take(self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]) -> bool:
+        declined = await self._take(shard, self._may_displace)
+        if declined is None:
+            return
+        # The other node may not know that it was given the shard: its raise's answer may be lost.
+        found = declined.configuration
+        served = await ask_to_serve(self._ports.peers, found.owner, shard, found)
+        if served is not None:
+            self._handle(OwnerHeard(shard, served))
+
+    async def _take(
+        self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]
+    ) -> OwnedElsewhere | None:
+        """Try to take a shard over; returns who has it when another node does."""
         started = self._ports.clock.monotonic()
-        taken = await self._ports.takeover.take_over(shard, may_displace)
+        known = self._known(shard)
+        taken = await self._ports.takeover.take_over(shard, known, may_displace)
         if isinstance(taken, OwnedElsewhere):
             self._handle(ClaimDeclined(shard, taken.configuration))
-            return False
+            return taken
         refused: Refused | None = None
         if isinstance(taken, Refused):
             refused = taken
+            given = self._ports.takeover.unfinished(shard)
         else:
+            given = taken.configuration
             refused = await self._ports.journals.open(taken, self._on_fenced)
             if refused is None:
                 self._serve(shard, taken.configuration)
                 seconds = round(self._ports.clock.monotonic() - started, 3)
                 log.info("shard_taken", shard=shard, epoch=taken.configuration.epoch, took=seconds)
-                return True
+                return None
         if shard not in self._failing:
             # Once for each run of failures: the attempts go on until one succeeds.
             self._failing.add(shard)
             log.warning("claim_failed", shard=shard, reason=refused.reason, detail=refused.detail)
+        if given is not None:
+            # Others see that this node was given the shard and wait for it: it has to go on.
+            self._handle(OwnerHeard(shard, given))
         self._handle(AttemptFailed(shard))
-        return False
+        return None
 
     async def _repair(self, shard: ShardNumber) -> None:
         """Raise this node's own epoch to change the replicas; appends wait for a moment."""
@@ -258,7 +274,8 @@
                 paused = True
                 await self._ports.journals.pause(shard)
 
-        taken = await self._ports.takeover.take_over(shard, self._is_this, before_seal)
+        known = self._known(shard)
+        taken = await self._ports.takeover.take_over(shard, known, self._is_this, before_seal)
         refused: Refused | OwnedElsewhere | None
         if isinstance(taken, Refused | OwnedElsewhere):
             refused = taken
@@ -267,7 +284,7 @@
             if refused is None:
                 self._serve(shard, taken.configuration)
                 return
-        if paused or isinstance(refused, OwnedElsewhere):
+        if paused or isinstance(refused, OwnedElsewhere) or owned.journal.fenced:
             await self._ports.journals.close(shard)
             self._handle(ShardLost(shard))
         else:
@@ -281,32 +298,28 @@
             return
         if (
             member is None
-            or self._ports.peers is None
             or not await self._can_take(shard, successor)
             or not await self._wait_idle(shard)
         ):
-            self._handle(AttemptFailed(shard))
+            self._keep_after_handover(shard, owned)
             return
         self._ports.journals.hold(shard)
-        request = HandoverRequest(
-            target_node=successor,
-            shard=shard,
-            configuration=encode_configuration(owned.journal.configuration),
-        )
-        payload = await self._ports.peers.call(
-            member.address, HANDOVER, request.SerializeToString(), HANDOVER_ANSWER_SECONDS
-        )
-        reply = None if isinstance(payload, Refused) else HandoverReply.FromString(payload)
-        if reply is not None and reply.serving:
+        held = owned.journal.configuration
+        served = await ask_to_serve(self._ports.peers, core_member(member), shard, held)
+        if served is not None:
             log.info("shard_handed_over", shard=shard, to=successor)
             self._closing.discard(shard)
             await self._ports.journals.close(shard)
-            configuration = decode_configuration(reply.configuration)
-            self._handle(OwnerHeard(shard, configuration))
+            self._handle(OwnerHeard(shard, served))
             self._handle(ShardLost(shard))
             return
         self._ports.journals.release(shard)
-        self._handle(AttemptFailed(shard))
+        self._keep_after_handover(shard, owned)
+
+    def _keep_after_handover(self, shard: ShardNumber, owned: OwnedShard) -> None:
+        """Go on serving a shard that was not handed over, unless it was lost meanwhile."""
+        if self._ports.journals.get(shard) is owned:
+            self._handle(AttemptFailed(shard))
 
     async def _can_take(self, shard: ShardNumber, successor: NodeId) -> bool:
         """Tell whether the successor could raise the epoch: as a replica, or by the table.
@@ -376,6 +389,9 @@
             and self._decisions.is_present(node)
         )
 
+    def _known(self, shard: ShardNumber) -> Configuration | None:
+        return None if self._decisions is None else self._decisions.configuration(shard)
+
     def _state(self, shard: ShardNumber) -> ShardState | None:
         return None if self._decisions is None else self._decisions.state(shard)
 
--- a/src/foxwinch/node/takeover_service.py
+++ b/src/foxwinch/node/takeover_service.py
@@ -80,25 +80,28 @@
     def __init__(self, ports: TakeoverPorts) -> None:
         """Hold the ports."""
         self._ports = ports
-        self._unfinished: dict[ShardNumber, Epoch] = {}
-        """Epochs raised here whose recovery did not end; tried again in place of a new raise, so
-        that a shard whose replicas are away does not gather configurations."""
+        self._unfinished: dict[ShardNumber, Configuration] = {}
+        """Configurations raised here whose recovery did not end; tried again in place of a new
+        raise, so that a shard whose replicas are away does not gather configurations."""
 
     async def take_over(
         self,
         shard: ShardNumber,
+        known: Configuration | None,
         may_displace: Callable[[GroupMember], bool],
         before_seal: BeforeSeal | None = None,
     ) -> TakenOver | OwnedElsewhere | Refused:
         """Take a shard over unless a live node owns it that may not be displaced.
 
+        `known` is the newest configuration that this node has heard of. The owner is that of the
+        highest epoch known, since a step raised by the replicas is not in the row.
         `before_seal` runs once the table has accepted the raise; an owner that raises its own
         epoch stops its writer there. Refused with `NO_QUORUM` when neither the table nor a
         majority of the replicas can be reached, and with `CONFLICT` when a race was lost.
         """
         try:
             async with asyncio.timeout(TABLE_SECONDS):
-                raised = await self._raise_in_table(shard, may_displace)
+                raised = await self._raise_in_table(shard, known, may_displace)
         except TimeoutError:
             raised = not_run(Reason.STORE_UNAVAILABLE, "the table did not answer in time")
         if isinstance(raised, Superseded):
@@ -108,11 +111,15 @@
         if isinstance(raised, Refused):
             if before_seal is not None:
                 return not_run(Reason.NO_QUORUM, "the table is down", RETRY_SECONDS)
-            return await self._take_over_by_replicas(shard, may_displace)
+            return await self._take_over_by_replicas(shard, known, may_displace)
         if before_seal is not None:
             await before_seal()
         return await self._recover(shard, raised)
 
+    def unfinished(self, shard: ShardNumber) -> Configuration | None:
+        """Return the configuration raised here whose recovery did not end."""
+        return self._unfinished.get(shard)
+
     async def table_answers(self, shard: ShardNumber) -> bool:
         """Tell whether the table can be read just now."""
         try:
@@ -122,20 +129,34 @@
             return False
 
     async def _raise_in_table(
-        self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]
+        self,
+        shard: ShardNumber,
+        known: Configuration | None,
+        may_displace: Callable[[GroupMember], bool],
     ) -> StoredShard | OwnedElsewhere | Superseded | Refused:
         held = await self._ports.store.read(shard)
         if isinstance(held, Refused):
             return held
         newest = held.record.newest
-        if newest is not None and not may_displace(newest.owner):
-            return OwnedElsewhere(newest)
-        if newest is not None and newest.epoch == self._unfinished.get(shard):
+        latest = latest_of(newest, known, self._accepted(shard))
+        if latest is not None and not may_displace(latest.owner):
+            return OwnedElsewhere(latest)
+        if newest is not None and newest.epoch == epoch_of(self._unfinished.get(shard)):
             return held
         group, place = self._choose_group(shard)
         owner = core_member(self._ports.membership.this_member())
         return await self._ports.store.raise_term(shard, held, owner, group, place)
 
+    def _accepted(self, shard: ShardNumber) -> Configuration | None:
+        """Return the configuration that this node's own replica has accepted.
+
+        The owner is the first of its group, so that its replicas know it.
+        """
+        own = self._ports.replicas.replica(shard)
+        if own.accepted == NO_EPOCH:
+            return None
+        return Configuration(own.accepted, own.group[0], own.group, CommitPlace.REPLICAS)
+
     def _choose_group(self, shard: ShardNumber) -> tuple[Group, CommitPlace]:
         this = self._ports.membership.this_member()
         live = [m for m in live_members(self._ports.membership) if m.state is MemberState.ALIVE]
@@ -147,7 +168,7 @@
         newest = raised.record.newest
         assert newest is not None
         former = raised.record.configurations[:-1]
-        self._unfinished[shard] = newest.epoch
+        self._unfinished[shard] = newest
         if not former:
             del self._unfinished[shard]
             return TakenOver(shard, newest, JournalLog(), {}, raised)
@@ -162,20 +183,20 @@
         return TakenOver(shard, newest, recovered, sealing.answers, raised)
 
     async def _take_over_by_replicas(
-        self, shard: ShardNumber, may_displace: Callable[[GroupMember], bool]
+        self,
+        shard: ShardNumber,
+        known: Configuration | None,
+        may_displace: Callable[[GroupMember], bool],
     ) -> TakenOver | OwnedElsewhere | Refused:
-        """Raise the step on a majority of the group that this node belongs to.
-
-        The owner is the first of its group, so that its replicas know it.
-        """
+        """Raise the step on a majority of the group that this node belongs to."""
         this = core_member(self._ports.membership.this_member())
         own = self._ports.replicas.replica(shard)
-        if own.accepted == NO_EPOCH:
+        accepted = self._accepted(shard)
+        if accepted is None:
             return not_run(Reason.NO_QUORUM, "the table is down", RETRY_SECONDS)
-        owner = own.group[0]
-        if owner.node != this.node and not may_displace(owner):
-            held = Configuration(own.accepted, owner, own.group, CommitPlace.REPLICAS)
-            return OwnedElsewhere(held)
+        latest = latest_of(accepted, known)
+        if latest is not None and latest.owner.node != this.node and not may_displace(latest.owner):
+            return OwnedElsewhere(latest)
         others = [member for member in own.group if member.node != this.node]
         group = (this, *others)
         floor = NO_EPOCH
@@ -278,6 +299,11 @@
     return f"shard/{shard}"
 
 
+def latest_of(*configurations: Configuration | None) -> Configuration | None:
+    """Return the configuration of the highest epoch, None when there is none."""
+    return max(configurations, key=epoch_of, default=None)
+
+
 def epoch_of(configuration: Configuration | None) -> Epoch:
     """Return the epoch of a configuration, or the lowest one."""
     return NO_EPOCH if configuration is None else configuration.epoch
--- a/tests/test_ownership_decisions.py
+++ b/tests/test_ownership_decisions.py
@@ -11,8 +11,11 @@
     encode_frames,
 )
 from foxwinch.core.shard.ownership import (
+    DECLINED_SECONDS,
     HANDOVER_SECONDS,
+    AttemptFailed,
     Claim,
+    ClaimDeclined,
     HandOver,
     MemberFact,
     MembersChanged,
@@ -21,6 +24,8 @@
     Presence,
     Repair,
     Serving,
+    ShardLost,
+    ShardState,
     TimePassed,
 )
 from foxwinch.core.shard.placement import Candidate, insert_ranked, ranked, replica_group
@@ -92,6 +97,35 @@
     assert claims[4] > max(claims[1], claims[2])
 
 
+def test_a_row_older_than_what_was_heard_does_not_change_the_owner():
+    decisions = on_members([0, 1, 2])
+    step = owned_by(0, (1 << 20) + 1)
+    decisions.handle(OwnerHeard(0, step), 0.5)
+    decisions.handle(ClaimDeclined(0, owned_by(1, 1 << 20)), 2.0)
+    assert decisions.configuration(0) == step
+    assert Claim(0) in [action for _, action in run(decisions, 20.0, 2.0)]
+
+
+def test_a_node_that_the_row_names_is_asked_again_until_it_is_heard():
+    decisions = on_members([0, 1, 2])
+    found = owned_by(1, 1 << 20)
+    decisions.handle(ClaimDeclined(0, found), 2.0)
+    claims = [now for now, action in run(decisions, 20.0, 2.0) if action == Claim(0)]
+    assert claims[0] >= 2.0 + DECLINED_SECONDS
+    decisions.handle(ClaimDeclined(0, found), 20.0)
+    decisions.handle(OwnerHeard(0, found), 21.0)
+    assert Claim(0) not in [action for _, action in run(decisions, 60.0, 21.0)]
+
+
+def test_an_attempt_that_fails_after_the_shard_was_lost_does_not_serve_it_again():
+    decisions = on_members([0, 1, 2])
+    decisions.handle(Serving(0, owned_by(0, 1 << 20)), 2.0)
+    decisions.handle(ShardLost(0), 3.0)
+    decisions.handle(AttemptFailed(0), 3.1)
+    assert decisions.state(0) is ShardState.FOLLOWING
+    assert not decisions.serves(0)
+
+
 def better_than_n0():
     """Return a number whose node scores higher than n0 for shard 0."""
     for number in range(1, 30):
--- a/tests/test_shard_cluster.py
+++ b/tests/test_shard_cluster.py
@@ -228,6 +228,55 @@
     assert len(cluster.objects.objects) >= 1
 
 
+async def owner_by_a_step(cluster, former):
+    """Let a replica raise the step while the table is down and its former owner is cut off."""
+    cluster.set_table(down=True)
+    cluster.pause(former)
+    others = [node for node in cluster.nodes if node is not former]
+    await cluster.until(lambda: any(node.numbers(PROGRAM) for node in others))
+    return next(node for node in others if node.numbers(PROGRAM))
+
+
+async def test_an_owner_by_a_step_changes_its_replicas_although_the_row_names_another():
+    cluster = ShardCluster([*ZONES[:3], ZONES[2]])
+    await cluster.start()
+    former = cluster.owner_of(PROGRAM)
+    await append_many(former, 0, 5)
+    owner = await owner_by_a_step(cluster, former)
+    shard = owner.part.ownership.locate(PROGRAM).shard
+    owned = dict(owner.part.journal.owned())[shard]
+    group = owned.journal.configuration.nodes()
+    third = next(n for n in cluster.nodes if n.name in group and n not in (owner, former))
+    await cluster.kill(third)
+    await asyncio.sleep(10)
+    cluster.resume(former)
+    await asyncio.sleep(2)
+    cluster.set_table()
+
+    await cluster.settle(60)
+    last = cluster.owner_of(PROGRAM)
+    assert last.numbers(PROGRAM) == list(range(5))
+    await append_many(last, 5, 1)
+
+
+@on_three_nodes
+async def test_a_node_that_does_not_know_of_its_raise_is_told(cluster):
+    owner = cluster.owner_of(PROGRAM)
+    await append_many(owner, 0, 5)
+    shard = owner.part.ownership.locate(PROGRAM).shard
+    other = next(node for node in cluster.nodes if node is not owner)
+    store = owner.part.services[2]._store
+    held = await store.read(shard)
+    configuration = owner.part.journal.get(shard).journal.configuration
+    named = next(m for m in configuration.group if m.node == other.name)
+    await store.raise_term(shard, held, named, configuration.group, CommitPlace.REPLICAS)
+    await owner.part.ownership._lose(shard)
+    assert cluster.owner_of(PROGRAM) is None
+
+    await cluster.until(lambda: cluster.owner_of(PROGRAM) is not None, 60)
+    assert (await cluster.some_owner_of(PROGRAM)).numbers(PROGRAM) == list(range(5))
+
+
 @on_three_nodes
 async def test_a_raise_that_leads_to_nothing_does_not_stop_the_flush(cluster):
     owner = cluster.owner_of(PROGRAM)
