Release the programs that end together in one request to the engine

Change: the HTTP engine adapter gathers the releases for one worker of one turn of the event loop into one request, POST /programs/release; one alone goes as before. All share its outcome, and who is told a refusal asks again as before. The stand-in engine serves it.

--- a/src/foxwinch/backends/engine_http.py
+++ b/src/foxwinch/backends/engine_http.py
@@ -1,13 +1,14 @@
 """Adapter of the engine port over HTTP.
 
 `POST /v1/chat/completions` streams server-sent events; `POST /calls/{call}/cancel`,
-`POST /programs/{program}/release`, `GET /metrics`, `GET /cache/events?after=N`,
-`GET` and `PUT /cache/programs/{program}`, `POST /orders`. 412 means fenced by a newer epoch.
+`POST /programs/{program}/release`, `POST /programs/release` for several programs at once,
+`GET /metrics`, `GET /cache/events?after=N`, `GET` and `PUT /cache/programs/{program}`,
+`POST /orders`. 412 means fenced by a newer epoch.
 """
 
 import asyncio
 import json
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Sequence
 from contextlib import aclosing
 from typing import Any
 from urllib.parse import quote
@@ -28,6 +29,7 @@
     LoadReport,
     ModelOrder,
 )
+from foxwinch.backends.release_batch import ReleaseBatches
 from foxwinch.http_exchange import (
     HEADER_RETRY_AFTER,
     HttpAnswer,
@@ -85,6 +87,12 @@
     value: str = ""
 
 
+class ReleaseDocument(BaseModel):
+    """Programs that are over."""
+
+    programs: list[str]
+
+
 class HttpEngine:
     """Engines reached over HTTP; implements `foxwinch.backends.ports.EnginePort`."""
 
@@ -94,6 +102,7 @@
         """Use `session`, which the caller closes; `url_of` finds a worker's base URL."""
         self._session = session
         self._url_of = url_of
+        self._releases = ReleaseBatches(self._release)
 
     async def generate(
         self, worker: WorkerId, order: GenerateOrder
@@ -139,7 +148,13 @@
 
     async def release(self, worker: WorkerId, program_id: ProgramId) -> Done | Refused:
         """See the port."""
-        return await self._done(worker, "POST", f"/programs/{_quoted(program_id)}/release")
+        return await self._releases.release(worker, program_id)
+
+    async def _release(self, worker: WorkerId, programs: Sequence[ProgramId]) -> Done | Refused:
+        if len(programs) == 1:
+            return await self._done(worker, "POST", f"/programs/{_quoted(programs[0])}/release")
+        body = ReleaseDocument(programs=list(programs)).model_dump_json().encode()
+        return await self._done(worker, "POST", "/programs/release", body)
 
     async def load(self, worker: WorkerId) -> LoadReport | Refused:
         """See the port."""
--- a/src/foxwinch/emulator/http_engine.py
+++ b/src/foxwinch/emulator/http_engine.py
@@ -14,6 +14,7 @@
     HEADER_PROGRAM,
     HEADER_RESUME,
     OrderDocument,
+    ReleaseDocument,
 )
 from foxwinch.backends.engine_load import write_load
 from foxwinch.backends.ports import (
@@ -49,6 +50,7 @@
         router.add_post(f"{WORKER}/v1/chat/completions", self.complete)
         router.add_post(f"{WORKER}/calls/{{call}}/cancel", self.cancel)
         router.add_post(f"{WORKER}/programs/{{program}}/release", self.release)
+        router.add_post(f"{WORKER}/programs/release", self.release_several)
         router.add_get(f"{WORKER}/metrics", self.metrics)
         router.add_get(f"{WORKER}/cache/events", self.cache_events)
         router.add_get(f"{WORKER}/cache/programs/{{program}}", self.export_cache)
@@ -88,6 +90,20 @@
             return engine
         return await _done(request, engine, engine.release(_program(request)))
 
+    async def release_several(self, request: web.Request) -> web.StreamResponse:
+        """Free the cache of several programs."""
+        body = await request.read()
+        engine = await self._enter(request)
+        if isinstance(engine, web.Response):
+            return engine
+        try:
+            document = ReleaseDocument.model_validate_json(body)
+        except ValidationError:
+            return refusal_response(not_run(Reason.INVALID_REQUEST, "not a list of programs"))
+        for program in document.programs:
+            engine.release(ProgramId(program))
+        return await _done(request, engine, Done())
+
     async def metrics(self, request: web.Request) -> web.StreamResponse:
         """Tell the lagging load."""
         engine = await self._enter(request)
--- a/tests/test_backends_http.py
+++ b/tests/test_backends_http.py
@@ -21,6 +21,7 @@
     ToolOrder,
     ToolResult,
 )
+from foxwinch.backends.release_batch import ReleaseBatches
 from foxwinch.backends.tools_http import HttpTools
 from foxwinch.emulator.engine_answers import history_marker
 from foxwinch.emulator.faults import EngineFaults, ServiceFaults, ToolFaults
@@ -102,6 +103,38 @@
     assert world.stand_ins.engines["w"].role == "x"
 
 
+async def test_releases_of_one_turn_go_in_one_request_and_share_its_outcome(world):
+    engine = world.stand_ins.engines["w"]
+    names = [f"p/{number}" for number in range(600)]
+    engine.gate.faults = EngineFaults(lose_answers=1)
+    first = await asyncio.gather(*(world.engine.release("w", name) for name in names[:3]))
+    assert [outcome.run_state for outcome in first] == [RunState.UNKNOWN] * 3
+    again = await asyncio.gather(*(world.engine.release("w", name) for name in names))
+    assert again == [Done()] * 600
+    assert engine.released == {name: 2 if name in names[:3] else 1 for name in names}
+
+
+async def test_who_sends_releases_and_is_cut_off_leaves_no_one_waiting():
+    sent = []
+    sending = asyncio.Event()
+
+    async def send(worker, programs):
+        sent.append(list(programs))
+        sending.set()
+        if len(sent) == 1:
+            await asyncio.Event().wait()
+        return Done()
+
+    batches = ReleaseBatches(send)
+    tasks = [asyncio.create_task(batches.release("w", name)) for name in ("a", "b", "c")]
+    await sending.wait()
+    tasks[1].cancel()
+    tasks[0].cancel()
+    assert (await tasks[2]).run_state is RunState.UNKNOWN
+    assert await batches.release("w", "c") == Done()
+    assert sent == [["a", "b", "c"], ["c"]]
+
+
 @pytest.mark.parametrize(
     ("faults", "reason", "run_state"),
     [
