--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -85,9 +85,11 @@
     if not fleet:
         return ""
     nodes = fleet["runs"][-1]["nodes"]
+    scenarios = ", ".join(fleet["runs"][-1]["scenarios"])
     if nodes == size.nodes:
-        return f" (measured at {nodes} nodes)"
-    return f" (measured at {nodes} nodes only, not at the design size of {size.nodes})"
+        return f" (measured at {nodes} nodes; scenarios there: {scenarios})"
+    only = f"measured at {nodes} nodes only, scenarios {scenarios}"
+    return f" ({only}, not at the design size of {size.nodes})"
 
 
 def _design(size: DesignSize) -> str:
@@ -148,23 +150,31 @@
 def _scenarios(fleet: dict[str, Any]) -> str:
     if not fleet:
         return "## Scenarios\n\nNot measured.\n"
-    largest = fleet["runs"][-1]
-    names = list(next(iter(largest["scenarios"].values())))
-    head = f"## Scenarios at {largest['nodes']} nodes (measured, virtual time)\n"
+    ran = {
+        name: (run["nodes"], run["scenarios"][name])
+        for run in fleet["runs"]
+        for name in SCENARIOS
+        if name in run["scenarios"]
+    }  # the largest run of each
     rows = [
-        head,
-        "| Figure | " + " | ".join(largest["scenarios"]) + " |",
-        "|---|" + "---|" * len(largest["scenarios"]),
-    ]
-    for name in names:
-        cells = " | ".join(number(figures[name]) for figures in largest["scenarios"].values())
-        rows.append(f"| `{name}` | {cells} |")
-    if "day" in largest["scenarios"]:
+        "## Scenarios, each at its largest finished run (measured, virtual time)\n",
+        "| Figure | " + " | ".join(f"{name}, {nodes} nodes" for name, (nodes, _) in ran.items())
+        + " |",
+        "|---|" + "---|" * len(ran),
+    ]  # fmt: skip
+    for figure in next(iter(ran.values()))[1]:
+        cells = " | ".join(number(figures[figure]) for _, figures in ran.values())
+        rows.append(f"| `{figure}` | {cells} |")
+    if "day" in ran:
         compression = number(fleet["day_compression"])
         rows.append(f"\nThe day's failures come {compression} times faster than in a day.")
+    largest = fleet["runs"][-1]
     left_out = [name for name in SCENARIOS if name not in largest["scenarios"]]
     if left_out:
-        rows.append(f"\nScenarios without a committed run: {', '.join(left_out)}.")
+        rows.append(f"\nNot run at {largest['nodes']} nodes: {', '.join(left_out)}.")
+    never = [name for name in SCENARIOS if name not in ran]
+    if never:
+        rows.append(f"\nWithout a finished run at any size: {', '.join(never)}.")
     return "\n".join(rows) + "\n"
 
 
--- a/src/foxwinch/bench/fleet/run.py
+++ b/src/foxwinch/bench/fleet/run.py
@@ -55,16 +55,16 @@
 def run_size(task: FleetTask) -> dict[str, Any]:
     """Run the scenarios at one size in this process."""
     started = time.monotonic()
-    before_bytes = _resident_bytes()
+    before_bytes = resident_bytes()
     world = FleetWorld(FleetShape(task.nodes, task.regions, task.zones), task.seed)
     converged = warm_up(world)
-    memory = (_resident_bytes() - before_bytes) / task.nodes
+    memory = (resident_bytes() - before_bytes) / task.nodes
     figures = {name: SCENARIOS[name](world).to_json() for name in task.scenarios}
     return {
         "nodes": task.nodes,
         "cold_start_seconds": converged,
         "memory_bytes_per_node": round(memory),
-        "peak_resident_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
+        "peakresident_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
         "wall_seconds": round(time.monotonic() - started, 1),
         "scenarios": figures,
     }
@@ -92,17 +92,24 @@
     with ProcessPoolExecutor(min(processes, len(tasks)), mp_context=context) as pool:
         parts = list(pool.map(run_size, tasks))
     runs = [merged([p for p in parts if p["nodes"] == size]) for size in sorted(sizes)]
-    largest = runs[-1]
-    return {
-        "command": f"foxwinch bench fleet --nodes {nodes} --workers {workers} "
+    command = (
+        f"foxwinch bench fleet --nodes {nodes} --workers {workers} "
         f"--regions {regions} --zones {zones} --programs {programs} --seed {seed} "
-        f"--scenarios {','.join(name for group in chosen for name in group)}",
+        f"--scenarios {','.join(name for group in chosen for name in group)}"
+    )
+    return report_of(command, runs)
+
+
+def report_of(command: str, runs: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the report of runs in the order of their sizes."""
+    return {
+        "command": command,
         "commit": current_commit(),
         "machine": {"processor": platform.processor() or platform.machine()},
         "day_compression": day_compression(),
         "covers": ["membership", "gossip", "configuration", "ownership"],
         "not_covered": ["steward", "limits", "programs", "workers"],
-        **worst(largest),
+        **worst(runs[-1]),
         **dict.fromkeys(NOT_COVERED),
         "configuration_at_design_size": design_document(),
         "slopes": slopes(runs),
@@ -139,9 +146,9 @@
 
 def design_document() -> dict[str, float]:
     """Measure one node's cost of a change in a document of the design size."""
-    before_bytes = _resident_bytes()
+    before_bytes = resident_bytes()
     state = state_with(DESIGN_TENANTS)
-    memory = _resident_bytes() - before_bytes
+    memory = resident_bytes() - before_bytes
     draw = random.Random(1)
     seconds = []
     for _ in range(DOCUMENT_CHANGES):
@@ -176,6 +183,7 @@
     return None
 
 
-def _resident_bytes() -> int:
+def resident_bytes() -> int:
+    """Return the memory that this process holds."""
     with open("/proc/self/statm", encoding="ascii") as file:
         return int(file.read().split()[1]) * resource.getpagesize()
--- a/src/foxwinch/bench/unit_costs.py
+++ b/src/foxwinch/bench/unit_costs.py
@@ -1,7 +1,8 @@
 """Processor time and bytes of single steps, in memory: `python -m foxwinch.bench.unit_costs FILE`.
 
-Each figure is the median of several rounds of one process; nothing here crosses a socket, so the
-cost of the request itself between nodes (`foxwinch bench peer`) comes on top where there is one.
+Each figure is the median of several rounds of one process, for steward decisions the lowest.
+Nothing here crosses a socket, so the cost of the request itself between nodes (`foxwinch bench
+peer`) comes on top where there is one.
 """
 
 import json
@@ -161,6 +162,15 @@
     return QueryCost(nodes, nodes * workers, median_seconds(QUERIES, run), size)
 
 
+def decision_costs(workers: Sequence[int], queues: Sequence[int]) -> list[dict[str, float]]:
+    """Measure decisions: the lowest of the rounds, since these are taken by the wall clock."""
+    rounds = [measure_decisions(workers, queues) for _ in range(ROUNDS)]
+    return [
+        {name: min(asdict(cost)[name] for cost in costs) for name in asdict(costs[0])}
+        for costs in zip(*rounds, strict=True)
+    ]
+
+
 def report(
     steward_workers: Sequence[int] = STEWARD_WORKERS, steward_queues: Sequence[int] = STEWARD_QUEUES
 ) -> dict[str, object]:
@@ -173,9 +183,7 @@
         "journal_append": [asdict(append_cost(size)) for size in RECORD_BYTES],
         "limit_shares": asdict(share_cost()),
         "operator_query": asdict(query_cost()),
-        "steward_decisions": [
-            asdict(cost) for cost in measure_decisions(steward_workers, steward_queues)
-        ],
+        "steward_decisions": decision_costs(steward_workers, steward_queues),
     }
 
 
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -1,7 +1,10 @@
 """The hollow fleet at a small size: scenarios run, figures are filled in and bounded."""
 
+import pytest
+
 from foxwinch.bench.fleet.document import fleet_document
 from foxwinch.bench.fleet.fleet import FleetShape
+from foxwinch.bench.fleet.parts import join_parts
 from foxwinch.bench.fleet.run import SLOPES, merged, slopes, worst
 from foxwinch.bench.fleet.scenarios import rack, steady, warm_up
 from foxwinch.bench.fleet.world import FleetWorld
@@ -33,6 +36,21 @@
     assert len(fleet_document().document.tenants) == 200
 
 
+def test_parts_of_one_commit_make_one_report() -> None:
+    parts = [
+        {"nodes": nodes, "memory_bytes_per_node": 1, "commit": commit, "scenarios": {name: {}}}
+        for nodes, commit, name in ((36, "a", "day"), (143, "a", "zone"), (36, "a", "rack"))
+    ]
+    report = join_parts(parts)
+    assert report["commit"] == "a"
+    assert [(run["nodes"], list(run["scenarios"])) for run in report["runs"]] == [
+        (36, ["day", "rack"]),
+        (143, ["zone"]),
+    ]
+    with pytest.raises(ValueError, match="several commits"):
+        join_parts([parts[0], {**parts[1], "commit": "b"}])
+
+
 def test_reports_join_groups_take_the_worst_and_fit_exponents() -> None:
     def run(nodes: int, rate: float) -> dict[str, object]:
         figures = dict.fromkeys(SLOPES)
