Bound the repeats of model calls by budget and circuit

Cause: retry budgets, circuits and backoff with full jitter existed in core/limits, but the driver of model calls used none of them: three dispatches for every call, whatever its back end did.

Change: commands/call_retries.py holds a circuit for each worker and a budget for each tenant at a worker, one object a node, wired by node/parts/programs.py. A call that finds a circuit open is granted again, free of cost as nothing was sent; a call without a repeat left is refused at once with Retry-After and the run state of what was tried. Metrics foxwinch_call_retries_total and foxwinch_call_retry_refusals_total{cause}.

Conclusion: a failing worker meets at most its saved repeats and a tenth of the first attempts. Tool calls do not use budget or circuit yet.

--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -14,6 +14,7 @@
 from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message, TokenChunk
 from foxwinch.commands.attempts import before_first, with_earlier
 from foxwinch.commands.call_lifecycle import CallLifecycle
+from foxwinch.commands.call_retries import come_back
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.admission import remaining_wall_seconds
 from foxwinch.core.program.budget import Amount
@@ -23,14 +24,12 @@
 from foxwinch.core.program.state import CallState
 from foxwinch.core.program.tool_calls import merge_tool_calls
 from foxwinch.core.prompt import PromptMessage, block_hashes, count_tokens, render_prompt
-from foxwinch.identifiers import ClassName, ModelName
+from foxwinch.identifiers import ClassName, ModelName, WorkerId
 from foxwinch.node.interfaces import Admitted, Grant, GrantRequest, GrantUsage
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
 MAXIMUM_ATTEMPTS = 3
 """Dispatches of one model call, the first included: a zone that returns must not meet a storm."""
-RETRY_SECONDS = 0.05
-"""First pause before a retry; doubles, with jitter."""
 RETRIED_REASONS = frozenset({Reason.BACKEND_UNAVAILABLE, Reason.BACKEND_FAILED, Reason.FENCED})
 
 
@@ -60,6 +59,8 @@
     grant: Grant | None = None
     last_grant: Grant | None = None
     share: Admitted | None = None
+    sent: bool = False
+    """False when the last attempt was kept back by the worker's circuit."""
 
     async def run(self, intent: CallIntent | None) -> None:
         """Run the call; without an intent it is a call that an earlier owner has admitted."""
@@ -138,6 +139,7 @@
     async def _attempts(self) -> GenerateFinished | Refused:
         """Dispatch, and retry within the bound."""
         attempt = 1
+        retries = self.ports.retries
         earlier = before_first(self.life.running.rerun)
         while True:
             if self.grant is None:
@@ -145,19 +147,36 @@
                 if isinstance(grant, Refused):
                     return with_earlier(grant, earlier)
                 self.grant = grant
-            end = await self._stream(self.grant)
+            worker = self.grant.worker
+            end = await self._dispatch(worker, attempt)
             self._settle_grant(end)
             if isinstance(end, GenerateFinished):
                 return end
             earlier = with_earlier(end, earlier)
             if end.reason not in RETRIED_REASONS or attempt >= MAXIMUM_ATTEMPTS:
                 return earlier
+            if not retries.may_repeat(self.life.program.tenant, worker, end, self.sent):
+                return come_back(earlier)
             self.life.step(CallState.ADMITTED)
-            pause = RETRY_SECONDS * 2**attempt * self.ports.clock.uniform()
+            pause = retries.wait_seconds(attempt, self.ports.clock.uniform())
             with self.life.running.interruptible():
                 await self.ports.clock.sleep(pause)
             attempt += 1
 
+    async def _dispatch(self, worker: WorkerId, attempt: int) -> GenerateFinished | Refused:
+        """Send the call to the granted worker, unless its circuit is open."""
+        clock, retries = self.ports.clock, self.ports.retries
+        refused = retries.refuse_dispatch(worker, clock.monotonic())
+        self.sent = refused is None
+        if refused is not None:
+            return refused
+        if attempt == 1:
+            retries.first_attempt(self.life.program.tenant, worker)
+        assert self.grant is not None
+        end = await self._stream(self.grant)
+        retries.ended(worker, end, clock.monotonic(), clock.uniform)
+        return end
+
     async def _stream(self, grant: Grant) -> GenerateFinished | Refused:
         running = self.life.running
         self.last_grant = grant
--- a/src/foxwinch/commands/ports.py
+++ b/src/foxwinch/commands/ports.py
@@ -1,8 +1,9 @@
 """What the commands of programs need of a node."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from foxwinch.backends.ports import GeneratePort, ToolPort
+from foxwinch.commands.call_retries import CallRetries
 from foxwinch.node.interfaces import (
     Clock,
     ConfigurationView,
@@ -29,3 +30,5 @@
     tools: ToolPort
     history_bytes: int = DEFAULT_HISTORY_BYTES
     """Longest history of one program."""
+    retries: CallRetries = field(default_factory=CallRetries)
+    """Circuits and budgets of repeats, shared by all calls of the node."""
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -7,6 +7,7 @@
 
 from foxwinch.backends.no_tools import NoTools
 from foxwinch.commands.abandon_program import AbandonCommand
+from foxwinch.commands.call_retries import CallRetries
 from foxwinch.commands.forward import Forwarder
 from foxwinch.commands.operator import ProgramAbandons
 from foxwinch.commands.ports import ProgramPorts
@@ -85,6 +86,7 @@
         engine=context.ports.engine,
         tools=context.ports.tools or NoTools(),
         history_bytes=limits.history_bytes,
+        retries=CallRetries(context.registry),
     )
     owner = ProgramOwner(ports)
     peers = context.ports.peers
