Name the simulated process of the cluster fuzzer for what it is

Cause: life.py and Life needed an explanation: a simulated node process that is frozen and killed. Change: simulated_process.py and SimulatedProcess; the attribute life of a fuzzed node is process. Conclusion: a name of the field; no behaviour changed.

--- a/src/foxwinch/bench/cluster_fuzz/client.py
+++ b/src/foxwinch/bench/cluster_fuzz/client.py
@@ -9,7 +9,7 @@
 
 from foxwinch._generated.journal_pb2 import HistoryMessage
 from foxwinch.bench.cluster_fuzz.document import MODEL, ONCE_TOOL, REPEATABLE_TOOL, TENANT
-from foxwinch.bench.cluster_fuzz.life import CURRENT
+from foxwinch.bench.cluster_fuzz.simulated_process import CURRENT
 from foxwinch.bench.cluster_fuzz.world import FuzzNode, FuzzWorld
 from foxwinch.commands.requests import (
     CreateRequest,
@@ -182,17 +182,17 @@
 
 
 async def _serve(node: FuzzNode, request: ProgramRequest, events: list[ProgramEvent]) -> None:
-    CURRENT.set(node.life)
+    CURRENT.set(node.process)
     task = asyncio.current_task()
     assert task is not None
-    node.life.track(task)
+    node.process.track(task)
     with node.node.gate.admitted():
-        await node.life.gate()
+        await node.process.gate()
         stream: Any = node.node.parts.programs.execute(request)
         async with aclosing(stream) as answers:
             async for event in answers:
                 events.append(event)
-                await node.life.gate()
+                await node.process.gate()
 
 
 def _request(call: ClientCall) -> ProgramRequest:
--- a/src/foxwinch/bench/cluster_fuzz/runner.py
+++ b/src/foxwinch/bench/cluster_fuzz/runner.py
@@ -12,7 +12,7 @@
 from foxwinch.bench.cluster_fuzz.planted import Decorate, restore
 
 STEPS = 20
-"""Steps in the life of one cluster."""
+"""Steps that one cluster takes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/bench/cluster_fuzz/life.py
+++ b/src/foxwinch/bench/cluster_fuzz/simulated_process.py
@@ -1,4 +1,4 @@
-"""One life of one node process: it may be frozen and killed together with all that it runs."""
+"""One simulated node process: it may be frozen and killed together with all that it runs."""
 
 import asyncio
 import inspect
@@ -10,11 +10,11 @@
 from foxwinch.emulator.clock import VirtualClock
 from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort, StreamHandler, UnaryHandler
 
-CURRENT: ContextVar["Life | None"] = ContextVar("CURRENT", default=None)
+CURRENT: ContextVar["SimulatedProcess | None"] = ContextVar("CURRENT", default=None)
 
 
-class Life:
-    """The tasks of one node; each task belongs to the life in whose context it was created."""
+class SimulatedProcess:
+    """The tasks of one node; each task belongs to the process in whose context it was created."""
 
     def __init__(self, clock: VirtualClock) -> None:
         """Run on `clock`."""
@@ -24,7 +24,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def track(self, task: asyncio.Task[Any]) -> None:
-        """Take a task into this life."""
+        """Take a task into this process."""
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -58,27 +58,27 @@
 
 
 def install(loop: asyncio.AbstractEventLoop) -> None:
-    """Make every new task of the loop belong to the life of its context."""
+    """Make every new task of the loop belong to the process of its context."""
 
     def factory(
         loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], **options: Any
     ) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **options)
-        life = CURRENT.get()
-        if life is not None:
-            life.track(task)
+        process = CURRENT.get()
+        if process is not None:
+            process.track(task)
         return task
 
     loop.set_task_factory(factory)  # type: ignore[arg-type]
 
 
 class Guarded:
-    """A port of a node whose calls pass the life's gate before and after."""
+    """A port of a node whose calls pass the process's gate before and after."""
 
-    def __init__(self, inner: Any, life: Life) -> None:
+    def __init__(self, inner: Any, process: SimulatedProcess) -> None:
         """Guard `inner`."""
         self._inner = inner
-        self._life = life
+        self._process = process
 
     def __getattr__(self, name: str) -> Any:
         """Return the guarded method, or a plain attribute as it is."""
@@ -91,19 +91,19 @@
 
     def _call(self, method: Callable[..., Any]) -> Callable[..., Any]:
         async def guarded(*arguments: Any, **options: Any) -> Any:
-            await self._life.gate()
+            await self._process.gate()
             result = await method(*arguments, **options)
-            await self._life.gate()
+            await self._process.gate()
             return result
 
         return guarded
 
     def _stream(self, method: Callable[..., Any]) -> Callable[..., Any]:
         async def guarded(*arguments: Any, **options: Any) -> AsyncGenerator[Any, None]:
-            await self._life.gate()
+            await self._process.gate()
             async with aclosing(method(*arguments, **options)) as events:
                 async for event in events:
-                    await self._life.gate()
+                    await self._process.gate()
                     yield event
 
         return guarded
@@ -112,11 +112,11 @@
 class GuardedPeers:
     """The peer port of a node; what a handler starts belongs to the node that serves it."""
 
-    def __init__(self, inner: PeerPort, life: Life) -> None:
+    def __init__(self, inner: PeerPort, process: SimulatedProcess) -> None:
         """Guard `inner`."""
         self._inner = inner
-        self._life = life
-        self._guarded = Guarded(inner, life)
+        self._process = process
+        self._guarded = Guarded(inner, process)
 
     def __getattr__(self, name: str) -> Any:
         """Return a guarded method or a plain attribute."""
@@ -132,39 +132,39 @@
 
     def send_datagram(self, address: PeerAddress, payload: bytes) -> None:
         """Send, unless the node is frozen or dead."""
-        if not self._life.dead and not self._life.frozen:
+        if not self._process.dead and not self._process.frozen:
             self._inner.send_datagram(address, payload)
 
     def handle(self, method: str, handler: UnaryHandler) -> None:
-        """Serve within this node's life."""
+        """Serve within this node's process."""
 
         async def serve(context: PeerContext, payload: bytes) -> Any:
-            CURRENT.set(self._life)
-            await self._life.gate()
+            CURRENT.set(self._process)
+            await self._process.gate()
             return await handler(context, payload)
 
         self._inner.handle(method, serve)
 
     def handle_stream(self, method: str, handler: StreamHandler) -> None:
-        """Serve within this node's life."""
+        """Serve within this node's process."""
 
         async def serve(context: PeerContext, payload: bytes) -> AsyncGenerator[Any, None]:
-            CURRENT.set(self._life)
-            await self._life.gate()
+            CURRENT.set(self._process)
+            await self._process.gate()
             async with aclosing(handler(context, payload)) as answers:  # type: ignore[type-var]
                 async for answer in answers:
-                    await self._life.gate()
+                    await self._process.gate()
                     yield answer
 
         self._inner.handle_stream(method, serve)
 
     def handle_datagrams(self, handler: Callable[[PeerAddress, bytes], None]) -> None:
-        """Serve within this node's life."""
+        """Serve within this node's process."""
 
         def serve(source: PeerAddress, payload: bytes) -> None:
-            token = CURRENT.set(self._life)
+            token = CURRENT.set(self._process)
             try:
-                if not self._life.dead:
+                if not self._process.dead:
                     handler(source, payload)
             finally:
                 CURRENT.reset(token)
--- a/src/foxwinch/bench/cluster_fuzz/world.py
+++ b/src/foxwinch/bench/cluster_fuzz/world.py
@@ -10,7 +10,13 @@
 
 from foxwinch.backends.ports import EngineEvent, GenerateOrder, ToolOrder, ToolResult
 from foxwinch.bench.cluster_fuzz.document import ENGINES, MODEL, REGION, ZONES, document
-from foxwinch.bench.cluster_fuzz.life import CURRENT, Guarded, GuardedPeers, Life, install
+from foxwinch.bench.cluster_fuzz.simulated_process import (
+    CURRENT,
+    Guarded,
+    GuardedPeers,
+    SimulatedProcess,
+    install,
+)
 from foxwinch.emulator.clock import VirtualClock
 from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
 from foxwinch.emulator.faults import ServiceFaults, ToolFaults
@@ -71,10 +77,10 @@
 
 @dataclass(slots=True)
 class FuzzNode:
-    """One life of a node with its way to the outside."""
+    """A simulated node process with its way to the outside."""
 
     number: int
-    life: Life
+    process: SimulatedProcess
     node: Node
     address: PeerAddress
     table: InProcessTable
@@ -86,7 +92,7 @@
     @property
     def usable(self) -> bool:
         """True when callers may be sent here."""
-        return self.started and not self.life.dead and not self.draining
+        return self.started and not self.process.dead and not self.draining
 
 
 class FuzzWorld:
@@ -161,29 +167,29 @@
         """End a node without warning."""
         self.nodes.remove(node)
         self.network.kill(node.address)
-        self.run(node.life.kill())
+        self.run(node.process.kill())
 
     def freeze(self, node: FuzzNode) -> None:
         """Freeze a node."""
         self.network.pause(node.address)
-        node.life.freeze()
+        node.process.freeze()
 
     def wake(self, node: FuzzNode) -> None:
         """Let a frozen node go on."""
-        node.life.wake()
+        node.process.wake()
         self.network.resume(node.address)
 
     async def drain(self, node: FuzzNode) -> None:
         """Stop a node as planned."""
         node.draining = True
-        CURRENT.set(node.life)
+        CURRENT.set(node.process)
         await node.node.drain()
         await node.node.stop()
         CURRENT.set(None)
         if node in self.nodes:
             self.nodes.remove(node)
         self.network.kill(node.address)
-        await node.life.kill()
+        await node.process.kill()
 
     def set_store_faults(self, faults: ServiceFaults) -> None:
         """Change table and object store for every node."""
@@ -218,7 +224,7 @@
 
     async def _start_all(self, nodes: list[FuzzNode]) -> None:
         async def start(node: FuzzNode) -> None:
-            CURRENT.set(node.life)
+            CURRENT.set(node.process)
             await node.node.start()
             node.started = True
 
@@ -226,21 +232,23 @@
 
     def _new_node(self, number: int) -> FuzzNode:
         self.lives += 1
-        life = Life(VirtualClock(self.random.getrandbits(32), self.random.uniform(-60.0, 60.0)))
+        process = SimulatedProcess(
+            VirtualClock(self.random.getrandbits(32), self.random.uniform(-60.0, 60.0))
+        )
         identity = NodeId(f"node-{number}-{self.lives}")
         address = PeerAddress(f"127.0.0.{number + 1}", PEER_PORT)
         table = InProcessTable(self.table, self.clock, self.store_faults)
         objects = InProcessObjects(self.objects, self.clock, self.store_faults)
         tools = InProcessTools(self.tool_model, self.clock, self.tool_faults)
         machines = InProcessMachines(self.machines, self.clock)
-        peers = GuardedPeers(self.network.join(identity, address), life)
+        peers = GuardedPeers(self.network.join(identity, address), process)
         ports = NodePorts(
-            clock=life.clock,
-            engine=self._port("engine", self.engine, life),
-            tools=self._port("tools", tools, life),
-            table=self._port("table", table, life),
-            objects=self._port("objects", objects, life),
-            machines=self._port("machines", machines, life),
+            clock=process.clock,
+            engine=self._port("engine", self.engine, process),
+            tools=self._port("tools", tools, process),
+            table=self._port("table", table, process),
+            objects=self._port("objects", objects, process),
+            machines=self._port("machines", machines, process),
             peers=cast(Any, peers),
             peer_address=address,
         )
@@ -252,16 +260,16 @@
             seeds=seeds,
             drain_seconds=120.0,
         )
-        token = CURRENT.set(life)
+        token = CURRENT.set(process)
         node = build_node(settings, ports, document(), node=identity)
         CURRENT.reset(token)
-        fuzz_node = FuzzNode(number, life, node, address, table, objects, tools)
+        fuzz_node = FuzzNode(number, process, node, address, table, objects, tools)
         self.decorate("node", fuzz_node)
         self.nodes.append(fuzz_node)
         return fuzz_node
 
-    def _port(self, name: str, port: Any, life: Life) -> Any:
-        return Guarded(self.decorate(name, port), life)
+    def _port(self, name: str, port: Any, process: SimulatedProcess) -> Any:
+        return Guarded(self.decorate(name, port), process)
 
     def _note_failure(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
