--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -42,7 +42,7 @@
     settings = load_node_settings(path, {"zone": "nedu-hall", "platform.table_url": "http://h/t"})
     assert settings.zone == "nedu-hall"
     assert settings.platform.table_url == "http://h/t"
-    assert settings.platform.object_url == "http://127.0.0.1:7100/objects"
+    assert settings.platform.object_url == "http://127.0.0.1:7100/store"
     proposed = load_proposed(settings, path)
     assert proposed.region == settings.region
 
