--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -26,6 +26,7 @@
     operator_lines,
     overhead_lines,
 )
+from foxwinch.bench.fleet.measures import by_size
 from foxwinch.bench.fleet.scenarios import SCENARIOS
 
 INTRODUCTION = """# Capacity
@@ -132,21 +133,12 @@
         "|---|---|" + "---|" * len(fleet.get("runs", [])),
     ]  # fmt: skip
     for name, exponent in fleet.get("slopes", {}).items():
-        values = [_first(run, name) for run in fleet["runs"]]
-        cells = " | ".join(number(value) for value in values)
+        values = dict(by_size(fleet["runs"], SCENARIOS, name))
+        cells = " | ".join(number(values.get(run["nodes"])) for run in fleet["runs"])
         rows.append(f"| `{name}` | {'-' if exponent is None else exponent} | {cells} |")
     return "\n".join(rows) + "\n"
 
 
-def _first(run: dict[str, Any], name: str) -> float | None:
-    """Return a figure of the first scenario that has it, as the fit does."""
-    for scenario in run["scenarios"]:
-        value: float | None = run["scenarios"].get(scenario, {}).get(name)
-        if value:
-            return value
-    return None
-
-
 def _scenarios(fleet: dict[str, Any]) -> str:
     if not fleet:
         return "## Scenarios\n\nNot measured.\n"
@@ -192,6 +184,7 @@
         [
             "## Shortfalls and gaps\n",
             *short,
+            *_over_limit(fleet),
             f"- Not driven by the hollow fleet yet: {', '.join(absent)}.",
             f"- Keys without a figure: {', '.join(keys) or 'none'}.",
             f"- Lines without a measurement: {_unmeasured(sections)}.\n",
@@ -199,6 +192,24 @@
     )
 
 
+def _over_limit(fleet: dict[str, Any]) -> list[str]:
+    """Return every size and scenario in which a node was above a limit."""
+    limits = Limits()
+    bounds = {
+        "control_bytes_per_second_max": limits.control_bytes_per_second,
+        "control_cpu_fraction_max": limits.control_cpu_fraction,
+        "config_seconds_max": limits.configuration_seconds,
+    }
+    return [
+        f"- Above the limit: `{name}`, {scenario} at {run['nodes']} nodes: "
+        f"{number(figures[name])} against {number(bound)}."
+        for run in fleet.get("runs", [])
+        for scenario, figures in run["scenarios"].items()
+        for name, bound in bounds.items()
+        if (figures[name] or 0) > bound
+    ]
+
+
 def _unmeasured(sections: Sequence[tuple[str, Sequence[Line]]]) -> str:
     """Return how many lines of each section nothing has measured."""
     counted = [
@@ -215,5 +226,6 @@
             machine = found.get("machine", {}).get("processor", "not recorded")
             command = found.get("command", "foxwinch bench overhead")
             rows.append(f"- `{command}`, commit {commit}, processor {machine}.")
+            rows += [f"  {found['note']}"] if "note" in found else []
     rows.append("- `python -m foxwinch.bench.retry_storm --seed 1`, virtual time.")
     return "\n".join(rows) + "\n"
--- a/src/foxwinch/bench/fleet/measures.py
+++ b/src/foxwinch/bench/fleet/measures.py
@@ -1,8 +1,9 @@
 """Figures of a stretch of virtual time."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass
+from typing import Any
 
 from foxwinch.bench.fleet.node import HollowNode
 from foxwinch.bench.fleet.world import FleetWorld
@@ -43,6 +44,18 @@
     return ordered[max(0, math.ceil(fraction * len(ordered)) - 1)]
 
 
+def by_size(
+    runs: Sequence[Mapping[str, Any]], scenarios: Iterable[str], name: str
+) -> list[tuple[int, float]]:
+    """Return nodes and figure of the runs, in the first scenario in which most of them have it."""
+    best: list[tuple[int, float]] = []
+    for scenario in scenarios:
+        found = [(run["nodes"], run["scenarios"].get(scenario, {}).get(name)) for run in runs]
+        pairs = [(nodes, value) for nodes, value in found if value]
+        best = pairs if len(pairs) > len(best) else best
+    return best
+
+
 class Stretch:
     """Measures from its making to `figures`."""
 
--- a/src/foxwinch/bench/fleet/parts.py
+++ b/src/foxwinch/bench/fleet/parts.py
@@ -55,7 +55,7 @@
     sizes = sorted({part["nodes"] for part in parts})
     bare = [{k: v for k, v in part.items() if k != "commit"} for part in parts]
     runs = [merged([part for part in bare if part["nodes"] == size]) for size in sizes]
-    ran = "; ".join(f"run {run['nodes']} {','.join(run['scenarios'])}" for run in runs)
+    ran = "; ".join(f"run {part['nodes']} {','.join(part['scenarios'])}" for part in bare)
     report = report_of(f"{COMMAND} {ran}", runs)
     report["commit"] = commits.pop()
     return report
--- a/src/foxwinch/bench/fleet/run.py
+++ b/src/foxwinch/bench/fleet/run.py
@@ -17,7 +17,7 @@
 from foxwinch.bench.commit import current_commit
 from foxwinch.bench.fleet.document import state_with, tenant_change
 from foxwinch.bench.fleet.fleet import FleetShape
-from foxwinch.bench.fleet.measures import percentile
+from foxwinch.bench.fleet.measures import by_size, percentile
 from foxwinch.bench.fleet.scenarios import GROUPS, SCENARIOS, day_compression, warm_up
 from foxwinch.bench.fleet.world import FleetWorld
 from foxwinch.core.configuration.document import DocumentState
@@ -172,15 +172,13 @@
 
 
 def _exponent(runs: list[dict[str, Any]], name: str) -> float | None:
-    """Return the exponent in the scenario in which the figure occurs first."""
-    for scenario in SCENARIOS:
-        found = [(run["nodes"], run["scenarios"].get(scenario, {}).get(name)) for run in runs]
-        pairs = [(nodes, value) for nodes, value in found if value]
-        if len(pairs) >= 2:
-            logs = numpy.log(numpy.array(pairs, dtype=float))
-            slope = float(numpy.polyfit(logs[:, 0], logs[:, 1], 1)[0])
-            return round(slope, 3) if math.isfinite(slope) else None
-    return None
+    """Return the exponent in the scenario that most sizes ran; None below two sizes."""
+    pairs = by_size(runs, SCENARIOS, name)
+    if len(pairs) < 2:
+        return None
+    logs = numpy.log(numpy.array(pairs, dtype=float))
+    slope = float(numpy.polyfit(logs[:, 0], logs[:, 1], 1)[0])
+    return round(slope, 3) if math.isfinite(slope) else None
 
 
 def resident_bytes() -> int:
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -4,6 +4,7 @@
 
 from foxwinch.bench.fleet.document import fleet_document
 from foxwinch.bench.fleet.fleet import FleetShape
+from foxwinch.bench.fleet.measures import by_size
 from foxwinch.bench.fleet.parts import join_parts
 from foxwinch.bench.fleet.run import SLOPES, merged, slopes, worst
 from foxwinch.bench.fleet.scenarios import rack, steady, warm_up
@@ -65,3 +66,7 @@
     assert worst(runs[1])["memory_bytes_per_node"] == 3
     assert slopes(runs)["control_bytes_per_second_p50"] == 1.0
     assert slopes(runs)["detection_seconds_p50"] is None
+    whole = [{"nodes": n, "scenarios": {"day": {"x": n}}} for n in (1, 2)]
+    whole = [{**run, "scenarios": {**run["scenarios"], "zone": {"x": 7}}} for run in whole]
+    whole.append({"nodes": 3, "scenarios": {"zone": {"x": 7}}})
+    assert by_size(whole, ("day", "zone"), "x") == [(1, 7), (2, 7), (3, 7)]
