Take the waits of settled transactions from the one backoff

Cause: node/settled_table.py computed exponential backoff with full jitter by itself. Change: it uses core/limits/backoff.py with the same base, cap and jitter; the waits are the same numbers. Conclusion: one copy less; no behaviour changed.

--- a/src/foxwinch/node/settled_table.py
+++ b/src/foxwinch/node/settled_table.py
@@ -4,12 +4,12 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+from foxwinch.core.limits.backoff import Backoff
 from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, RunState, outcome_unknown
 from foxwinch.platform.ports import Committed, ConditionFailed, TablePort, Transaction
 
-FIRST_RETRY_SECONDS = 0.05
-LAST_RETRY_SECONDS = 2.0
+RETRY_BACKOFF = Backoff(base_seconds=0.05, cap_seconds=2.0)
 ANSWER_SECONDS = 5.0
 """A service that is silent for so long is tried anew."""
 
@@ -45,8 +45,8 @@
         may_have_run = may_have_run or outcome.run_state is not RunState.NOT_RUN
         last = outcome
         if attempt + 1 < attempts:
-            limit = min(LAST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2**attempt)
-            await clock.sleep(max(limit * clock.uniform(), outcome.retry_after_seconds or 0.0))
+            wait = RETRY_BACKOFF.wait_seconds(attempt, clock.uniform())
+            await clock.sleep(max(wait, outcome.retry_after_seconds or 0.0))
     if last is None or may_have_run:
         return outcome_unknown(Reason.STORE_UNAVAILABLE, "no certain answer from the table")
     return last
