--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -26,8 +26,8 @@
     operator_lines,
     overhead_lines,
 )
-from foxwinch.bench.fleet.measures import by_size
-from foxwinch.bench.fleet.scenarios import SCENARIOS
+from foxwinch.bench.fleet.measures import by_size, exponent
+from foxwinch.bench.fleet.scenarios import SCENARIOS, WARM_UP_SPREAD_SECONDS
 
 INTRODUCTION = """# Capacity
 
@@ -132,10 +132,18 @@
         + " |",
         "|---|---|" + "---|" * len(fleet.get("runs", [])),
     ]  # fmt: skip
-    for name, exponent in fleet.get("slopes", {}).items():
+    for name in ("cold_start_seconds", "memory_bytes_per_node"):
+        pairs = [(run["nodes"], run[name]) for run in fleet.get("runs", [])]
+        cells = " | ".join(number(value) for _, value in pairs)
+        rows.append(f"| `{name}` | {exponent(pairs)} | {cells} |")
+    for name, fitted in fleet.get("slopes", {}).items():
         values = dict(by_size(fleet["runs"], SCENARIOS, name))
         cells = " | ".join(number(values.get(run["nodes"])) for run in fleet["runs"])
-        rows.append(f"| `{name}` | {'-' if exponent is None else exponent} | {cells} |")
+        rows.append(f"| `{name}` | {'-' if fitted is None else fitted} | {cells} |")
+    rows.append(
+        f"\nCold start: until every view is whole, {WARM_UP_SPREAD_SECONDS:.0f} s of it the spread "
+        "of the starts, looked at each 5 s."
+    )
     return "\n".join(rows) + "\n"
 
 
--- a/src/foxwinch/bench/fleet/measures.py
+++ b/src/foxwinch/bench/fleet/measures.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass
+from statistics import linear_regression
 from typing import Any
 
 from foxwinch.bench.fleet.node import HollowNode
@@ -56,6 +57,14 @@
     return best
 
 
+def exponent(pairs: Sequence[tuple[int, float]]) -> float | None:
+    """Fit figures as a power of the number of nodes; None below two sizes."""
+    if len(pairs) < 2:
+        return None
+    logs = [(math.log(nodes), math.log(value)) for nodes, value in pairs]
+    return round(linear_regression(*zip(*logs, strict=True)).slope, 3)
+
+
 class Stretch:
     """Measures from its making to `figures`."""
 
--- a/src/foxwinch/bench/fleet/run.py
+++ b/src/foxwinch/bench/fleet/run.py
@@ -1,7 +1,6 @@
 """Runs of the fleet at several sizes, each in a process of its own, and their report."""
 
 import json
-import math
 import multiprocessing
 import platform
 import random
@@ -12,12 +11,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import numpy
-
 from foxwinch.bench.commit import current_commit
 from foxwinch.bench.fleet.document import state_with, tenant_change
 from foxwinch.bench.fleet.fleet import FleetShape
-from foxwinch.bench.fleet.measures import by_size, percentile
+from foxwinch.bench.fleet.measures import by_size, exponent, percentile
 from foxwinch.bench.fleet.scenarios import GROUPS, SCENARIOS, day_compression, warm_up
 from foxwinch.bench.fleet.world import FleetWorld
 from foxwinch.core.configuration.document import DocumentState
@@ -140,8 +137,8 @@
 
 
 def slopes(runs: list[dict[str, Any]]) -> dict[str, float | None]:
-    """Fit each figure as a power of the number of nodes, over all sizes: the exponent."""
-    return {name: _exponent(runs, name) for name in SLOPES}
+    """Return each figure's exponent, in the scenario that most sizes ran."""
+    return {name: exponent(by_size(runs, SCENARIOS, name)) for name in SLOPES}
 
 
 def design_document() -> dict[str, float]:
@@ -171,16 +168,6 @@
     return json.dumps(report, indent=1) + "\n"
 
 
-def _exponent(runs: list[dict[str, Any]], name: str) -> float | None:
-    """Return the exponent in the scenario that most sizes ran; None below two sizes."""
-    pairs = by_size(runs, SCENARIOS, name)
-    if len(pairs) < 2:
-        return None
-    logs = numpy.log(numpy.array(pairs, dtype=float))
-    slope = float(numpy.polyfit(logs[:, 0], logs[:, 1], 1)[0])
-    return round(slope, 3) if math.isfinite(slope) else None
-
-
 def resident_bytes() -> int:
     """Return the memory that this process holds."""
     with open("/proc/self/statm", encoding="ascii") as file:
