--- a/src/foxwinch/bench/cluster_fuzz/world.py
+++ b/src/foxwinch/bench/cluster_fuzz/world.py
@@ -37,8 +37,8 @@
 from foxwinch.node.ports import NodePorts
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerAddress
-from foxwinch.platform.ports import Machine
 from foxwinch.settings.process import NodeSettings
+from foxwinch.storage.ports import Machine
 
 Result = TypeVar("Result")
 NOOP_CYCLES = 2
--- /dev/null
+++ b/src/foxwinch/cli/serve.py
@@ -0,0 +1,49 @@
+"""`foxwinch serve`."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from foxwinch.cli.exit_codes import ExitCode
+from foxwinch.cli.help import examples
+from foxwinch.cli.output import fail, fail_settings
+from foxwinch.log_sink import log_to_standard_output
+from foxwinch.platform.process import run_serve
+from foxwinch.platform.settings import ENVIRONMENT_VARIABLE, load_serve_settings
+from foxwinch.settings.base import SettingsError
+
+
+@cappa.command(
+    name="serve",
+    help="Run one node on the users' platform until SIGTERM or SIGINT.",
+    description=examples("foxwinch serve --settings examples/serve.toml"),
+)
+@dataclass(kw_only=True)
+class ServeCommand:
+    """Run one node on the users' platform."""
+
+    settings: Annotated[
+        Path | None,
+        cappa.Arg(
+            long="--settings", help=f"Settings (TOML); else what {ENVIRONMENT_VARIABLE} names"
+        ),
+    ] = None
+
+    def __call__(self) -> None:
+        """Run until the planned stop."""
+        path = self.settings
+        if path is None and ENVIRONMENT_VARIABLE in os.environ:
+            path = Path(os.environ[ENVIRONMENT_VARIABLE])
+        if path is None:
+            fail(ExitCode.INVALID, f"settings: give --settings or set {ENVIRONMENT_VARIABLE}")
+        settings = load_serve_settings(path)
+        if isinstance(settings, SettingsError):
+            fail_settings(settings)
+        log_to_standard_output(settings.log_level)
+        try:
+            run_serve(settings, path)
+        except OSError as error:
+            fail(ExitCode.INVALID, f"cannot start: {error}")
--- a/src/foxwinch/commands/apply_configuration.py
+++ b/src/foxwinch/commands/apply_configuration.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from foxwinch.clock import Clock
 from foxwinch.core.configuration.change import (
     Change,
     ChangeAccepted,
@@ -26,10 +27,9 @@
     ConfigurationStore,
     StoredHead,
 )
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
-from foxwinch.platform.ports import Committed
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.storage.ports import Committed
 
 ATTEMPTS = 5
 """With the waits below, an operator has an answer within about 20 s of a store that is down."""
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_shard.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from foxwinch._generated.journal_pb2 import JournalRecord, ReadConfirmed
+from foxwinch.clock import Clock
 from foxwinch.commands.running_call import RunningCall
 from foxwinch.core.program.requests import Applied, Dropped
 from foxwinch.core.program.table import ProgramTable
 from foxwinch.identifiers import CallId, Epoch, ProgramId, ShardNumber
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Appended, Clock, JournalView
+from foxwinch.node.interfaces import Appended, JournalView
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
 READ_RETRY_SECONDS = 0.5
--- a/src/foxwinch/commands/ports.py
+++ b/src/foxwinch/commands/ports.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from foxwinch.backends.ports import GeneratePort, ToolPort
+from foxwinch.clock import Clock
 from foxwinch.commands.call_retries import CallRetries
 from foxwinch.node.interfaces import (
-    Clock,
     ConfigurationView,
     GrantView,
     JournalView,
--- /dev/null
+++ b/src/foxwinch/core/records/__init__.py
@@ -0,0 +1,1 @@
+"""Program budgets and conversation turns as records of the shared store."""
--- /dev/null
+++ b/src/foxwinch/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and workers: which worker serves a request."""
--- /dev/null
+++ b/src/foxwinch/core/routing/load.py
@@ -0,0 +1,82 @@
+"""What this node knows of each worker's load: its own calls under way, and how calls ended.
+
+A worker that sheds, cannot be reached or breaks off is avoided for a while that grows with each
+failure in a row. Avoided workers are still chosen when there is no other.
+"""
+
+from dataclasses import dataclass
+
+SHED_SECONDS = 0.05
+"""A worker that was full is left alone for about one short piece of work."""
+FAILURE_SECONDS = 0.4
+"""After the first failure; doubled with each one in a row."""
+FAILURE_SECONDS_MAXIMUM = 3.2
+FAILURE_DOUBLINGS = 3
+
+
+@dataclass(slots=True)
+class WorkerLoad:
+    """One worker as seen from this node."""
+
+    in_flight: int = 0
+    """Calls of this node under way there."""
+    elsewhere: float = 0.0
+    """Calls of other nodes under way there, as last told."""
+    failures: int = 0
+    """Failures in a row."""
+    avoid_until: float = 0.0
+    """On the node's steady clock."""
+
+    def avoided(self, now: float) -> bool:
+        """Tell whether the worker is better left alone at `now`."""
+        return now < self.avoid_until
+
+
+class LoadTable:
+    """Loads by worker id."""
+
+    def __init__(self) -> None:
+        """Start with nothing under way."""
+        self._loads: dict[str, WorkerLoad] = {}
+
+    def of(self, worker_id: str) -> WorkerLoad:
+        """Return the load of a worker, empty for one that is new."""
+        load = self._loads.get(worker_id)
+        if load is None:
+            load = self._loads[worker_id] = WorkerLoad()
+        return load
+
+    def began(self, worker_id: str) -> None:
+        """Count a call that is sent."""
+        self.of(worker_id).in_flight += 1
+
+    def ended(self, worker_id: str) -> None:
+        """Count a call out, however it ended."""
+        self.of(worker_id).in_flight -= 1
+
+    def answered(self, worker_id: str) -> None:
+        """Note that a worker gave a sound answer."""
+        load = self.of(worker_id)
+        load.failures = 0
+
+    def shed(self, worker_id: str, now: float) -> None:
+        """Note that a worker was full."""
+        load = self.of(worker_id)
+        load.avoid_until = max(load.avoid_until, now + SHED_SECONDS)
+
+    def failed(self, worker_id: str, now: float) -> None:
+        """Note that a worker could not be reached, broke off or answered wrong."""
+        load = self.of(worker_id)
+        wait = FAILURE_SECONDS * 2.0 ** min(load.failures, FAILURE_DOUBLINGS)
+        load.failures += 1
+        load.avoid_until = max(load.avoid_until, now + min(wait, FAILURE_SECONDS_MAXIMUM))
+
+    def in_flight(self) -> dict[str, int]:
+        """Return this node's calls under way by worker."""
+        return {worker: load.in_flight for worker, load in self._loads.items() if load.in_flight}
+
+    def forget(self, worker_id: str) -> None:
+        """Drop a worker that is gone, unless calls are still under way there."""
+        load = self._loads.get(worker_id)
+        if load is not None and load.in_flight == 0:
+            del self._loads[worker_id]
--- a/src/foxwinch/emulator/engine_worker.py
+++ b/src/foxwinch/emulator/engine_worker.py
@@ -18,6 +18,7 @@
     ModelOrder,
     TokenChunk,
 )
+from foxwinch.clock import Clock
 from foxwinch.emulator.engine_answers import PlannedAnswer, plan_answer
 from foxwinch.emulator.engine_driver import CallOutput, EngineDriver
 from foxwinch.emulator.engine_events import (
@@ -37,7 +38,6 @@
 from foxwinch.emulator.engine_parameters import EngineParameters, load_engine_parameters
 from foxwinch.emulator.faults import EngineFaults, FaultGate
 from foxwinch.identifiers import CallId, ModelName, ProgramId
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown, ran
 
 ONE_STEP = 1
--- a/src/foxwinch/emulator/faults.py
+++ b/src/foxwinch/emulator/faults.py
@@ -10,8 +10,8 @@
 
 from pydantic import Field
 
+from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.node.interfaces import Clock
 from foxwinch.settings.base import StrictModel
 
 Probability = Annotated[float, Field(ge=0, le=1)]
--- a/src/foxwinch/emulator/http_platform.py
+++ b/src/foxwinch/emulator/http_platform.py
@@ -8,8 +8,8 @@
 from foxwinch.emulator.http_faults import answer, refusal_response, refused_at
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.platform.ports import Condition, ConditionFailed, Row, Transaction, Write
-from foxwinch.platform.table_http import (
+from foxwinch.storage.ports import Condition, ConditionFailed, Row, Transaction, Write
+from foxwinch.storage.table_http import (
     CommittedDocument,
     ConditionDocument,
     PageDocument,
--- a/src/foxwinch/emulator/in_process.py
+++ b/src/foxwinch/emulator/in_process.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 from foxwinch.backends.ports import ToolOrder, ToolResult
+from foxwinch.clock import Clock
 from foxwinch.emulator.faults import (
     FOREVER_SECONDS,
     AnswerFate,
@@ -22,9 +23,8 @@
 from foxwinch.emulator.objects import ObjectModel
 from foxwinch.emulator.table import TableModel
 from foxwinch.emulator.tools import ToolModel
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     ConditionFailed,
     Machine,
--- a/src/foxwinch/emulator/machines.py
+++ b/src/foxwinch/emulator/machines.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import replace
 
-from foxwinch.platform.ports import Machine
+from foxwinch.storage.ports import Machine
 
 KEPT_LISTS = 1_000
 """Past lists that a lag may reach back to."""
--- a/src/foxwinch/emulator/objects.py
+++ b/src/foxwinch/emulator/objects.py
@@ -1,7 +1,7 @@
 """In-memory model of the platform's object store: objects are written once."""
 
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.platform.ports import Stored
+from foxwinch.storage.ports import Stored
 
 
 class ObjectModel:
--- a/src/foxwinch/emulator/process.py
+++ b/src/foxwinch/emulator/process.py
@@ -7,10 +7,10 @@
 import uvloop
 from aiomisc import Service, entrypoint
 
+from foxwinch.clock import SystemClock
 from foxwinch.emulator.server import build_application
 from foxwinch.emulator.settings import EmulatorSettings
 from foxwinch.emulator.stand_ins import StandIns
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.http_service import HttpService
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
--- a/src/foxwinch/emulator/server.py
+++ b/src/foxwinch/emulator/server.py
@@ -14,8 +14,8 @@
 from foxwinch.emulator.settings import FaultSettings
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.identifiers import RegionName, ZoneName
-from foxwinch.platform.machines_http import MachineDocument
-from foxwinch.platform.ports import Machine
+from foxwinch.storage.machines_http import MachineDocument
+from foxwinch.storage.ports import Machine
 
 MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 
--- a/src/foxwinch/emulator/stand_ins.py
+++ b/src/foxwinch/emulator/stand_ins.py
@@ -1,5 +1,6 @@
 """All stand-ins of one process: their models, workers and fault gates."""
 
+from foxwinch.clock import Clock
 from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
 from foxwinch.emulator.faults import FaultGate, ToolFaults
 from foxwinch.emulator.machines import MachineModel
@@ -8,8 +9,7 @@
 from foxwinch.emulator.table import TableModel
 from foxwinch.emulator.tools import ToolModel
 from foxwinch.identifiers import ModelName, RegionName, ToolName, WorkerId, ZoneName
-from foxwinch.node.interfaces import Clock
-from foxwinch.platform.ports import Machine
+from foxwinch.storage.ports import Machine
 
 
 class StandIns:
--- a/src/foxwinch/emulator/table.py
+++ b/src/foxwinch/emulator/table.py
@@ -6,7 +6,7 @@
 from sortedcontainers import SortedDict
 
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     Condition,
     ConditionFailed,
--- a/src/foxwinch/emulator/virtual_cluster.py
+++ b/src/foxwinch/emulator/virtual_cluster.py
@@ -26,9 +26,9 @@
 from foxwinch.node.node import Node, build_node
 from foxwinch.node.ports import NodePorts
 from foxwinch.peer.ports import PeerAddress
-from foxwinch.platform.ports import Machine
 from foxwinch.settings.cluster import ClusterConfiguration, WorkerSettings
 from foxwinch.settings.process import NodeSettings
+from foxwinch.storage.ports import Machine
 
 MAXIMUM_NODES = 256
 SEEDS = 3
--- a/src/foxwinch/gateway/chat.py
+++ b/src/foxwinch/gateway/chat.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from foxwinch.clock import Clock
 from foxwinch.commands.requests import ModelCallRequest, ProgramRequest
 from foxwinch.core.program.call_events import ProgramEvent
 from foxwinch.core.program.identity import keyed_name, scoped, unkeyed_name
@@ -20,7 +21,6 @@
 from foxwinch.gateway.request_body import ChatBody, check_chat_body, read_json
 from foxwinch.gateway.respond import respond_stream, respond_whole
 from foxwinch.identifiers import ModelName, ProgramId
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.settings.process import CallerLimits
 
--- a/src/foxwinch/node/configuration_service.py
+++ b/src/foxwinch/node/configuration_service.py
@@ -14,6 +14,7 @@
     FetchConfigurationRequest,
     FetchConfigurationResponse,
 )
+from foxwinch.clock import Clock
 from foxwinch.commands.apply_configuration import (
     ApplyConfiguration,
     ApplyPorts,
@@ -34,7 +35,6 @@
     StoredHead,
 )
 from foxwinch.node.interfaces import (
-    Clock,
     ConfigurationSnapshot,
     GossipEntry,
     GossipKind,
@@ -43,12 +43,12 @@
     MembershipView,
     MemberState,
 )
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerContext, PeerPort
-from foxwinch.platform.ports import TablePort
 from foxwinch.queries.configuration import STATUS_METHOD, NodeRevision, revisions_at_nodes
+from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.storage.ports import TablePort
 
 FETCH_METHOD = "configuration.fetch"
 FETCH_SECONDS = 2.0
--- a/src/foxwinch/node/configuration_store.py
+++ b/src/foxwinch/node/configuration_store.py
@@ -15,7 +15,7 @@
 from foxwinch.core.configuration.document import Unreadable
 from foxwinch.identifiers import Revision
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     Condition,
     ConditionFailed,
--- a/src/foxwinch/node/engine_retries.py
+++ b/src/foxwinch/node/engine_retries.py
@@ -6,9 +6,9 @@
 from enum import StrEnum
 
 from foxwinch.backends.ports import Done
+from foxwinch.clock import Clock
 from foxwinch.identifiers import WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Refused
 
 FIRST_PAUSE_SECONDS = 0.2
--- a/src/foxwinch/node/epoch_service.py
+++ b/src/foxwinch/node/epoch_service.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass
 
 from foxwinch._generated.replication_pb2 import EpochReply, EpochRequest, EpochRow
+from foxwinch.clock import Clock
 from foxwinch.core.shard.epochs import majority, next_step, next_term
 from foxwinch.core.shard.placement import Candidate, ranked, register_group
 from foxwinch.core.shard.register import RegisterState
 from foxwinch.identifiers import Epoch, NodeId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock, EpochClaim, Member, MembershipView
+from foxwinch.node.interfaces import EpochClaim, Member, MembershipView
 from foxwinch.node.replication_codec import (
     address_of,
     candidates_of,
@@ -24,7 +25,7 @@
 from foxwinch.node.settled_table import transact_settled
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort
-from foxwinch.platform.ports import Committed, Condition, TablePort, Transaction, Write
+from foxwinch.storage.ports import Committed, Condition, TablePort, Transaction, Write
 
 log = EventLog("epochs")
 
--- a/src/foxwinch/node/flush_service.py
+++ b/src/foxwinch/node/flush_service.py
@@ -4,10 +4,10 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import Configuration, ShardRecord
 from foxwinch.identifiers import ShardNumber
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.journal_service import JournalService, OwnedShard
 from foxwinch.node.replica_client import ReplicaClient
 from foxwinch.node.replicated_journal import ReplicatedJournal
--- a/src/foxwinch/node/grants_service.py
+++ b/src/foxwinch/node/grants_service.py
@@ -4,23 +4,23 @@
 from dataclasses import dataclass, field
 
 from foxwinch._generated.steward_pb2 import GrantGiven
+from foxwinch.clock import Clock
 from foxwinch.identifiers import NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
 from foxwinch.node.grant_reports import GrantReports, Report
 from foxwinch.node.interfaces import (
-    Clock,
     ConfigurationView,
     Grant,
     GrantRequest,
     GrantUsage,
 )
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.node.steward_choices import StewardChoices
 from foxwinch.node.steward_client import StewardClient
 from foxwinch.node.steward_directory import ServingSteward, StewardDirectory
 from foxwinch.node.steward_messages import ask_message, grant_of
 from foxwinch.node.waiting import wait_for_event
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.service_tasks import ServiceTasks
 
 REPORT_SECONDS = 2.0
 """Held grants are confirmed this often; their lease is a multiple of it."""
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -6,21 +6,20 @@
 
 from foxwinch.backends.engine_http import HttpEngine
 from foxwinch.backends.tools_http import HttpTools
+from foxwinch.clock import Clock, SystemClock
 from foxwinch.http_exchange import new_session
 from foxwinch.identifiers import NodeId
-from foxwinch.node.clock import SystemClock
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.membership_service import parse_address
 from foxwinch.node.node import new_node_identity
 from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.peer.ports import PeerAddress
 from foxwinch.peer.service import PeerService
-from foxwinch.platform.machines_http import HttpMachines
-from foxwinch.platform.object_http import HttpObjects
-from foxwinch.platform.rate_limit import RateLimiter
-from foxwinch.platform.table_http import HttpTable
 from foxwinch.settings.process import NodeSettings, PlatformSettings
+from foxwinch.storage.machines_http import HttpMachines
+from foxwinch.storage.object_http import HttpObjects
+from foxwinch.storage.rate_limit import RateLimiter
+from foxwinch.storage.table_http import HttpTable
 
 BURST_SECONDS = 2.0
 """Requests to the platform that may come at once, as seconds of its rate."""
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -274,27 +274,3 @@
 
 
 # --- the platform's clock --------------------------------------------------------------------
-
-
-class Clock(Protocol):
-    """Time and randomness, given from outside so that tests decide both."""
-
-    def monotonic(self) -> float:
-        """Seconds on a clock that never goes back."""
-        ...
-
-    def wall(self) -> float:
-        """Seconds since the Unix epoch; may jump; never used for safety."""
-        ...
-
-    def identifier(self) -> str:
-        """Return a new unique identifier."""
-        ...
-
-    def uniform(self) -> float:
-        """Return a random number from 0 up to 1, for jitter and choices."""
-        ...
-
-    async def sleep(self, seconds: float) -> None:
-        """Wait; services wait only through this, so that tests can freeze a node."""
-        ...
--- a/src/foxwinch/node/journal_service.py
+++ b/src/foxwinch/node/journal_service.py
@@ -7,11 +7,12 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import CommitPlace
 from foxwinch.core.journal.log import Snapshot
 from foxwinch.identifiers import Epoch, NodeId, ShardNumber
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Appended, Clock
+from foxwinch.node.interfaces import Appended
 from foxwinch.node.replica_client import ReplicaClient
 from foxwinch.node.replica_service import ReplicaService
 from foxwinch.node.replicated_journal import ReplicatedJournal, Waiting
--- a/src/foxwinch/node/limits_service.py
+++ b/src/foxwinch/node/limits_service.py
@@ -5,6 +5,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from foxwinch.clock import Clock
 from foxwinch.core.limits.limiter import Limit, Limited, Limiter
 from foxwinch.core.limits.shares import ShareTable
 from foxwinch.core.limits.usage import DemandMeter, UsageDigest, decode, encode, key_hash
@@ -12,7 +13,6 @@
 from foxwinch.log import EventLog
 from foxwinch.node.interfaces import (
     Admitted,
-    Clock,
     ConfigurationSnapshot,
     ConfigurationView,
     GossipEntry,
@@ -22,8 +22,8 @@
     MembershipView,
     MemberState,
 )
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClassSettings, TenantSettings
 
 UPDATE_SECONDS = 1.0
--- a/src/foxwinch/node/membership_service.py
+++ b/src/foxwinch/node/membership_service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import TypeVar
 
+from foxwinch.clock import Clock
 from foxwinch.core.membership.actions import (
     Action,
     EntryChanged,
@@ -15,11 +16,11 @@
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import PeerAddress
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock, GossipEntry
-from foxwinch.node.service_tasks import ServiceTasks
+from foxwinch.node.interfaces import GossipEntry
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort
-from foxwinch.platform.ports import MachinePort
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.storage.ports import MachinePort
 
 NODE_KIND = "node"
 Value = TypeVar("Value")
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -8,12 +8,12 @@
 from prometheus_client import CollectorRegistry
 
 from foxwinch.backends.engine_http import HttpEngine
+from foxwinch.clock import Clock, SystemClock
 from foxwinch.gateway.typed_errors import typed_errors
 from foxwinch.identifiers import NodeId
 from foxwinch.log import EventLog
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.health import HealthHandlers
-from foxwinch.node.interfaces import Clock, ConfigurationView
+from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
 from foxwinch.node.parts.context import DrainingService, NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart, build_grants
--- a/src/foxwinch/node/orders_service.py
+++ b/src/foxwinch/node/orders_service.py
@@ -8,17 +8,18 @@
 from collections.abc import Iterable
 
 from foxwinch._generated.steward_pb2 import StewardedWorker, StewardedWorkers, WorkerOrder
+from foxwinch.clock import Clock
 from foxwinch.core.orders.model import ModelGoal, Order, OrderKind, WorkerActual
 from foxwinch.core.orders.reconciler import OrderPolicy, OrderReconciler
 from foxwinch.core.steward.assignment import Resource
 from foxwinch.identifiers import Epoch, ModelName, RegionName, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock, ConfigurationView
-from foxwinch.node.service_tasks import ServiceTasks
+from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.steward_client import StewardClient
 from foxwinch.node.steward_directory import StewardDirectory
 from foxwinch.node.steward_service import StewardService
 from foxwinch.outcomes import Reason, Refused, RunState
+from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClusterConfiguration
 
 DECIDE_SECONDS = 2.0
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from foxwinch._generated.replication_pb2 import HandoverReply, HandoverRequest, ShardNotice
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import CommitPlace, Configuration, GroupMember
 from foxwinch.core.shard.ownership import (
     AttemptFailed,
@@ -27,7 +28,6 @@
 from foxwinch.log import EventLog
 from foxwinch.node.handover_client import HANDOVER, ask_to_serve
 from foxwinch.node.interfaces import (
-    Clock,
     GossipEntry,
     GossipKind,
     GossipView,
@@ -45,10 +45,10 @@
     encode_configuration,
     peer_address,
 )
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.node.takeover_service import OwnedElsewhere, TakeoverService
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerContext, PeerPort
+from foxwinch.service_tasks import ServiceTasks
 
 log = EventLog("ownership")
 
--- a/src/foxwinch/node/pool_driver.py
+++ b/src/foxwinch/node/pool_driver.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection
 
 from foxwinch.backends.ports import Done, EnginePort
+from foxwinch.clock import Clock
 from foxwinch.core.steward.actions import (
     Dispatch,
     MovePrefix,
@@ -27,7 +28,6 @@
 from foxwinch.core.steward.scheduler import PoolScheduler
 from foxwinch.identifiers import CallId, ModelName, ProgramId, WorkerId
 from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run
 
 TRANSFER_SECONDS = 5.0
--- a/src/foxwinch/node/ports.py
+++ b/src/foxwinch/node/ports.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from foxwinch.backends.ports import EnginePort, ToolPort
-from foxwinch.node.interfaces import Clock
+from foxwinch.clock import Clock
 from foxwinch.peer.ports import PeerAddress, PeerPort
-from foxwinch.platform.ports import MachinePort, ObjectPort, TablePort
+from foxwinch.storage.ports import MachinePort, ObjectPort, TablePort
 
 NO_PEER_ADDRESS = PeerAddress("127.0.0.1", 0)
 """Address of a node without a peer side."""
--- a/src/foxwinch/node/replicated_journal.py
+++ b/src/foxwinch/node/replicated_journal.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import GroupMember
 from foxwinch.core.journal.log import JournalLog
 from foxwinch.core.journal.replica import ReplicaStatus, ShardReplica
 from foxwinch.core.journal.writer import ReplicatedWriter, WriterMessage
 from foxwinch.identifiers import NodeId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Appended, Clock
+from foxwinch.node.interfaces import Appended
 from foxwinch.node.replica_client import ReplicaClient
 from foxwinch.node.shard_journal import (
     COMMIT_SECONDS,
--- a/src/foxwinch/node/settled_table.py
+++ b/src/foxwinch/node/settled_table.py
@@ -4,10 +4,10 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+from foxwinch.clock import Clock
 from foxwinch.core.limits.backoff import Backoff
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, RunState, outcome_unknown
-from foxwinch.platform.ports import Committed, ConditionFailed, TablePort, Transaction
+from foxwinch.storage.ports import Committed, ConditionFailed, TablePort, Transaction
 
 RETRY_BACKOFF = Backoff(base_seconds=0.05, cap_seconds=2.0)
 ANSWER_SECONDS = 5.0
--- a/src/foxwinch/node/shard_store.py
+++ b/src/foxwinch/node/shard_store.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass, replace
 
 from foxwinch._generated.replication_pb2 import JournalBatch, ShardSnapshot
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import CommitPlace, Group, GroupMember, ShardRecord
 from foxwinch.core.journal.framing import CorruptFrames, Entry
 from foxwinch.core.journal.log import JournalLog, Snapshot
 from foxwinch.identifiers import RegionName, ShardNumber
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.replication_codec import (
     decode_batch,
     decode_record,
@@ -23,7 +23,7 @@
 )
 from foxwinch.node.settled_table import ANSWER_SECONDS, answered, transact_settled
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     Condition,
     ObjectPort,
--- a/src/foxwinch/node/steward_choices.py
+++ b/src/foxwinch/node/steward_choices.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from foxwinch.clock import Clock
 from foxwinch.core.steward.assignment import Holder
 from foxwinch.identifiers import ModelName, NodeId, WorkerId
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.steward_directory import ServingSteward, StewardDirectory, worker_resource
 
 KEPT_SECONDS = 0.05
--- a/src/foxwinch/node/steward_desk.py
+++ b/src/foxwinch/node/steward_desk.py
@@ -15,11 +15,11 @@
     WorkerOrderDone,
 )
 from foxwinch.backends.ports import EnginePort, ModelOrder
+from foxwinch.clock import Clock
 from foxwinch.core.steward.assignment import StewardState
 from foxwinch.core.steward.grant_ledger import GrantLedger
 from foxwinch.identifiers import CallId, ModelName, NodeId, ProgramId, WorkerId
 from foxwinch.node.engine_retries import EngineRetries
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.steward_grants import StewardGrants
 from foxwinch.node.steward_messages import (
     ACQUIRE_METHOD,
--- a/src/foxwinch/node/steward_grants.py
+++ b/src/foxwinch/node/steward_grants.py
@@ -7,6 +7,7 @@
 
 from foxwinch._generated.steward_pb2 import GrantAsk, GrantGiven, SettledCall
 from foxwinch.backends.ports import EnginePort
+from foxwinch.clock import Clock
 from foxwinch.core.steward.actions import Dispatch
 from foxwinch.core.steward.admission import SHORTEST_RETRY_SECONDS
 from foxwinch.core.steward.calls import PoolCall
@@ -16,7 +17,7 @@
 from foxwinch.identifiers import CallId, ClassName, Epoch, NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
 from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
-from foxwinch.node.interfaces import Clock, ConfigurationView
+from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.pool_driver import PoolDriver
 from foxwinch.node.steward_messages import request_of, usage_of
 from foxwinch.node.steward_pools import StewardPools
--- a/src/foxwinch/node/steward_pools.py
+++ b/src/foxwinch/node/steward_pools.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from foxwinch.backends.ports import EnginePort, LoadReport
+from foxwinch.clock import Clock
 from foxwinch.core.prompt import BLOCK_TOKENS
 from foxwinch.core.steward.calls import WorkerDescription
 from foxwinch.core.steward.events import CacheChanged, LoadReported, PolicyChanged, TimePassed
@@ -12,7 +13,6 @@
 from foxwinch.core.steward.policy import PolicySettings, policy_for
 from foxwinch.identifiers import Epoch, ModelName, WorkerId
 from foxwinch.node.engine_retries import EngineRetries
-from foxwinch.node.interfaces import Clock
 from foxwinch.node.pool_driver import PoolDriver
 from foxwinch.node.worker_drains import WorkerDrains
 from foxwinch.node.worker_link import WorkerLink, WorkerLinkEvents
--- a/src/foxwinch/node/steward_service.py
+++ b/src/foxwinch/node/steward_service.py
@@ -8,6 +8,7 @@
 
 from foxwinch._generated.steward_pb2 import HeldResource, ModelQueue, StewardDigest
 from foxwinch.backends.ports import EnginePort
+from foxwinch.clock import Clock
 from foxwinch.core.steward.assignment import (
     AssignmentAction,
     Claim,
@@ -24,7 +25,6 @@
 from foxwinch.node.cache_evacuation import CacheEvacuation
 from foxwinch.node.engine_retries import EngineRetries
 from foxwinch.node.interfaces import (
-    Clock,
     ConfigurationSnapshot,
     ConfigurationView,
     EpochView,
@@ -33,7 +33,6 @@
     GossipView,
     MembershipView,
 )
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.node.steward_desk import StewardDesk
 from foxwinch.node.steward_directory import StewardDirectory, resource_worker, worker_resource
 from foxwinch.node.steward_grants import LOWEST_RANK, StewardGrants
@@ -43,7 +42,8 @@
 from foxwinch.node.worker_drains import WorkerDrains
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort
-from foxwinch.platform.ports import MachinePort
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.storage.ports import MachinePort
 
 TICK_SECONDS = 0.25
 """Period of looking at members, leases and waiting calls when nothing wakes the service."""
--- a/src/foxwinch/node/table_journal.py
+++ b/src/foxwinch/node/table_journal.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+from foxwinch.clock import Clock
 from foxwinch.core.journal.log import JournalLog, Snapshot
-from foxwinch.node.interfaces import Appended, Clock
+from foxwinch.node.interfaces import Appended
 from foxwinch.node.shard_journal import (
     COMMIT_SECONDS,
     FENCED_NOT_RUN,
--- a/src/foxwinch/node/takeover_service.py
+++ b/src/foxwinch/node/takeover_service.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import (
     CommitPlace,
     Configuration,
@@ -23,7 +24,7 @@
 from foxwinch.core.shard.placement import Candidate, replica_group
 from foxwinch.identifiers import Epoch, NodeId, ShardNumber
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock, Member, MembershipView, MemberState
+from foxwinch.node.interfaces import Member, MembershipView, MemberState
 from foxwinch.node.replica_client import ReplicaClient
 from foxwinch.node.replica_service import ReplicaService
 from foxwinch.node.replication_codec import candidates_of, core_group, core_member, live_members
--- a/src/foxwinch/node/waiting.py
+++ b/src/foxwinch/node/waiting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from foxwinch.node.interfaces import Clock
+from foxwinch.clock import Clock
 
 
 async def wait_for_event(clock: Clock, event: asyncio.Event, seconds: float) -> bool:
--- a/src/foxwinch/node/worker_drains.py
+++ b/src/foxwinch/node/worker_drains.py
@@ -5,13 +5,14 @@
 from google.protobuf.message import DecodeError
 
 from foxwinch._generated.steward_pb2 import WorkerDrain
+from foxwinch.clock import Clock
 from foxwinch.identifiers import ProgramId, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock, GossipEntry, GossipKind, GossipView
-from foxwinch.node.service_tasks import ServiceTasks
+from foxwinch.node.interfaces import GossipEntry, GossipKind, GossipView
 from foxwinch.node.steward_directory import worker_resource
 from foxwinch.outcomes import Refused
-from foxwinch.platform.ports import MachinePort
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.storage.ports import MachinePort
 
 LIST_SECONDS = 1.0
 """Period of reading the machine list: a leaving worker gets no new work within 3 s of it."""
--- a/src/foxwinch/node/worker_link.py
+++ b/src/foxwinch/node/worker_link.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 
 from foxwinch.backends.ports import CacheEventPage, EnginePort, LoadReport
+from foxwinch.clock import Clock
 from foxwinch.core.steward.events import BlockChange, CacheChanged
 from foxwinch.identifiers import WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Clock
-from foxwinch.node.service_tasks import ServiceTasks
 from foxwinch.node.waiting import wait_for_event
 from foxwinch.outcomes import Reason, Refused, outcome_unknown
+from foxwinch.service_tasks import ServiceTasks
 
 POLL_SECONDS = 1.0
 """Period of reading load and cache events: an engine's report lags by about as much, and a
--- a/src/foxwinch/platform/__init__.py
+++ b/src/foxwinch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""What the platform gives: table service, object store, machine list; ports and adapters."""
+"""The users' platform: translates its wire, store, settings and names into foxwinch's own."""
--- /dev/null
+++ b/src/foxwinch/platform/process.py
@@ -0,0 +1,157 @@
+"""`foxwinch serve`: one node on the platform, from its settings file to its planned stop."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+from aiomisc import Service, entrypoint
+
+from foxwinch.clock import SystemClock
+from foxwinch.log import EventLog
+from foxwinch.platform.front_door import FrontDoor
+from foxwinch.platform.names import CONFIGURATION_TABLE, WORKERS_TABLE
+from foxwinch.platform.settings import ServeSettings, load_serve_settings
+from foxwinch.platform.store_client import PlatformStore
+from foxwinch.platform.translation import configuration_of, worker_of
+from foxwinch.platform.worker_client import HttpWorkers
+from foxwinch.serving.metrics import ServingMetrics
+from foxwinch.serving.node import ServingNode
+from foxwinch.serving.routing import RoutingTables
+from foxwinch.settings.base import SettingsError
+
+IDLE_CONNECTION_SECONDS = 75.0
+"""Longer than any caller's connection may rest before it is used again."""
+STOP_MARGIN_SECONDS = 0.7
+"""Before the process would be killed."""
+HEADER_BYTES = 65_536
+BACKLOG = 1_024
+log = EventLog("process")
+
+
+class ServeProcess(Service):
+    """A node with its listening sides."""
+
+    def __init__(self, settings: ServeSettings, settings_path: Path) -> None:
+        """Run a node by `settings`; a signal reads `settings_path` again."""
+        super().__init__()
+        self._settings = settings
+        self._settings_path = settings_path
+        self._began = time.monotonic()
+        self._runners: list[web.AppRunner] = []
+        self._store: PlatformStore | None = None
+        self._workers: HttpWorkers | None = None
+        self._node: ServingNode | None = None
+        self._stop_requested = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start the node, then its listening sides."""
+        settings = self._settings
+        clock = SystemClock()
+        metrics = ServingMetrics()
+        self._store = PlatformStore(settings.store.address, metrics)
+        self._workers = HttpWorkers()
+        routing = RoutingTables(
+            self._store,
+            clock,
+            metrics,
+            configuration_table=CONFIGURATION_TABLE,
+            workers_table=WORKERS_TABLE,
+            decode_configuration=configuration_of,
+            decode_worker=worker_of,
+        )
+        self._node = ServingNode(
+            zone=settings.zone,
+            store=self._store,
+            workers=self._workers,
+            routing=routing,
+            clock=clock,
+            metrics=metrics,
+            grace_seconds=settings.grace_seconds - STOP_MARGIN_SECONDS,
+        )
+        self._install_signals()
+        door = FrontDoor(self._node, clock)
+        await self._listen(door.application(), settings.listen.callers)
+        await self._listen(door.ready_application(), settings.listen.ready)
+        if settings.listen.metrics is not None:
+            await self._listen(_metrics_application(metrics), settings.listen.metrics)
+        self._node.start()
+        log.info(
+            "started",
+            node=settings.name,
+            zone=settings.zone,
+            callers=settings.listen.callers,
+            took_ms=int(1e3 * (time.monotonic() - self._began)),
+        )
+
+    async def run(self) -> None:
+        """Wait for the signal to stop, then stop as planned."""
+        await self._stop_requested.wait()
+        assert self._node is not None
+        await self._node.stop()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close what is open."""
+        for runner in self._runners:
+            await runner.cleanup()
+        if self._workers is not None:
+            await self._workers.close()
+        if self._store is not None:
+            await self._store.close()
+
+    def _install_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings again; what may change while running is taken, the rest is told."""
+        read = load_serve_settings(self._settings_path)
+        if isinstance(read, SettingsError):
+            log.error("reload_refused", problems="; ".join(read.problems))
+            return
+        changed = [
+            name
+            for name in type(read).model_fields
+            if getattr(read, name) != getattr(self._settings, name)
+        ]
+        log.info("reloaded", changed=",".join(changed) or "nothing")
+
+    async def _listen(self, application: web.Application, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            keepalive_timeout=IDLE_CONNECTION_SECONDS,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+
+
+def _metrics_application(metrics: ServingMetrics) -> web.Application:
+    async def answer(_: web.Request) -> web.Response:
+        return web.Response(body=metrics.text(), content_type="text/plain")
+
+    application = web.Application()
+    application.router.add_get("/metrics", answer)
+    return application
+
+
+def run_serve(settings: ServeSettings, settings_path: Path) -> None:
+    """Run one node until its planned stop."""
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    process = ServeProcess(settings, settings_path)
+    # A loop of our own: the entry point would otherwise start a pool of threads.
+    with entrypoint(process, loop=loop, log_config=False, catch_signals=()):
+        loop.run_until_complete(process.run())
+    loop.close()
--- /dev/null
+++ b/src/foxwinch/platform/store_client.py
@@ -0,0 +1,209 @@
+"""Client of the platform's store, behind the product's port."""
+
+import asyncio
+import base64
+import json
+import time
+from typing import Any
+
+import aiohttp
+
+from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
+from foxwinch.records.ports import (
+    Conflict,
+    HistoryLost,
+    RowCondition,
+    RowKey,
+    RowsRead,
+    RowWrite,
+    StoredRow,
+    Written,
+)
+from foxwinch.serving.metrics import ServingMetrics
+
+CONNECT_SECONDS = 0.5
+FEED_SLACK_SECONDS = 0.8
+"""For the answer of a call that the store holds open."""
+KEPT_SECONDS = 10.0
+READ_LIMIT = 500
+STATUS_DONE = 200
+STATUS_GONE = 410
+STATUS_CONFLICT = 412
+STATUS_LIMITED = 429
+STATUS_UNAVAILABLE = 503
+UNREADABLE = (ValueError, KeyError, TypeError)
+
+
+class _Answer:
+    """Status and document of a whole answer."""
+
+    def __init__(self, status: int, document: Any) -> None:
+        self.status = status
+        self.document = document
+
+
+class PlatformStore:
+    """The platform's store; implements `foxwinch.records.ports.RecordStore`."""
+
+    def __init__(self, address: str, metrics: ServingMetrics) -> None:
+        """Speak to `address` (`ip:port`); call on the running loop."""
+        self._base = f"http://{address}"
+        self._metrics = metrics
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def transact(
+        self,
+        conditions: tuple[RowCondition, ...],
+        writes: tuple[RowWrite, ...],
+        timeout_seconds: float,
+    ) -> Written | Conflict | Refused:
+        """Apply a transaction."""
+        body = {
+            "if_rev": [{**_place(entry.row), "ver": entry.version} for entry in conditions],
+            "put": [
+                {**_place(write.row), "value": base64.b64encode(write.value).decode()}
+                for write in writes
+                if write.value is not None
+            ],
+            "remove": [_place(write.row) for write in writes if write.value is None],
+        }
+        answer = await self._ask("POST", "/v1/rows-tx", None, body, timeout_seconds)
+        if isinstance(answer, Refused):
+            return answer
+        try:
+            if answer.status == STATUS_DONE:
+                return Written(int(answer.document["ver"]), int(answer.document["now_ms"]))
+            if answer.status == STATUS_CONFLICT:
+                rows = tuple(_row(entry) for entry in answer.document["rows"])
+                return Conflict(rows, int(answer.document["now_ms"]))
+        except UNREADABLE:
+            return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
+        return _refusal(answer)
+
+    async def read(self, first: RowKey, end_key: str, timeout_seconds: float) -> RowsRead | Refused:
+        """Read the rows of a partition from `first` up to `end_key`."""
+        query = {
+            "table": first.table,
+            "part": first.partition,
+            "from": first.key,
+            "target_version": end_key,
+            "limit": str(READ_LIMIT),
+        }
+        answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
+        return _rows_read(answer)
+
+    async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
+        """Read all rows of a table whose partition is empty, page by page."""
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "from": start, "limit": str(READ_LIMIT)}
+            answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
+            read = _rows_read(answer)
+            if isinstance(read, Refused):
+                return read
+            rows += read.rows
+            if not read.more or not read.rows:
+                return RowsRead(tuple(rows), False, read.version, read.now_ms)
+            start = read.rows[-1].row.key + "\x01"
+
+    async def changes(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> RowsRead | HistoryLost | Refused:
+        """Wait for changes of a table after a version."""
+        query = {
+            "table": table,
+            "after": str(after_version),
+            "wait_ms": str(int(1e3 * wait_seconds)),
+        }
+        timeout_seconds = wait_seconds + FEED_SLACK_SECONDS
+        answer = await self._ask("GET", "/v1/rows-feed", query, None, timeout_seconds)
+        if isinstance(answer, _Answer) and answer.status == STATUS_GONE:
+            return HistoryLost()
+        return _rows_read(answer)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        body: dict[str, Any] | None,
+        timeout_seconds: float,
+    ) -> _Answer | Refused:
+        began = time.monotonic()
+        outcome = await self._exchange(method, path, query, body, timeout_seconds)
+        operation = path.rpartition("/")[2]
+        word = outcome.reason.value if isinstance(outcome, Refused) else str(outcome.status)
+        self._metrics.store_calls.labels(operation, word).inc()
+        self._metrics.store_seconds.labels(operation).observe(time.monotonic() - began)
+        return outcome
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        body: dict[str, Any] | None,
+        timeout_seconds: float,
+    ) -> _Answer | Refused:
+        try:
+            async with (
+                asyncio.timeout(timeout_seconds),
+                self._session.request(
+                    method, self._base + path, params=query, json=body, allow_redirects=False
+                ) as response,
+            ):
+                raw = await response.read()
+                return _Answer(response.status, json.loads(raw) if raw else {})
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return not_run(Reason.STORE_UNAVAILABLE, "the store cannot be reached")
+        except TimeoutError:
+            return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store did not answer in time")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            kind = type(error).__name__
+            return outcome_unknown(Reason.STORE_UNAVAILABLE, f"the store broke off: {kind}")
+
+
+def _place(row: RowKey) -> dict[str, str]:
+    return {"table": row.table, "part": row.partition, "tls_key": row.key}
+
+
+def _row(entry: dict[str, Any]) -> StoredRow:
+    row = RowKey(entry["table"], entry.get("part", ""), entry["tls_key"])
+    value = entry.get("value")
+    known = None if entry.get("gone") or value is None else base64.b64decode(value)
+    return StoredRow(row, known, int(entry.get("ver", 0)))
+
+
+def _rows_read(answer: _Answer | Refused) -> RowsRead | Refused:
+    if isinstance(answer, Refused):
+        return answer
+    if answer.status != STATUS_DONE:
+        return _refusal(answer)
+    try:
+        document = answer.document
+        return RowsRead(
+            tuple(_row(entry) for entry in document["rows"]),
+            bool(document.get("more")),
+            int(document["ver"]),
+            int(document["now_ms"]),
+        )
+    except UNREADABLE:
+        return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
+
+
+def _refusal(answer: _Answer) -> Refused:
+    detail = f"the store answered {answer.status}"
+    if answer.status == STATUS_LIMITED:
+        return not_run(Reason.RATE_LIMITED, detail)
+    if answer.status == STATUS_UNAVAILABLE:
+        return not_run(Reason.STORE_UNAVAILABLE, detail)
+    return Refused(Reason.STORE_UNAVAILABLE, RunState.UNKNOWN, detail)
--- /dev/null
+++ b/src/foxwinch/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers' requests: route, budget, history, worker, answer."""
--- /dev/null
+++ b/src/foxwinch/serving/handler.py
@@ -0,0 +1,193 @@
+"""The way of one request through a node: route, budget and history, worker, answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from foxwinch.clock import Clock
+from foxwinch.core.records.budget import Exhausted, Reserve, Settle
+from foxwinch.core.routing.configuration import Route, RouteKind, RoutingConfiguration
+from foxwinch.log import EventLog
+from foxwinch.outcomes import Refused
+from foxwinch.records.budgets import BudgetLedger, Reserved
+from foxwinch.records.turns import NoSuchTurn, TurnRecords
+from foxwinch.serving.attempts import Attempts, Dispatcher
+from foxwinch.serving.messages import Caller, RejectedRequest, Rejection, ServiceRequest
+from foxwinch.serving.metrics import ServingMetrics
+from foxwinch.serving.plain import serve_plain
+from foxwinch.serving.ports import RoutingView
+from foxwinch.serving.prompt import Prompt, load_prompt
+from foxwinch.serving.stream import StreamServer, StreamSummary
+
+STORE_SECONDS = 0.9
+"""For which a turn waits for the store before it is refused with the time to come back."""
+STORE_RETRY_SECONDS = 0.4
+UNKNOWN_ROUTE_AGE_SECONDS = 3.0
+"""A configuration that was not confirmed for so long may lack a new route."""
+CONFIGURATION_RETRY_SECONDS = 0.3
+log = EventLog("requests")
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """How a request ended."""
+
+    outcome: str
+    """A stable word for logs and metrics."""
+
+
+class RequestHandler:
+    """Serves requests of callers."""
+
+    def __init__(
+        self,
+        routing: RoutingView,
+        dispatcher: Dispatcher,
+        budgets: BudgetLedger,
+        turns: TurnRecords,
+        clock: Clock,
+        metrics: ServingMetrics,
+    ) -> None:
+        """Serve by what `routing` says is in force."""
+        self._routing = routing
+        self._dispatcher = dispatcher
+        self._budgets = budgets
+        self._turns = turns
+        self._clock = clock
+        self._metrics = metrics
+        self._streams = StreamServer(dispatcher, turns, clock, metrics)
+
+    async def handle(self, request: ServiceRequest, caller: Caller) -> None:
+        """Serve one request to its end."""
+        configuration = self._routing.configuration
+        route = configuration.match(request.host, request.path) if configuration else None
+        if configuration is None or route is None:
+            rejected = self._no_route(configuration)
+            await caller.reject(rejected)
+            self._ended(request, None, rejected.reason)
+            return
+        end_at = request.received_at + route.timeout_seconds
+        if request.deadline_seconds is not None:
+            end_at = min(end_at, request.received_at + request.deadline_seconds)
+        services = self._dispatcher.services_of(route)
+        attempts = Attempts(request, route, services, request.body, end_at)
+        self._metrics.running.inc()
+        outcome = "caller_left"
+        try:
+            outcome = await self._serve(attempts, configuration, caller)
+        finally:
+            self._metrics.running.dec()
+            self._ended(request, route, outcome)
+
+    async def _serve(
+        self, attempts: Attempts, configuration: RoutingConfiguration, caller: Caller
+    ) -> str:
+        if attempts.route.kind is not RouteKind.STREAM:
+            return await serve_plain(self._dispatcher, attempts, caller, self._clock)
+        prepared = await self._prepare(attempts)
+        if isinstance(prepared, RejectedRequest):
+            await caller.reject(prepared)
+            return prepared.reason
+        summary = StreamSummary(self._tokens_per_event(attempts, configuration))
+        try:
+            return await self._streams.serve(attempts, prepared, caller, summary)
+        finally:
+            self._settle(attempts.request, summary)
+
+    async def _prepare(self, attempts: Attempts) -> Prompt | RejectedRequest:
+        """Reserve the budget and read the history, both at once."""
+        give_up_at = min(attempts.end_at, self._clock.monotonic() + STORE_SECONDS)
+        reserving = asyncio.ensure_future(self._reserve(attempts, give_up_at))
+        try:
+            prompt = await load_prompt(self._turns, attempts, give_up_at)
+            reserved = await reserving
+        except asyncio.CancelledError:
+            await self._undo(attempts.request, reserving)
+            raise
+        if isinstance(reserved, RejectedRequest):
+            return reserved
+        if isinstance(prompt, Prompt):
+            return prompt
+        self._settle(attempts.request, None)
+        if isinstance(prompt, NoSuchTurn):
+            return RejectedRequest(Rejection.NO_SUCH_TURN, "no_such_turn")
+        return _store_refused(prompt)
+
+    async def _undo(
+        self, request: ServiceRequest, reserving: "asyncio.Future[RejectedRequest | None]"
+    ) -> None:
+        """Give a reservation back whose request was dropped meanwhile."""
+        if reserving.done() and not reserving.cancelled() and reserving.result() is None:
+            self._settle(request, None)
+        reserving.cancel()
+
+    async def _reserve(self, attempts: Attempts, give_up_at: float) -> RejectedRequest | None:
+        request = attempts.request
+        if request.program is None or request.budget_tokens is None or request.model is None:
+            return None
+        operation = Reserve(
+            request.request_id, request.model.output_tokens_maximum, request.budget_tokens
+        )
+        outcome = await self._budgets.reserve(request.program.program_id, operation, give_up_at)
+        match outcome:
+            case Reserved():
+                self._metrics.budget_wait_seconds.observe(outcome.waited_seconds)
+                return None
+            case Exhausted():
+                log.info(
+                    "budget_spent",
+                    request=request.request_id,
+                    program=request.program.program_id,
+                    committed=outcome.committed,
+                    most=operation.tokens,
+                    budget=operation.budget,
+                )
+                return RejectedRequest(Rejection.BUDGET_SPENT, "budget_spent")
+            case Refused():
+                return _store_refused(outcome)
+
+    def _settle(self, request: ServiceRequest, summary: StreamSummary | None) -> None:
+        if request.program is None or request.budget_tokens is None or request.model is None:
+            return
+        used = summary.tokens if summary is not None else 0
+        self._budgets.settle(request.program.program_id, Settle(request.request_id, used))
+
+    def _tokens_per_event(self, attempts: Attempts, configuration: RoutingConfiguration) -> int:
+        known = [
+            configuration.services[service].tokens_per_event
+            for service in attempts.services
+            if service in configuration.services
+        ]
+        return max(known, default=1)
+
+    def _no_route(self, configuration: RoutingConfiguration | None) -> RejectedRequest:
+        if configuration is None:
+            return RejectedRequest(
+                Rejection.NOT_RUN, "no_configuration", CONFIGURATION_RETRY_SECONDS
+            )
+        if self._routing.configuration_age_seconds() > UNKNOWN_ROUTE_AGE_SECONDS:
+            return RejectedRequest(
+                Rejection.NOT_RUN, "configuration_unconfirmed", CONFIGURATION_RETRY_SECONDS
+            )
+        return RejectedRequest(Rejection.NO_ROUTE, "no_route")
+
+    def _ended(self, request: ServiceRequest, route: Route | None, outcome: str) -> None:
+        took = self._clock.monotonic() - request.received_at
+        kind = route.kind.value if route is not None else "none"
+        self._metrics.requests.labels(kind, outcome).inc()
+        self._metrics.whole_seconds.labels(kind).observe(took)
+        configuration = self._routing.configuration
+        log.info(
+            "request_ended",
+            request=request.request_id,
+            program=request.program.program_id if request.program else None,
+            route=route.name if route else None,
+            outcome=outcome,
+            took_ms=int(1e3 * took),
+            configuration=configuration.version if configuration else None,
+            configuration_age_ms=int(1e3 * self._routing.configuration_age_seconds()),
+        )
+
+
+def _store_refused(refused: Refused) -> RejectedRequest:
+    retry_after = refused.retry_after_seconds or STORE_RETRY_SECONDS
+    return RejectedRequest(Rejection.NOT_RUN, f"store_{refused.reason.value}", retry_after)
--- /dev/null
+++ b/src/foxwinch/serving/metrics.py
@@ -0,0 +1,71 @@
+"""Counters and latency histograms of one node, in the Prometheus text format."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+CALLS_BUCKETS = (0, 1, 2, 3, 4, 6, 10)
+
+
+class ServingMetrics:
+    """What one node counts."""
+
+    def __init__(self) -> None:
+        """Start at zero, in a registry of its own."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "foxwinch_requests_total",
+            "Requests by outcome.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.first_seconds = Histogram(
+            "foxwinch_first_answer_seconds",
+            "From the whole request to the first byte of its answer.",
+            ["kind"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.whole_seconds = Histogram(
+            "foxwinch_request_seconds",
+            "From the whole request to the end of its answer.",
+            ["kind"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.worker_failures = Counter(
+            "foxwinch_worker_failures_total",
+            "Calls that a worker refused, lost or spoiled, by failure.",
+            ["failure"],
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "foxwinch_store_calls_total",
+            "Calls to the shared store by operation and outcome.",
+            ["operation", "outcome"],
+            registry=self.registry,
+        )
+        self.store_seconds = Histogram(
+            "foxwinch_store_call_seconds",
+            "Time of calls to the shared store.",
+            ["operation"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.budget_wait_seconds = Histogram(
+            "foxwinch_budget_wait_seconds",
+            "Time that turns waited for their reservation.",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            "foxwinch_configuration_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.running = Gauge(
+            "foxwinch_requests_running", "Requests under way.", registry=self.registry
+        )
+
+    def text(self) -> bytes:
+        """Return all figures as text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/foxwinch/serving/ports.py
@@ -0,0 +1,35 @@
+"""Ports of the serving side: workers, and the configuration and workers in force."""
+
+from typing import Protocol
+
+from foxwinch.core.routing.configuration import RoutingConfiguration
+from foxwinch.core.routing.directory import Worker, WorkerDirectory
+from foxwinch.serving.messages import CallLost, CallRefused, OutgoingCall, WorkerAnswer
+
+
+class Workers(Protocol):
+    """Sends calls to workers."""
+
+    async def call(
+        self, worker: Worker, call: OutgoingCall
+    ) -> WorkerAnswer | CallRefused | CallLost:
+        """Send a call and wait for the head of its answer."""
+        ...
+
+
+class RoutingView(Protocol):
+    """What is in force at this node."""
+
+    @property
+    def configuration(self) -> RoutingConfiguration | None:
+        """Return the newest configuration that is known; None before the first."""
+        ...
+
+    @property
+    def directory(self) -> WorkerDirectory:
+        """Return the workers that are known."""
+        ...
+
+    def configuration_age_seconds(self) -> float:
+        """Return how long ago the configuration was last confirmed to be the newest."""
+        ...
--- /dev/null
+++ b/src/foxwinch/serving/routing.py
@@ -0,0 +1,112 @@
+"""The configuration and the workers in force at a node, fed by watches of the shared store."""
+
+from collections.abc import Callable
+
+from foxwinch.clock import Clock
+from foxwinch.core.routing.configuration import RoutingConfiguration
+from foxwinch.core.routing.directory import Worker, WorkerDirectory
+from foxwinch.log import EventLog
+from foxwinch.records.ports import RecordStore, RowsRead, StoredRow
+from foxwinch.records.watch import TableWatch
+from foxwinch.serving.metrics import ServingMetrics
+
+FORGET_WORKERS_SECONDS = 30.0
+"""After which a worker that left is forgotten."""
+log = EventLog("routing")
+
+
+class RoutingTables:
+    """Keeps the newest configuration and the list of workers."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        clock: Clock,
+        metrics: ServingMetrics,
+        *,
+        configuration_table: str,
+        workers_table: str,
+        decode_configuration: Callable[[StoredRow], RoutingConfiguration | None],
+        decode_worker: Callable[[StoredRow], Worker | None],
+    ) -> None:
+        """Read rows by the given decoders; a row that they return None for is passed over."""
+        self._clock = clock
+        self._metrics = metrics
+        self._decode_configuration = decode_configuration
+        self._decode_worker = decode_worker
+        self._configuration: RoutingConfiguration | None = None
+        self._directory = WorkerDirectory()
+        self.configuration_watch = TableWatch(
+            store, clock, configuration_table, self._take_configuration
+        )
+        self.workers_watch = TableWatch(store, clock, workers_table, self._take_workers)
+
+    @property
+    def configuration(self) -> RoutingConfiguration | None:
+        """Return the newest configuration that is known; None before the first."""
+        return self._configuration
+
+    @property
+    def directory(self) -> WorkerDirectory:
+        """Return the workers that are known."""
+        return self._directory
+
+    def configuration_age_seconds(self) -> float:
+        """Return how long ago the configuration was last confirmed to be the newest."""
+        return self.configuration_watch.age_seconds()
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served: there are a configuration and workers."""
+        return self._configuration is not None and bool(self._directory.all_workers())
+
+    def put_in_force(self, configuration: RoutingConfiguration, source: str) -> None:
+        """Take a configuration, unless it is older than the one in force."""
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        self._metrics.configuration_version.set(configuration.version)
+        log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            before=current.version if current is not None else None,
+            source=source,
+            routes=len(configuration.routes),
+        )
+
+    def _take_configuration(self, read: RowsRead, whole: bool) -> None:
+        for row in read.rows:
+            configuration = self._decode_configuration(row)
+            if configuration is not None:
+                self.put_in_force(configuration, "store")
+
+    def _take_workers(self, read: RowsRead, whole: bool) -> None:
+        now = self._clock.monotonic()
+        found: list[tuple[Worker, int]] = []
+        for row in read.rows:
+            if row.value is None:
+                self._directory.remove(row.row.key, row.version, now)
+                log.info("worker_gone", worker=row.row.key, list_version=row.version)
+                continue
+            worker = self._decode_worker(row)
+            if worker is None:
+                continue
+            if whole:
+                found.append((worker, row.version))
+            else:
+                self._put_worker(worker, row.version, now)
+        if whole:
+            self._directory.replace_all(found, read.version, now)
+            log.info("workers_listed", count=len(found), list_version=read.version)
+        self._directory.forget_gone(now, FORGET_WORKERS_SECONDS)
+
+    def _put_worker(self, worker: Worker, version: int, now: float) -> None:
+        self._directory.put(worker, version, now)
+        log.info(
+            "worker_listed",
+            worker=worker.worker_id,
+            service=worker.service,
+            draining=worker.draining,
+            list_version=version,
+        )
--- a/src/foxwinch/platform/machines_http.py
+++ b/src/foxwinch/storage/machines_http.py
@@ -6,7 +6,7 @@
 from foxwinch.http_exchange import HttpRequest, Service, exchange, malformed, refusal
 from foxwinch.identifiers import RegionName, ZoneName
 from foxwinch.outcomes import Reason, Refused
-from foxwinch.platform.ports import Machine
+from foxwinch.storage.ports import Machine
 
 REQUEST_SECONDS = 5.0
 SERVICE = Service("the machine list", Reason.STORE_UNAVAILABLE, Reason.STORE_UNAVAILABLE)
@@ -30,7 +30,7 @@
 
 
 class HttpMachines:
-    """The platform's list over HTTP; implements `foxwinch.platform.ports.MachinePort`."""
+    """The platform's list over HTTP; implements `foxwinch.storage.ports.MachinePort`."""
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         """Use `session`, which the caller closes."""
--- a/src/foxwinch/platform/object_http.py
+++ b/src/foxwinch/storage/object_http.py
@@ -6,8 +6,8 @@
 
 from foxwinch.http_exchange import HttpAnswer, HttpRequest, Service, exchange, refusal
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.platform.ports import Stored
-from foxwinch.platform.rate_limit import RateLimiter
+from foxwinch.storage.ports import Stored
+from foxwinch.storage.rate_limit import RateLimiter
 
 REQUEST_SECONDS = 15.0
 """For a whole answer: objects are up to some megabytes."""
@@ -15,7 +15,7 @@
 
 
 class HttpObjects:
-    """The object store reached over HTTP; implements `foxwinch.platform.ports.ObjectPort`."""
+    """The object store reached over HTTP; implements `foxwinch.storage.ports.ObjectPort`."""
 
     def __init__(self, session: aiohttp.ClientSession, url: str, limiter: RateLimiter) -> None:
         """Use `session`, which the caller closes."""
--- a/src/foxwinch/platform/rate_limit.py
+++ b/src/foxwinch/storage/rate_limit.py
@@ -1,7 +1,7 @@
 """Keeps a client of the platform within the service's rate, and heeds its Retry-After."""
 
+from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.node.interfaces import Clock
 from foxwinch.outcomes import Reason, Refused, not_run
 
 MAXIMUM_WAIT_SECONDS = 2.0
--- a/src/foxwinch/platform/table_http.py
+++ b/src/foxwinch/storage/table_http.py
@@ -19,14 +19,14 @@
     refusal,
 )
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     ConditionFailed,
     Row,
     RowPage,
     Transaction,
 )
-from foxwinch.platform.rate_limit import RateLimiter
+from foxwinch.storage.rate_limit import RateLimiter
 
 REQUEST_SECONDS = 5.0
 """For a whole answer; a slower store counts as not answering."""
@@ -82,7 +82,7 @@
 
 
 class HttpTable:
-    """The table service reached over HTTP; implements `foxwinch.platform.ports.TablePort`.
+    """The table service reached over HTTP; implements `foxwinch.storage.ports.TablePort`.
 
     One attempt a call: a lost answer is `unknown`, and settled by sending the same token again.
     """
--- a/tests/replication_fakes.py
+++ b/tests/replication_fakes.py
@@ -4,7 +4,7 @@
 from foxwinch.node.interfaces import Member, MemberState
 from foxwinch.outcomes import Reason, not_run, outcome_unknown
 from foxwinch.peer.ports import PeerAddress, PeerContext
-from foxwinch.platform.ports import Committed, ConditionFailed, Row, RowPage
+from foxwinch.storage.ports import Committed, ConditionFailed, Row, RowPage
 
 
 class FakeTable:
--- a/tests/steward_cluster.py
+++ b/tests/steward_cluster.py
@@ -21,9 +21,9 @@
 from foxwinch.node.steward_client import StewardClient
 from foxwinch.node.steward_directory import StewardDirectory
 from foxwinch.node.steward_service import StewardPorts, StewardService
-from foxwinch.platform.ports import Machine
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.storage.ports import Machine
 
 CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
 MODEL = "rail-chat"
--- a/tests/test_backends_http.py
+++ b/tests/test_backends_http.py
@@ -23,20 +23,20 @@
 )
 from foxwinch.backends.release_batch import ReleaseBatches
 from foxwinch.backends.tools_http import HttpTools
+from foxwinch.clock import SystemClock
 from foxwinch.emulator.engine_answers import history_marker
 from foxwinch.emulator.faults import EngineFaults, ServiceFaults, ToolFaults
 from foxwinch.emulator.server import build_application
 from foxwinch.emulator.settings import EmulatedEngine, EmulatedToolWorker, EmulatorSettings
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.http_exchange import new_session
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.settled_table import transact_settled
 from foxwinch.outcomes import Reason, Refused, RunState
-from foxwinch.platform import ports
-from foxwinch.platform.machines_http import HttpMachines
-from foxwinch.platform.object_http import HttpObjects
-from foxwinch.platform.rate_limit import RateLimiter
-from foxwinch.platform.table_http import HttpTable
+from foxwinch.storage import ports
+from foxwinch.storage.machines_http import HttpMachines
+from foxwinch.storage.object_http import HttpObjects
+from foxwinch.storage.rate_limit import RateLimiter
+from foxwinch.storage.table_http import HttpTable
 
 TEXT = "From Carmarthen to Wrecsam with two children. " * 40
 ORDER = GenerateOrder("c1", "p/1", "m", (Message("user", TEXT),), 4, 0, 1)
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -10,6 +10,7 @@
 from foxwinch.backends.engine_http import HttpEngine
 from foxwinch.backends.engine_waits import SHORTEST_SECONDS
 from foxwinch.backends.ports import GenerateOrder, Message
+from foxwinch.clock import SystemClock
 from foxwinch.core.program.call_events import CallFinished
 from foxwinch.core.program.identity import scoped
 from foxwinch.emulator.engine_answers import plan_answer
@@ -18,7 +19,6 @@
 from foxwinch.emulator.settings import EmulatedEngine, EmulatorSettings
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.http_exchange import new_session
-from foxwinch.node.clock import SystemClock
 from program_fakes import TENANT, Rig, collect
 
 TOKENS = 4
--- a/tests/test_epoch_service.py
+++ b/tests/test_epoch_service.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from foxwinch.clock import SystemClock
 from foxwinch.core.shard.epochs import step_of, term_of
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.epoch_service import EpochPorts, EpochService
 from foxwinch.node.interfaces import EpochClaim
 from foxwinch.outcomes import Reason, Refused
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,9 +8,9 @@
 import openai
 import pytest
 
+from foxwinch.clock import SystemClock
 from foxwinch.gateway.authentication import hash_key
 from foxwinch.identifiers import NodeId
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.http_service import HttpService
 from foxwinch.node.node import build_node
 from foxwinch.node.ports import NodePorts
--- a/tests/test_in_process_platform.py
+++ b/tests/test_in_process_platform.py
@@ -15,7 +15,7 @@
 from foxwinch.emulator.table import TableModel
 from foxwinch.emulator.tools import ToolModel
 from foxwinch.outcomes import Reason, Refused, RunState
-from foxwinch.platform.ports import (
+from foxwinch.storage.ports import (
     Committed,
     Condition,
     ConditionFailed,
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from foxwinch.bench.fault_proxy import FaultProxy
+from foxwinch.clock import SystemClock
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import NodeId, RegionName, ZoneName
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.interfaces import Member, MemberState
 from foxwinch.node.membership_service import MembershipService
 from foxwinch.peer.service import PeerService
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -6,7 +6,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from foxwinch.backends.ports import GenerateFinished, TokenChunk
-from foxwinch.node.clock import SystemClock
+from foxwinch.clock import SystemClock
 from foxwinch.node.node import build_node
 from foxwinch.node.ports import NodePorts
 from foxwinch.settings.base import check, read_toml
--- a/tests/test_operator_side.py
+++ b/tests/test_operator_side.py
@@ -9,8 +9,8 @@
 
 from foxwinch._generated import operator_pb2 as pb
 from foxwinch.backends.engine_http import HttpEngine
+from foxwinch.clock import SystemClock
 from foxwinch.gateway.authentication import hash_key
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.node import build_node
 from foxwinch.node.ports import NodePorts
 from foxwinch.operator.server import MAXIMUM_REQUEST_BYTES, OperatorServer
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -8,13 +8,13 @@
 from aiohttp.test_utils import TestServer
 
 from foxwinch.backends.ports import GenerateOrder, Message
+from foxwinch.clock import SystemClock
 from foxwinch.core.program.identity import scoped
 from foxwinch.emulator.engine_answers import plan_answer
 from foxwinch.emulator.server import build_application
 from foxwinch.emulator.settings import settings_of_cluster
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.gateway.authentication import hash_key
-from foxwinch.node.clock import SystemClock
 from foxwinch.node.node import build_single_node
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
