Read a worker's own answer before surplus ones that stand behind it

The matched answer was put back behind a surplus one that had arrived meanwhile, and the next read took that. Ruled out: a wrong id on the answer (the ids were compared before). Change: it is put back in front. Reservations are logged.

--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -8,6 +8,9 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
@@ -52,7 +55,7 @@
         while True:
             message, payload = await protocol.read()
             if _belongs(message.code, message.headers, expected):
-                protocol.feed_data((message, payload), 0)
+                _put_back(protocol, message, payload)
                 break
             protocol.force_close()
             await payload.read()
@@ -60,6 +63,17 @@
         return self
 
 
+def _put_back(
+    protocol: ResponseHandler, message: RawResponseMessage, payload: StreamReader
+) -> None:
+    """Let the next read return this answer, ahead of surplus ones that stand behind it."""
+    behind: list[tuple[RawResponseMessage, StreamReader]] = []
+    while len(protocol):
+        behind.append(protocol._buffer.popleft()[0])
+    for entry in ((message, payload), *behind):
+        protocol.feed_data(entry, 0)
+
+
 def _belongs(status: int, headers: "CIMultiDictProxy[str]", expected: str | None) -> bool:
     given = headers.get(REQUEST_ID)
     if given is None:
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -131,6 +131,14 @@
         match outcome:
             case Reserved():
                 self._metrics.budget_wait_seconds.observe(outcome.waited_seconds)
+                log.info(
+                    "budget_reserved",
+                    request=request.request_id,
+                    program=request.program.program_id,
+                    most=operation.tokens,
+                    budget=operation.budget,
+                    waited_ms=int(1e3 * outcome.waited_seconds),
+                )
                 return None
             case Exhausted():
                 log.info(
