Lease program budgets to nodes for some turns ahead; close a stopping node in time

Cause, budgets: each turn waited for the store, and cost it two calls. Ruled out: callers that ignore the closed connection (they came anew, as half of the zone was out). Change: a node leases tokens for up to four turns ahead in one change of the row, tells what was used behind, and gives back after 1.2 s of quiet; changes in doubt are judged by the lease's sequence. A stopping node stops listening after 3.2 s, and refuses what still comes as not run. Conclusion: the worst windows stay: programs that begin while the store is down cannot begin.

--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -17,6 +17,7 @@
 from foxwinch.platform.store_client import PlatformStore
 from foxwinch.platform.translation import configuration_of, worker_of
 from foxwinch.platform.worker_client import HttpWorkers
+from foxwinch.records.store_state import ObservedStore
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.node import ServingNode
 from foxwinch.serving.routing import RoutingTables
@@ -41,6 +42,7 @@
         self._settings_path = settings_path
         self._began = time.monotonic()
         self._runners: list[web.AppRunner] = []
+        self._sites: list[web.TCPSite] = []
         self._store: PlatformStore | None = None
         self._workers: HttpWorkers | None = None
         self._node: ServingNode | None = None
@@ -52,9 +54,10 @@
         clock = SystemClock()
         metrics = ServingMetrics()
         self._store = PlatformStore(settings.store.address, metrics)
+        store = ObservedStore(self._store, clock)
         self._workers = HttpWorkers()
         routing = RoutingTables(
-            self._store,
+            store,
             clock,
             metrics,
             configuration_table=CONFIGURATION_TABLE,
@@ -63,8 +66,9 @@
             decode_worker=worker_of,
         )
         self._node = ServingNode(
+            name=settings.name,
             zone=settings.zone,
-            store=self._store,
+            store=store,
             workers=self._workers,
             routing=routing,
             clock=clock,
@@ -90,7 +94,11 @@
         """Wait for the signal to stop, then stop as planned."""
         await self._stop_requested.wait()
         assert self._node is not None
-        await self._node.stop()
+        await self._node.stop(self._stop_listening)
+
+    async def _stop_listening(self) -> None:
+        for site in self._sites:
+            await site.stop()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what is open."""
@@ -134,7 +142,9 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+        site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+        await site.start()
+        self._sites.append(site)
 
 
 def _metrics_application(metrics: ServingMetrics) -> web.Application:
--- a/src/foxwinch/records/budgets.py
+++ b/src/foxwinch/records/budgets.py
@@ -1,8 +1,8 @@
-"""Budgets of programs in the shared store: reserved before a turn can run, settled behind.
+"""Budgets of programs: leased from the shared store for some turns ahead, spent without asking.
 
-Each program has one row, changed under its version. All that waits for a program at this node goes
-into one change: settlements of turns that ended, and reservations of turns that begin. A settlement
-alone waits a little, since the program's next turn mostly comes soon and takes it along.
+Each program has one row, changed under its version. A turn whose tokens the node holds already
+begins at once; otherwise it waits for a change of the row. When the program is quiet for a while,
+what was used is told and the rest is given back. `core.records.account` holds the rules.
 """
 
 import asyncio
@@ -10,20 +10,37 @@
 
 from foxwinch.clock import Clock
 from foxwinch.core.limits.backoff import Backoff
-from foxwinch.core.records.budget import BudgetRecord, Exhausted, Reserve, Settle, reserve, settle
+from foxwinch.core.records.account import (
+    LEASE_MS,
+    Account,
+    Ahead,
+    Change,
+    Exhausted,
+    Reserve,
+    Times,
+)
+from foxwinch.core.records.budget import BudgetRecord
 from foxwinch.log import EventLog
-from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
 from foxwinch.records.partitions import partition_of
-from foxwinch.records.ports import Conflict, RecordStore, RowCondition, RowKey, RowWrite, Written
+from foxwinch.records.ports import Conflict, RowCondition, RowKey, RowWrite, Written
 from foxwinch.records.repeat import CALL_SECONDS
+from foxwinch.records.store_state import ObservedStore
 from foxwinch.service_tasks import ServiceTasks
 
 BUDGETS_TABLE = "budgets"
-SETTLE_SECONDS = 0.6
-"""For which a settlement waits for the program's next turn."""
+QUIET_SECONDS = 1.2
+"""Without a turn of a program for so long, its lease is given back; most pauses are shorter."""
+TROUBLED_QUIET_SECONDS = 1.5
+"""How much longer a lease is kept while the store is troubled."""
 WRITE_BACKOFF = Backoff(base_seconds=0.05, cap_seconds=0.4)
-ACCOUNT_SECONDS = 90.0
-"""An account that nobody used for so long is dropped; the row is read anew when it is needed."""
+OPEN_TURN_SECONDS = 0.05
+"""Between looks at a program whose turn is still under way."""
+BEHIND_BACKOFF = Backoff(base_seconds=0.2, cap_seconds=1.6)
+"""For changes that no turn waits for: a store that is down is not asked often."""
+BLOCKED_SECONDS = 0.15
+"""Before a turn that waits for other nodes' leases asks again."""
+BLOCKED_RETRY_SECONDS = 0.5
 log = EventLog("budgets")
 
 
@@ -32,217 +49,230 @@
     """The tokens are the request's until it settles."""
 
     waited_seconds: float
+    leased: bool
+    """Whether the node held them already."""
 
 
 @dataclass(slots=True, eq=False)
 class _Waiting:
-    operation: Reserve
+    reserve: Reserve
     give_up_at: float
-    done: "asyncio.Future[Reserved | Exhausted | Refused]"
     since: float
-    sent: bool = False
-    """Whether a transaction that holds it has left this node."""
+    done: "asyncio.Future[Reserved | Exhausted | Refused]"
 
 
 @dataclass(slots=True, eq=False)
-class _Account:
-    """One program as this node knows it."""
+class _Program:
+    """One program that this node serves."""
 
     row: RowKey
-    record: BudgetRecord = field(default_factory=BudgetRecord)
-    version: int = 0
-    """Version of the row that `record` was read or written as; 0: taken to be absent."""
+    account: Account
     waiting: list[_Waiting] = field(default_factory=list)
-    unsettled: dict[str, Settle] = field(default_factory=dict)
-    settle_at: float = 0.0
-    writing: bool = False
+    wanted: Ahead | None = None
+    """What its last turn asked for."""
+    low: bool = False
+    """Whether the lease does not hold another turn."""
+    touched_at: float = 0.0
     wake: asyncio.Event = field(default_factory=asyncio.Event)
-    used_at: float = 0.0
+    hurried: bool = False
+    """Whether to give the lease back without waiting for quiet."""
 
 
 class BudgetLedger:
     """Reserves and settles tokens of programs."""
 
-    def __init__(self, store: RecordStore, clock: Clock, tasks: ServiceTasks) -> None:
-        """Keep budgets in `store`; writes behind run in `tasks`."""
+    def __init__(self, store: ObservedStore, clock: Clock, tasks: ServiceTasks, node: str) -> None:
+        """Keep budgets in `store`; `node` names this life of this process."""
         self._store = store
         self._clock = clock
         self._tasks = tasks
-        self._accounts: dict[str, _Account] = {}
+        self._node = node
+        self._programs: dict[str, _Program] = {}
+
+    @property
+    def programs(self) -> int:
+        """Return how many programs hold a lease or owe the store something."""
+        return len(self._programs)
 
     async def reserve(
-        self, program_id: str, operation: Reserve, give_up_at: float
+        self, program_id: str, reserve: Reserve, give_up_at: float, end_at: float
     ) -> Reserved | Exhausted | Refused:
-        """Take tokens for a request; a refusal means that it must not run."""
-        account = self._account(program_id)
+        """Take tokens for a turn that is over by `end_at`; a refusal: it must not run."""
+        program = self._program(program_id)
         now = self._clock.monotonic()
+        program.wanted = Ahead(reserve.tokens, reserve.budget)
+        if program.account.try_reserve(reserve, end_at):
+            if program.account.available() < reserve.tokens:
+                program.low = True
+                program.wake.set()
+            return Reserved(0.0, leased=True)
         done: asyncio.Future[Reserved | Exhausted | Refused] = (
             asyncio.get_running_loop().create_future()
         )
-        waiting = _Waiting(operation, give_up_at, done, now)
-        account.waiting.append(waiting)
-        self._start_writing(account)
+        waiting = _Waiting(reserve, give_up_at, now, done)
+        program.waiting.append(waiting)
+        program.wake.set()
         try:
             return await done
-        except asyncio.CancelledError:
-            self._withdraw(account, waiting)
-            raise
-
-    def settle(self, program_id: str, operation: Settle) -> None:
-        """Give back behind what a request did not use."""
-        account = self._account(program_id)
-        if not account.unsettled:
-            account.settle_at = self._clock.monotonic() + SETTLE_SECONDS
-        account.unsettled[operation.request_id] = operation
-        self._start_writing(account)
+        finally:
+            if waiting in program.waiting:
+                program.waiting.remove(waiting)
 
-    @property
-    def unsettled(self) -> int:
-        """Return how many settlements are not yet in the store."""
-        return sum(len(account.unsettled) for account in self._accounts.values())
+    def settle(self, program_id: str, request_id: str, used: int) -> None:
+        """End a turn that used some of its tokens."""
+        program = self._program(program_id)
+        program.account.settle(request_id, used)
 
-    def settle_now(self) -> None:
-        """Let no settlement wait any longer, as before a planned stop."""
-        now = self._clock.monotonic()
-        for account in self._accounts.values():
-            if account.unsettled:
-                account.settle_at = now
-                account.wake.set()
-
-    def drop_idle(self) -> None:
-        """Forget programs that were not used for long and owe nothing."""
-        oldest = self._clock.monotonic() - ACCOUNT_SECONDS
-        idle = [
-            program_id
-            for program_id, account in self._accounts.items()
-            if account.used_at < oldest and not account.writing
-        ]
-        for program_id in idle:
-            del self._accounts[program_id]
-
-    def _account(self, program_id: str) -> _Account:
-        account = self._accounts.get(program_id)
-        if account is None:
+    def give_back_all(self) -> None:
+        """Let no lease wait for quiet any longer, as before a planned stop."""
+        for program in self._programs.values():
+            program.hurried = True
+            program.wake.set()
+
+    def _program(self, program_id: str) -> _Program:
+        program = self._programs.get(program_id)
+        if program is None:
             row = RowKey(BUDGETS_TABLE, partition_of(program_id), program_id)
-            account = self._accounts[program_id] = _Account(row)
-        account.used_at = self._clock.monotonic()
-        return account
-
-    def _start_writing(self, account: _Account) -> None:
-        account.wake.set()
-        if not account.writing:
-            account.writing = True
-            self._tasks.keep(self._write(account))
-
-    def _withdraw(self, account: _Account, waiting: _Waiting) -> None:
-        """Take back a reservation that nobody waits for any more."""
-        if waiting in account.waiting:
-            account.waiting.remove(waiting)
-        if waiting.sent:
-            request_id = waiting.operation.request_id
-            account.unsettled[request_id] = Settle(request_id, 0)
-            account.settle_at = self._clock.monotonic() + SETTLE_SECONDS
-            self._start_writing(account)
-
-    async def _write(self, account: _Account) -> None:
-        """Write until nothing is left to write."""
+            program = _Program(row, Account(self._node))
+            self._programs[program_id] = program
+            self._tasks.keep(self._keep(program_id, program))
+        program.touched_at = self._clock.monotonic()
+        return program
+
+    async def _keep(self, program_id: str, program: _Program) -> None:
+        """Write whatever a program needs until it is quiet and owes nothing."""
         attempt = 0
+        while True:
+            work = await self._wait_for_work(program)
+            if not work and not program.account.owes and not program.account.open:
+                break
+            if not work and program.account.open:
+                program.touched_at = self._clock.monotonic()
+                await self._clock.sleep(OPEN_TURN_SECONDS)
+                continue
+            refused = await self._write(program, give_back=not work)
+            if refused is None:
+                attempt = 0
+                continue
+            wait = self._backoff_seconds(program, attempt)
+            attempt += 1
+            self._refuse_late(program, refused, wait)
+            await self._sleep_unless_waiting(program, wait)
+        del self._programs[program_id]
+
+    def _backoff_seconds(self, program: _Program, attempt: int) -> float:
+        backoff = WRITE_BACKOFF if program.waiting else BEHIND_BACKOFF
+        return backoff.wait_seconds(attempt, 0.5 + 0.5 * self._clock.uniform())
+
+    async def _sleep_unless_waiting(self, program: _Program, wait: float) -> None:
+        """Wait before the next try; a turn that comes meanwhile has its try at once."""
+        if program.waiting:
+            await self._clock.sleep(wait)
+            return
+        program.wake.clear()
         try:
-            while account.waiting or account.unsettled:
-                await self._wait_for_work(account)
-                self._refuse_late(account)
-                if not account.waiting and not account.unsettled:
-                    break
-                refused = await self._write_once(account)
-                if refused is None:
-                    attempt = 0
-                    continue
-                wait = WRITE_BACKOFF.wait_seconds(attempt, 0.5 + 0.5 * self._clock.uniform())
-                attempt += 1
-                self._refuse_late(account, refused, wait)
-                await self._clock.sleep(wait)
-        finally:
-            account.writing = False
-
-    async def _wait_for_work(self, account: _Account) -> None:
-        """Wait while only settlements are there whose time has not come."""
-        while not account.waiting:
-            wait = account.settle_at - self._clock.monotonic()
-            if wait <= 0:
-                return
-            account.wake.clear()
+            async with asyncio.timeout(wait):
+                while not program.waiting:
+                    await program.wake.wait()
+                    program.wake.clear()
+        except TimeoutError:
+            return
+
+    async def _wait_for_work(self, program: _Program) -> bool:
+        """Wait for a turn that needs the store, or for quiet; tells whether it is a turn."""
+        while True:
+            if program.waiting or program.low:
+                return True
+            wait = self._quiet_at(program) - self._clock.monotonic()
+            if wait <= 0 or program.hurried:
+                return False
+            program.wake.clear()
             try:
                 async with asyncio.timeout(wait):
-                    await account.wake.wait()
+                    await program.wake.wait()
             except TimeoutError:
-                return
+                continue
 
-    def _refuse_late(
-        self, account: _Account, cause: Refused | None = None, wait_seconds: float = 0.0
-    ) -> None:
-        """Give those whose time is over their refusal."""
-        then = self._clock.monotonic() + wait_seconds
-        for waiting in [entry for entry in account.waiting if entry.give_up_at <= then]:
-            self._withdraw(account, waiting)
-            refused = cause or not_run(Reason.STORE_UNAVAILABLE, "no answer of the store in time")
-            _resolve(waiting, not_run(refused.reason, refused.detail, refused.retry_after_seconds))
-
-    async def _write_once(self, account: _Account) -> Refused | None:
-        """Send one change with all that waits; None when the store answered."""
-        settles = dict(account.unsettled)
-        batch = list(account.waiting)
-        record = account.record
-        for settlement in settles.values():
-            record = settle(record, settlement)
-        exhausted: dict[int, Exhausted] = {}
-        for number, waiting in enumerate(batch):
-            outcome = reserve(record, waiting.operation)
-            if isinstance(outcome, Exhausted):
-                exhausted[number] = outcome
-            else:
-                record = outcome
-                waiting.sent = True
+    def _quiet_at(self, program: _Program) -> float:
+        quiet_at = program.touched_at + QUIET_SECONDS
+        return quiet_at + TROUBLED_QUIET_SECONDS if self._store.troubled() else quiet_at
+
+    async def _write(self, program: _Program, give_back: bool) -> Refused | None:
+        """Send one change; None when the store answered."""
+        account = program.account
+        now = self._clock.monotonic()
+        clock = self._store.store_clock
+        if not clock.known:
+            return not_run(Reason.STORE_UNAVAILABLE, "the store has not told its clock")
+        earliest_ms = clock.earliest_ms(now)
+        times = Times(earliest_ms, clock.reached_at(earliest_ms + LEASE_MS))
+        ahead = None if give_back else program.wanted
+        change = account.plan(tuple(entry.reserve for entry in program.waiting), ahead, times)
+        program.low = False
+        account.sent(change)
         result = await self._store.transact(
-            (RowCondition(account.row, account.version),),
-            (RowWrite(account.row, record.encode()),),
+            (RowCondition(program.row, change.version),),
+            (RowWrite(program.row, change.record.encode()),),
             CALL_SECONDS,
         )
         match result:
             case Refused():
+                if result.run_state is RunState.NOT_RUN:
+                    account.refused(change)
                 return result
             case Conflict():
-                self._take_over(account, result)
+                self._take_over(program, result)
             case Written():
-                account.record, account.version = record, result.version
-                self._complete(account, settles, batch, exhausted)
+                account.written(change, result.version)
+                await self._complete(program, change)
         return None
 
-    def _take_over(self, account: _Account, conflict: Conflict) -> None:
+    def _take_over(self, program: _Program, conflict: Conflict) -> None:
         """Go on from the row as it stands."""
-        account.record, account.version = BudgetRecord(), 0
+        record, version = BudgetRecord(), 0
         for row in conflict.rows:
-            if row.row.key == account.row.key and row.value is not None:
-                account.record = BudgetRecord.decode(row.value)
-                account.version = row.version
-
-    def _complete(
-        self,
-        account: _Account,
-        settles: dict[str, Settle],
-        batch: list[_Waiting],
-        exhausted: dict[int, Exhausted],
-    ) -> None:
-        for request_id, settlement in settles.items():
-            if account.unsettled.get(request_id) == settlement:
-                del account.unsettled[request_id]
+            if row.row.key == program.row.key and row.value is not None:
+                record, version = BudgetRecord.decode(row.value), row.version
+        applied = program.account.conflicted(record, version)
+        if applied is not None:
+            self._grant(program, applied)
+
+    async def _complete(self, program: _Program, change: Change) -> None:
+        self._grant(program, change)
+        for entry in list(program.waiting):
+            exhausted = change.exhausted.get(entry.reserve.request_id)
+            if exhausted is not None:
+                self._resolve(program, entry, exhausted)
+        if change.blocked and program.waiting:
+            blocked = next(iter(change.blocked.values()))
+            log.info(
+                "budget_blocked", program=program.row.key, held_elsewhere=blocked.held_elsewhere
+            )
+            cause = not_run(Reason.OVERLOADED, "other nodes hold the budget", BLOCKED_RETRY_SECONDS)
+            self._refuse_late(program, cause, BLOCKED_SECONDS)
+            await self._clock.sleep(BLOCKED_SECONDS)
+
+    def _grant(self, program: _Program, change: Change) -> None:
+        """Give their tokens to the turns that still wait; the others' stay in the lease."""
+        granted = {reserve.request_id for reserve in change.granted}
         now = self._clock.monotonic()
-        for number, waiting in enumerate(batch):
-            if waiting not in account.waiting:
-                continue
-            account.waiting.remove(waiting)
-            _resolve(waiting, exhausted.get(number) or Reserved(now - waiting.since))
+        for entry in list(program.waiting):
+            if entry.reserve.request_id in granted:
+                program.account.open[entry.reserve.request_id] = entry.reserve.tokens
+                self._resolve(program, entry, Reserved(now - entry.since, leased=False))
 
+    def _refuse_late(self, program: _Program, cause: Refused, wait_seconds: float) -> None:
+        """Refuse those whose time is over before the next try."""
+        then = self._clock.monotonic() + wait_seconds
+        for entry in [entry for entry in program.waiting if entry.give_up_at <= then]:
+            refused = not_run(cause.reason, cause.detail, cause.retry_after_seconds)
+            self._resolve(program, entry, refused)
 
-def _resolve(waiting: _Waiting, outcome: Reserved | Exhausted | Refused) -> None:
-    if not waiting.done.done():
-        waiting.done.set_result(outcome)
+    def _resolve(
+        self, program: _Program, entry: _Waiting, outcome: Reserved | Exhausted | Refused
+    ) -> None:
+        program.waiting.remove(entry)
+        if not entry.done.done():
+            entry.done.set_result(outcome)
+        elif isinstance(outcome, Reserved):
+            program.account.settle(entry.reserve.request_id, 0)
--- /dev/null
+++ b/src/foxwinch/records/store_state.py
@@ -0,0 +1,122 @@
+"""What a node learns of the shared store from every call: its clock, and whether it answers.
+
+The store's clock is known within bounds: an answer's time lies between the moment that the call was
+sent and the moment that the answer arrived. Old samples are dropped, as clocks drift.
+"""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+from foxwinch.clock import Clock
+from foxwinch.outcomes import Refused
+from foxwinch.records.ports import (
+    Conflict,
+    HistoryLost,
+    RecordStore,
+    RowCondition,
+    RowKey,
+    RowsRead,
+    RowWrite,
+    Written,
+)
+
+Outcome = TypeVar("Outcome", bound=Written | Conflict | RowsRead | Refused)
+WINDOW_SECONDS = 60.0
+"""Samples are kept for one to two windows."""
+TROUBLE_SECONDS = 1.0
+"""After a call without an answer the store counts as troubled for so long."""
+
+
+@dataclass(slots=True)
+class _Bounds:
+    """Bounds of the store's clock less the node's, in seconds."""
+
+    lowest: float = float("-inf")
+    highest: float = float("inf")
+
+    def narrow(self, lowest: float, highest: float) -> None:
+        """Take a sample."""
+        self.lowest = max(self.lowest, lowest)
+        self.highest = min(self.highest, highest)
+
+
+class StoreClock:
+    """The store's steady clock within bounds."""
+
+    def __init__(self) -> None:
+        """Start without a sample."""
+        self._current = _Bounds()
+        self._former = _Bounds()
+        self._since = float("-inf")
+
+    @property
+    def known(self) -> bool:
+        """Whether the store has told its clock."""
+        return max(self._current.lowest, self._former.lowest) > float("-inf")
+
+    def observe(self, store_ms: int, sent_at: float, received_at: float) -> None:
+        """Take the time of an answer; the others are on the node's steady clock."""
+        if received_at - self._since > WINDOW_SECONDS:
+            self._former, self._current = self._current, _Bounds()
+            self._since = received_at
+        self._current.narrow(store_ms / 1e3 - received_at, store_ms / 1e3 - sent_at)
+
+    def earliest_ms(self, now: float) -> int:
+        """Return a time that the store's clock has certainly reached."""
+        lowest = max(self._current.lowest, self._former.lowest)
+        return int(1e3 * (now + lowest))
+
+    def reached_at(self, store_ms: int) -> float:
+        """Return a time on the node's clock at which the store has certainly not passed it."""
+        return store_ms / 1e3 - min(self._current.highest, self._former.highest)
+
+
+class ObservedStore:
+    """Passes calls on to the store and takes note of its clock and its health."""
+
+    def __init__(self, store: RecordStore, clock: Clock) -> None:
+        """Watch the calls to `store`."""
+        self._store = store
+        self._clock = clock
+        self.store_clock = StoreClock()
+        self._unanswered_at = float("-inf")
+
+    def troubled(self) -> bool:
+        """Tell whether the store left a call without an answer a short time ago."""
+        return self._clock.monotonic() - self._unanswered_at < TROUBLE_SECONDS
+
+    async def transact(
+        self,
+        conditions: tuple[RowCondition, ...],
+        writes: tuple[RowWrite, ...],
+        timeout_seconds: float,
+    ) -> Written | Conflict | Refused:
+        """Apply a transaction."""
+        sent_at = self._clock.monotonic()
+        return self._noted(await self._store.transact(conditions, writes, timeout_seconds), sent_at)
+
+    async def read(self, first: RowKey, end_key: str, timeout_seconds: float) -> RowsRead | Refused:
+        """Read rows of a partition."""
+        sent_at = self._clock.monotonic()
+        return self._noted(await self._store.read(first, end_key, timeout_seconds), sent_at)
+
+    async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
+        """Read all rows of a table."""
+        sent_at = self._clock.monotonic()
+        return self._noted(await self._store.read_table(table, timeout_seconds), sent_at)
+
+    async def changes(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> RowsRead | HistoryLost | Refused:
+        """Wait for changes of a table."""
+        sent_at = self._clock.monotonic()
+        outcome = await self._store.changes(table, after_version, wait_seconds)
+        return outcome if isinstance(outcome, HistoryLost) else self._noted(outcome, sent_at)
+
+    def _noted(self, outcome: Outcome, sent_at: float) -> Outcome:
+        now = self._clock.monotonic()
+        if isinstance(outcome, Refused):
+            self._unanswered_at = now
+        else:
+            self.store_clock.observe(outcome.now_ms, sent_at, now)
+        return outcome
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from foxwinch.clock import Clock
-from foxwinch.core.records.budget import Exhausted, Reserve, Settle
+from foxwinch.core.records.account import Exhausted, Reserve
 from foxwinch.core.routing.configuration import Route, RouteKind, RoutingConfiguration
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
@@ -20,6 +20,8 @@
 
 STORE_SECONDS = 0.9
 """For which a turn waits for the store before it is refused with the time to come back."""
+STORE_PART = 0.35
+"""Of the time that a turn has left: a late refusal leaves its caller no time for another node."""
 STORE_RETRY_SECONDS = 0.4
 UNKNOWN_ROUTE_AGE_SECONDS = 3.0
 """A configuration that was not confirmed for so long may lack a new route."""
@@ -95,7 +97,8 @@
 
     async def _prepare(self, attempts: Attempts) -> Prompt | RejectedRequest:
         """Reserve the budget and read the history, both at once."""
-        give_up_at = min(attempts.end_at, self._clock.monotonic() + STORE_SECONDS)
+        now = self._clock.monotonic()
+        give_up_at = now + min(STORE_SECONDS, STORE_PART * (attempts.end_at - now))
         reserving = asyncio.ensure_future(self._reserve(attempts, give_up_at))
         try:
             prompt = await load_prompt(self._turns, attempts, give_up_at)
@@ -127,7 +130,9 @@
         operation = Reserve(
             request.request_id, request.model.output_tokens_maximum, request.budget_tokens
         )
-        outcome = await self._budgets.reserve(request.program.program_id, operation, give_up_at)
+        outcome = await self._budgets.reserve(
+            request.program.program_id, operation, give_up_at, attempts.end_at
+        )
         match outcome:
             case Reserved():
                 self._metrics.budget_wait_seconds.observe(outcome.waited_seconds)
@@ -138,6 +143,7 @@
                     most=operation.tokens,
                     budget=operation.budget,
                     waited_ms=int(1e3 * outcome.waited_seconds),
+                    leased=outcome.leased,
                 )
                 return None
             case Exhausted():
@@ -157,7 +163,7 @@
         if request.program is None or request.budget_tokens is None or request.model is None:
             return
         used = summary.tokens if summary is not None else 0
-        self._budgets.settle(request.program.program_id, Settle(request.request_id, used))
+        self._budgets.settle(request.program.program_id, request.request_id, used)
 
     def _tokens_per_event(self, attempts: Attempts, configuration: RoutingConfiguration) -> int:
         known = [
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -1,26 +1,25 @@
 """One serving node: its parts, its readiness, and its planned stop."""
 
-import asyncio
+from collections.abc import Awaitable, Callable
 
 from foxwinch.clock import Clock
 from foxwinch.log import EventLog
 from foxwinch.records.budgets import BudgetLedger
-from foxwinch.records.ports import RecordStore
+from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.turns import TurnRecords
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempts import Dispatcher
 from foxwinch.serving.handler import RequestHandler
-from foxwinch.serving.messages import Caller, ServiceRequest
+from foxwinch.serving.messages import Caller, RejectedRequest, Rejection, ServiceRequest
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import Workers
 from foxwinch.serving.routing import RoutingTables
 
-IDLE_SWEEP_SECONDS = 30.0
 TAKEN_OUT_SECONDS = 3.2
 """After a stop was asked for: by then whoever sends callers here has seen that the node is not
 ready, and sends no more."""
-QUIET_SECONDS = 0.4
-"""Without a request under way, before a stopping node ends."""
+STOPPING_RETRY_SECONDS = 0.05
+"""A caller that still comes to a node that stops is better served by the next one."""
 POLL_SECONDS = 0.05
 log = EventLog("node")
 
@@ -31,28 +30,29 @@
     def __init__(
         self,
         *,
+        name: str,
         zone: str,
-        store: RecordStore,
+        store: ObservedStore,
         workers: Workers,
         routing: RoutingTables,
         clock: Clock,
         metrics: ServingMetrics,
         grace_seconds: float,
     ) -> None:
-        """Build a node in `zone`; a stop takes at most `grace_seconds`."""
+        """Build node `name` in `zone`; a stop takes at most `grace_seconds`."""
         self._clock = clock
         self._grace_seconds = grace_seconds
         self._tasks = ServiceTasks("serving")
         self.routing = routing
         self.metrics = metrics
-        self.budgets = BudgetLedger(store, clock, self._tasks)
+        self.budgets = BudgetLedger(store, clock, self._tasks, f"{name}/{clock.identifier()[:8]}")
         self.turns = TurnRecords(store, clock)
         self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics)
         self._handler = RequestHandler(
             routing, self.dispatcher, self.budgets, self.turns, clock, metrics
         )
         self._running = 0
-        self._last_request_at = 0.0
+        self._closed = False
         self.stopping = False
 
     @property
@@ -64,44 +64,41 @@
         """Begin to follow the configuration and the workers."""
         self._tasks.keep(self.routing.configuration_watch.run())
         self._tasks.keep(self.routing.workers_watch.run())
-        self._tasks.keep(self._sweep())
 
     async def handle(self, request: ServiceRequest, caller: Caller) -> None:
         """Serve one request."""
+        if self._closed:
+            rejected = RejectedRequest(Rejection.NOT_RUN, "stopping", STOPPING_RETRY_SECONDS)
+            await caller.reject(rejected)
+            log.info("request_refused", request=request.request_id, reason=rejected.reason)
+            return
         self._running += 1
-        self._last_request_at = self._clock.monotonic()
         try:
             await self._handler.handle(request, caller)
         finally:
             self._running -= 1
-            self._last_request_at = self._clock.monotonic()
 
-    async def stop(self) -> None:
-        """Take no new callers, serve what is under way and what still comes, then return."""
+    async def stop(self, close: Callable[[], Awaitable[None]]) -> None:
+        """Take no new callers, serve what is under way and what still comes, then return.
+
+        `close` is called once nobody should be sent here any more: it stops listening.
+        """
         self.stopping = True
         began = self._clock.monotonic()
         end_at = began + self._grace_seconds
         log.info("stopping", running=self._running)
-        while self._clock.monotonic() < end_at and not self._quiet(began):
+        await self._clock.sleep(min(TAKEN_OUT_SECONDS, self._grace_seconds / 2))
+        await close()
+        self._closed = True
+        while self._clock.monotonic() < end_at and self._running:
             await self._clock.sleep(POLL_SECONDS)
-        self.budgets.settle_now()
-        while self.budgets.unsettled and self._clock.monotonic() < end_at:
+        self.budgets.give_back_all()
+        while self.budgets.programs and self._clock.monotonic() < end_at:
             await self._clock.sleep(POLL_SECONDS)
         log.info(
             "stopped",
             running=self._running,
-            unsettled=self.budgets.unsettled,
+            programs_owing=self.budgets.programs,
             took_ms=int(1e3 * (self._clock.monotonic() - began)),
         )
         await self._tasks.stop()
-
-    def _quiet(self, began: float) -> bool:
-        now = self._clock.monotonic()
-        if self._running or now - began < TAKEN_OUT_SECONDS:
-            return False
-        return now - self._last_request_at >= QUIET_SECONDS
-
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(IDLE_SWEEP_SECONDS)
-            self.budgets.drop_idle()
