--- a/src/foxwinch/core/records/account.py
+++ b/src/foxwinch/core/records/account.py
@@ -5,6 +5,7 @@
 the node spends only what it holds in either case.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from foxwinch.core.records.budget import BudgetRecord, Lease
@@ -53,12 +54,14 @@
     tokens: int
     """This node's lease after the change."""
     used: int
-    """Tokens that the change tells as spent."""
+    """Tokens of this node that count as spent with it, told or with a lease that is over."""
     granted: tuple[Reserve, ...]
     exhausted: dict[str, Exhausted]
     blocked: dict[str, Blocked]
     valid_until: float
     """Until which the lease may be used, on the node's steady clock."""
+    written_off: frozenset[str]
+    """Turns under way whose tokens count as spent with it, as the lease that held them is over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +95,8 @@
     """A program's budget at this node."""
 
     node: str
+    sequences: Iterator[int]
+    """Numbers that no other change of this node has, in any account of the program."""
     record: BudgetRecord = field(default_factory=BudgetRecord)
     """As last read or written."""
     version: int = 0
@@ -107,7 +112,6 @@
     """Turns under way whose tokens already count as spent, with a lease that was over."""
     doubtful: dict[int, Change] = field(default_factory=dict)
     """Changes by sequence that were sent and not answered."""
-    sequence: int = 0
 
     def available(self) -> int:
         """Return the tokens that a new turn may take, whichever doubtful changes were applied."""
@@ -146,29 +150,30 @@
         With `ahead` it also takes tokens for turns to come; without, it gives back all others.
         """
         own = self.record.leases.get(self.node)
-        if own is not None and own.expires_ms <= times.store_earliest_ms:
-            self._write_off()
+        over = own is not None and own.expires_ms <= times.store_earliest_ms
         base = self.record.expired(times.store_earliest_ms)
         others = base.leased_to_others(self.node)
-        spent = base.spent + self.used
-        verdict = _Verdict(self._covered_open())
+        told = 0 if over else self.used
+        spent = base.spent + told
+        verdict = _Verdict(0 if over else self._covered_open())
         for reserve in waiting:
             verdict.judge(reserve, spent, others)
         tokens = verdict.under_way
         if ahead is not None:
             tokens += ahead.tokens(ahead.budget - spent - others - tokens)
-        self.sequence += 1
-        lease = Lease(tokens, times.store_earliest_ms + LEASE_MS, self.sequence)
+        sequence = next(self.sequences)
+        lease = Lease(tokens, times.store_earliest_ms + LEASE_MS, sequence)
         return Change(
-            sequence=self.sequence,
+            sequence=sequence,
             version=self.version,
-            record=base.changed(self.node, self.used, lease),
+            record=base.changed(self.node, told, lease),
             tokens=tokens,
             used=self.used,
             granted=tuple(verdict.granted),
             exhausted=verdict.exhausted,
             blocked=verdict.blocked,
             valid_until=times.lease_valid_until,
+            written_off=frozenset(self.open) if over else frozenset(),
         )
 
     def sent(self, change: Change) -> None:
@@ -205,6 +210,7 @@
     def _apply(self, change: Change) -> None:
         self.lease = change.tokens
         self.used -= change.used
+        self.written_off.update(change.written_off & self.open.keys())
         self.valid_until = change.valid_until
 
     def _write_off(self) -> None:
--- a/src/foxwinch/records/budgets.py
+++ b/src/foxwinch/records/budgets.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
 from foxwinch.clock import Clock
@@ -34,6 +35,9 @@
 TROUBLED_QUIET_SECONDS = 1.5
 """How much longer a lease is kept while the store is troubled."""
 WRITE_BACKOFF = Backoff(base_seconds=0.05, cap_seconds=0.4)
+SHORTEST_WAIT_SECONDS = 0.001
+PROBE_SECONDS = 0.4
+"""While the store is troubled a node sends one change that no turn waits for in so long."""
 OPEN_TURN_SECONDS = 0.05
 """Between looks at a program whose turn is still under way."""
 BEHIND_BACKOFF = Backoff(base_seconds=0.2, cap_seconds=1.6)
@@ -88,6 +92,8 @@
         self._tasks = tasks
         self._node = node
         self._programs: dict[str, _Program] = {}
+        self._sequences = itertools.count(1)
+        self._probe_at = 0.0
 
     @property
     def programs(self) -> int:
@@ -113,7 +119,10 @@
         program.waiting.append(waiting)
         program.wake.set()
         try:
-            return await done
+            async with asyncio.timeout(max(0.0, give_up_at - now)):
+                return await done
+        except TimeoutError:
+            return not_run(Reason.STORE_UNAVAILABLE, "no answer of the store in time")
         finally:
             if waiting in program.waiting:
                 program.waiting.remove(waiting)
@@ -133,7 +142,7 @@
         program = self._programs.get(program_id)
         if program is None:
             row = RowKey(BUDGETS_TABLE, partition_of(program_id), program_id)
-            program = _Program(row, Account(self._node))
+            program = _Program(row, Account(self._node, self._sequences))
             self._programs[program_id] = program
             self._tasks.keep(self._keep(program_id, program))
         program.touched_at = self._clock.monotonic()
@@ -150,6 +159,11 @@
                 program.touched_at = self._clock.monotonic()
                 await self._clock.sleep(OPEN_TURN_SECONDS)
                 continue
+            if not program.waiting and not self._may_write_behind():
+                await self._sleep_unless_waiting(
+                    program, PROBE_SECONDS * (1 + self._clock.uniform())
+                )
+                continue
             refused = await self._write(program, give_back=not work)
             if refused is None:
                 attempt = 0
@@ -160,6 +174,17 @@
             await self._sleep_unless_waiting(program, wait)
         del self._programs[program_id]
 
+    def _may_write_behind(self) -> bool:
+        """Tell whether a change that no turn waits for may be sent now.
+
+        While the store is troubled, one such change at a time finds out whether it is back.
+        """
+        now = self._clock.monotonic()
+        if self._store.troubled() and now < self._probe_at:
+            return False
+        self._probe_at = now + PROBE_SECONDS
+        return True
+
     def _backoff_seconds(self, program: _Program, attempt: int) -> float:
         backoff = WRITE_BACKOFF if program.waiting else BEHIND_BACKOFF
         return backoff.wait_seconds(attempt, 0.5 + 0.5 * self._clock.uniform())
@@ -184,7 +209,7 @@
             if program.waiting or program.low:
                 return True
             wait = self._quiet_at(program) - self._clock.monotonic()
-            if wait <= 0 or program.hurried:
+            if wait < SHORTEST_WAIT_SECONDS or program.hurried:
                 return False
             program.wake.clear()
             try:
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -1,6 +1,7 @@
 """The way of one request through a node: route, budget and history, worker, answer."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from foxwinch.clock import Clock
@@ -184,6 +185,10 @@
             )
         return RejectedRequest(Rejection.NO_ROUTE, "no_route")
 
+    def _configuration_age_ms(self) -> int | None:
+        age = self._routing.configuration_age_seconds()
+        return int(1e3 * age) if math.isfinite(age) else None
+
     def _ended(self, request: ServiceRequest, route: Route | None, outcome: str) -> None:
         took = self._clock.monotonic() - request.received_at
         kind = route.kind.value if route is not None else "none"
@@ -198,7 +203,7 @@
             outcome=outcome,
             took_ms=int(1e3 * took),
             configuration=configuration.version if configuration else None,
-            configuration_age_ms=int(1e3 * self._routing.configuration_age_seconds()),
+            configuration_age_ms=self._configuration_age_ms(),
         )
 
 
