--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -35,7 +35,7 @@
 class ServeProcess(Service):
     """A node with its listening sides."""
 
-    def __init__(self, settings: ServeSettings, settings_path: Path) -> None:
+    def __init__(self, settings: ServeSettings, settings_path: Path | None) -> None:
         """Run a node by `settings`; a signal reads `settings_path` again."""
         super().__init__()
         self._settings = settings
@@ -46,6 +46,7 @@
         self._store: PlatformStore | None = None
         self._workers: HttpWorkers | None = None
         self._node: ServingNode | None = None
+        self._addresses: dict[str, str] = {}
         self._stop_requested = asyncio.Event()
 
     async def start(self) -> None:
@@ -77,10 +78,11 @@
         )
         self._install_signals()
         door = FrontDoor(self._node, clock)
-        await self._listen(door.application(), settings.listen.callers)
-        await self._listen(door.ready_application(), settings.listen.ready)
+        await self._listen("callers", door.application(), settings.listen.callers)
+        await self._listen("ready", door.ready_application(), settings.listen.ready)
         if settings.listen.metrics is not None:
-            await self._listen(_metrics_application(metrics), settings.listen.metrics)
+            application = _metrics_application(metrics)
+            await self._listen("metrics", application, settings.listen.metrics)
         self._node.start()
         log.info(
             "started",
@@ -90,18 +92,31 @@
             took_ms=int(1e3 * (time.monotonic() - self._began)),
         )
 
+    @property
+    def node(self) -> ServingNode:
+        """Return the started node."""
+        assert self._node is not None
+        return self._node
+
+    def address_of(self, side: str) -> str:
+        """Return `ip:port` of a started side: `callers`, `ready` or `metrics`."""
+        return self._addresses[side]
+
     async def run(self) -> None:
         """Wait for the signal to stop, then stop as planned."""
         await self._stop_requested.wait()
         assert self._node is not None
-        await self._node.stop(self._stop_listening)
+        await self._node.stop(self.stop_listening)
 
-    async def _stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
+        """Take no new connections; open ones stay."""
         for site in self._sites:
             await site.stop()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what is open."""
+        if self._node is not None:
+            await self._node.close()
         for runner in self._runners:
             await runner.cleanup()
         if self._workers is not None:
@@ -117,6 +132,7 @@
 
     def _reload(self) -> None:
         """Read the settings again; what may change while running is taken, the rest is told."""
+        assert self._settings_path is not None
         read = load_serve_settings(self._settings_path)
         if isinstance(read, SettingsError):
             log.error("reload_refused", problems="; ".join(read.problems))
@@ -128,7 +144,7 @@
         ]
         log.info("reloaded", changed=",".join(changed) or "nothing")
 
-    async def _listen(self, application: web.Application, address: str) -> None:
+    async def _listen(self, side: str, application: web.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
         runner = web.AppRunner(
             application,
@@ -145,6 +161,8 @@
         site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
         await site.start()
         self._sites.append(site)
+        bound_host, bound_port = runner.addresses[0][:2]
+        self._addresses[side] = f"{bound_host}:{bound_port}"
 
 
 def _metrics_application(metrics: ServingMetrics) -> web.Application:
--- a/src/foxwinch/platform/settings.py
+++ b/src/foxwinch/platform/settings.py
@@ -6,7 +6,7 @@
 from pydantic import Field
 
 from foxwinch.settings.base import SettingsError, StrictModel, check, read_toml
-from foxwinch.settings.process import IpAddress, IpAndPort
+from foxwinch.settings.process import IpAddress, IpAndAnyPort, IpAndPort
 
 ENVIRONMENT_VARIABLE = "FOXWINCH_CONFIG"
 """Holds the path of the settings file."""
@@ -15,11 +15,11 @@
 class ListenSettings(StrictModel):
     """Where a node listens."""
 
-    callers: IpAndPort
-    ready: IpAndPort
-    peers: IpAndPort
+    callers: IpAndAnyPort
+    ready: IpAndAnyPort
+    peers: IpAndAnyPort
     """TCP and UDP, for other nodes."""
-    metrics: IpAndPort | None = None
+    metrics: IpAndAnyPort | None = None
 
 
 class StoreSettings(StrictModel):
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -39,7 +39,7 @@
 """An idle connection is used again within it; workers close theirs later than that."""
 STATUS_WRONG_WORKER = 421
 STATUS_UNAVAILABLE = 503
-NEVER_SENT = frozenset({"host", "accept-encoding", "user-agent", "accept"})
+NEVER_SENT = frozenset({"host", "accept-encoding", "user-agent", "accept", "content-type"})
 """Headers that the HTTP library would add by itself."""
 BROKEN = (aiohttp.ClientError, OSError, ValueError, asyncio.IncompleteReadError)
 
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -101,4 +101,7 @@
             programs_owing=self.budgets.programs,
             took_ms=int(1e3 * (self._clock.monotonic() - began)),
         )
+
+    async def close(self) -> None:
+        """End every task behind; also after a start that was not followed by `stop`."""
         await self._tasks.stop()
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,165 @@
+"""A whole node on the users' platform, in process, between stand-ins on loopback."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+from foxwinch.clock import SystemClock
+from foxwinch.emulator.http_record_store import RecordStoreHandlers
+from foxwinch.emulator.record_store import RecordStoreModel
+from foxwinch.platform.process import ServeProcess
+from foxwinch.platform.settings import ServeSettings
+from stand_in_worker import StandInWorker
+
+HOST = "seats.example"
+STREAM = "/plan/"
+RETAINED = "/kept/"
+SAFE = "/hold/"
+UNSAFE = "/confirm/"
+
+
+def routes(attempts=3):
+    """Return a route of each kind, all to the service `s`."""
+    base = {"host": HOST, "service": "s", "timeout_ms": 3000, "target_ms": 200, "priority": 0}
+    stream = {**base, "type": "stream", "attempts": attempts, "gap_aim_ms": 300}
+    return [
+        {**stream, "name": "stream", "path_prefix": STREAM, "resumable": True, "retain": False},
+        {
+            **stream,
+            "name": "kept",
+            "path_prefix": RETAINED,
+            "resumable": False,
+            "retain": True,
+            "retain_s": 60.0,
+        },
+        {**base, "name": "safe", "path_prefix": SAFE, "type": "safe", "attempts": attempts},
+        {**base, "name": "unsafe", "path_prefix": UNSAFE, "type": "unsafe", "attempts": attempts},
+    ]
+
+
+def configuration(version=1, **changes):
+    """Return an operator's configuration."""
+    document = {
+        "version": version,
+        "routes": routes(),
+        "services": [{"name": "s", "engine": {"chunk_tokens": 25, "slots": 4}}],
+        "limits": {"max_body_bytes": 200_000},
+    }
+    return json.dumps({**document, **changes}).encode()
+
+
+async def until(look, wanted):
+    """Wait until `look` returns what is wanted."""
+    for _ in range(3_000):
+        if await look() == wanted:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"never became {wanted!r}")
+
+
+@dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool = True
+
+
+@dataclass
+class PlatformSite:
+    """The store, the workers, and nodes before them."""
+
+    workers: list[StandInWorker]
+    model: RecordStoreModel = field(default_factory=lambda: RecordStoreModel(SystemClock()))
+    nodes: list[ServeProcess] = field(default_factory=list)
+    _store: web.AppRunner | None = None
+    _session: aiohttp.ClientSession | None = None
+    store_address: str = ""
+
+    async def __aenter__(self):
+        self._session = aiohttp.ClientSession(auto_decompress=False)
+        handlers = RecordStoreHandlers(self.model)
+        self._store = web.AppRunner(handlers.application(), shutdown_timeout=0.1)
+        await self._store.setup()
+        await web.TCPSite(self._store, "127.0.0.1", 0).start()
+        host, port = self._store.addresses[0]
+        self.store_address = f"{host}:{port}"
+        for number, worker in enumerate(self.workers):
+            await worker.__aenter__()
+            self.list_worker(number)
+        return self
+
+    async def __aexit__(self, *_):
+        await self._session.close()
+        for node in self.nodes:
+            await node.stop()
+        for worker in self.workers:
+            await worker.__aexit__()
+        await self._store.cleanup()
+
+    def list_worker(self, number, **changes):
+        """Put a worker into the store's list."""
+        entry = {
+            "service": "s",
+            "address": self.workers[number].address,
+            "zone": "z",
+            "slots": 4,
+            "state": "ready",
+            "cold_left_ms": 0,
+        }
+        self.model.put("servers", f"w{number}", json.dumps({**entry, **changes}).encode())
+
+    async def start_node(self, wait=True):
+        """Start a node; returns it once it is ready."""
+        settings = ServeSettings.model_validate(
+            {
+                "name": f"n{len(self.nodes)}",
+                "ip": "127.0.0.1",
+                "zone": "z",
+                "region": "r",
+                "listen": {
+                    "callers": "127.0.0.1:0",
+                    "ready": "127.0.0.1:0",
+                    "peers": "127.0.0.1:0",
+                    "metrics": "127.0.0.1:0",
+                },
+                "store": {"address": self.store_address},
+            }
+        )
+        node = ServeProcess(settings, None)
+        self.nodes.append(node)
+        await node.start()
+        if wait:
+            await until(lambda: self.ready(node), 200)
+        return node
+
+    async def ready(self, node):
+        """Return the status of the ready address."""
+        async with self._session.get(f"http://{node.address_of('ready')}/v1/ready") as response:
+            return response.status
+
+    async def ask(self, node, path, request_id, *, body=b"", method="POST", **headers):
+        """Send a request as a caller and read its whole answer."""
+        sent = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "3000"}
+        sent.update({name.replace("_", "-"): str(value) for name, value in headers.items()})
+        url = URL(f"http://{node.address_of('callers')}{path}", encoded=True)
+        async with self._session.request(method, url, data=body, headers=sent) as response:
+            read = b""
+            try:
+                async for piece in response.content.iter_any():
+                    read += piece
+            except aiohttp.ClientPayloadError:
+                return Reply(response.status, dict(response.headers), read, whole=False)
+            return Reply(response.status, dict(response.headers), read)
+
+    async def turn(self, node, request_id, *, path=STREAM, budget=10_000, most=575, **more):
+        """Send a turn of a program."""
+        terms = {"Program": "p1", "Session": "l1", "Finish_Ms": 9000}
+        terms |= {"Token_Budget": budget, "Token_Count": f"1000,{most}"}
+        return await self.ask(node, path, request_id, **(terms | more))
