--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -23,7 +23,8 @@
 """For which a turn waits for the store before it is refused with the time to come back."""
 STORE_PART = 0.35
 """Of the time that a turn has left: a late refusal leaves its caller no time for another node."""
-STORE_RETRY_SECONDS = 0.4
+STORE_RETRY_SECONDS = 1.0
+"""A store that did not answer for as long as a turn may wait is mostly down for seconds."""
 UNKNOWN_ROUTE_AGE_SECONDS = 3.0
 """A configuration that was not confirmed for so long may lack a new route."""
 CONFIGURATION_RETRY_SECONDS = 0.3
