--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -12,6 +12,7 @@
 from foxwinch.cli.node import NodeCommand
 from foxwinch.cli.nodes import NodesCommand
 from foxwinch.cli.programs import ProgramsCommand
+from foxwinch.cli.serve import ServeCommand
 from foxwinch.cli.settings import SettingsCommand
 from foxwinch.cli.shards import ShardsCommand
 from foxwinch.cli.workers import WorkersCommand
@@ -24,6 +25,7 @@
 
     command: cappa.Subcommands[
         NodeCommand
+        | ServeCommand
         | DevCommand
         | EmulatorCommand
         | ConfigCommand
--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -88,7 +88,7 @@
             "started",
             node=settings.name,
             zone=settings.zone,
-            callers=settings.listen.callers,
+            callers=self.address_of("callers"),
             took_ms=int(1e3 * (time.monotonic() - self._began)),
         )
 
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -11,6 +11,7 @@
 from foxwinch.core.routing.load import LoadTable
 from foxwinch.core.routing.selection import Wish, choose
 from foxwinch.core.routing.shares import ServiceShares
+from foxwinch.core.routing.urgency import urgency_of
 from foxwinch.log import EventLog
 from foxwinch.serving.messages import (
     CallFailure,
@@ -161,7 +162,11 @@
         self, worker: Worker, attempts: Attempts, left: float
     ) -> WorkerAnswer | CallRefused | CallLost:
         call = OutgoingCall(
-            attempts.request, attempts.body, left, attempts.last_event_id, extra=None
+            attempts.request,
+            attempts.body,
+            left,
+            attempts.last_event_id,
+            urgency_of(attempts.route.priority),
         )
         with self.counted(worker):
             outcome = await self._workers.call(worker, call)
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -1,6 +1,6 @@
 """What passes between the sides of a node: a caller's request, a worker's answer, a refusal."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -120,7 +120,6 @@
     """What is left of the caller's and the route's time."""
     last_event_id: int | None = None
     urgency: int | None = None
-    extra: Mapping[str, str] | None = None
 
 
 class Rejection(StrEnum):
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -146,9 +146,16 @@
 
     async def ask(self, node, path, request_id, *, body=b"", method="POST", **headers):
         """Send a request as a caller and read its whole answer."""
+        address = node.address_of("callers")
+        return await self.ask_address(
+            address, path, request_id, body=body, method=method, **headers
+        )
+
+    async def ask_address(self, address, path, request_id, *, body=b"", method="POST", **headers):
+        """Send a request to `ip:port`."""
         sent = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "3000"}
         sent.update({name.replace("_", "-"): str(value) for name, value in headers.items()})
-        url = URL(f"http://{node.address_of('callers')}{path}", encoded=True)
+        url = URL(f"http://{address}{path}", encoded=True)
         async with self._session.request(method, url, data=body, headers=sent) as response:
             read = b""
             try:
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -12,6 +12,7 @@
 from platform_site import (
     RETAINED,
     SAFE,
+    STREAM,
     UNSAFE,
     PlatformSite,
     configuration,
@@ -60,6 +61,16 @@
     assert 0 < int(got["Deadline-Ms"]) <= 3000
 
 
+async def test_a_call_tells_its_worker_how_urgent_it_is(site):
+    ranked = [{**route, "priority": rank} for rank, route in enumerate(routes())]
+    site.model.put("op", "config", configuration(version=2, routes=ranked))
+    node = await site.start_node()
+    for number, path in enumerate((STREAM, RETAINED, SAFE, UNSAFE)):
+        await site.ask(node, path, f"r{number}")
+    urgencies = [int(got["Urgency"]) for got in site.workers[0].received]
+    assert urgencies == sorted(set(urgencies))
+
+
 async def test_an_unknown_route_is_not_found(site):
     node = await site.start_node()
     assert (await site.ask(node, "/elsewhere/", "r1")).status == 404
--- /dev/null
+++ b/tests/test_serve_command.py
@@ -0,0 +1,115 @@
+"""`foxwinch serve` as a process: settings that are refused, start, reload and stop."""
+
+import asyncio
+import re
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from foxwinch.platform.settings import load_serve_settings
+from foxwinch.settings.base import SettingsError
+from platform_site import SAFE, PlatformSite, configuration
+from stand_in_worker import Answer, StandInWorker
+
+ROOT = Path(__file__).parents[1]
+GIVEN = {
+    "node_name": "front-1",
+    "ip": "10.1.0.38",
+    "zone": "z",
+    "region": "r",
+    "bounds.grace_s": "8",
+    "listen.front": "10.1.0.38:8149",
+    "listen.ready": "10.1.0.38:8141",
+    "port_range.0": "7380",
+    "provider.address": "10.200.1.7:8142",
+    "provider.row_bytes": "65536",
+}
+
+
+def fill(template):
+    """Fill in the template as the platform does."""
+
+    def value(match):
+        name, _, form = match[1].partition("|")
+        return f'"{GIVEN[name]}"' if form == "json" else GIVEN[name]
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+
+
+def test_the_template_gives_valid_settings(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(fill((ROOT / "deploy" / "settings.toml").read_text()))
+    settings = load_serve_settings(path)
+    assert not isinstance(settings, SettingsError), str(settings)
+    assert settings.listen.peers == "10.1.0.38:7380"
+    assert settings.grace_seconds == 8
+
+
+def test_the_example_is_valid():
+    assert not isinstance(load_serve_settings(ROOT / "examples" / "serve.toml"), SettingsError)
+
+
+async def run(*arguments, **environment):
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "foxwinch",
+        "serve",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        env={"PATH": "/usr/bin:/bin", **environment},
+    )
+
+
+@pytest.mark.parametrize(
+    ("field", "wrong"), [("ip", '"nowhere"'), ("zone", '""'), ("grace_seconds", "-1")]
+)
+async def test_a_wrong_setting_is_named_with_its_value(tmp_path, field, wrong):
+    path = tmp_path / "node.toml"
+    text = (ROOT / "examples" / "serve.toml").read_text()
+    path.write_text(re.sub(rf"^{field} = .*$", f"{field} = {wrong}", text, flags=re.MULTILINE))
+    process = await run(FOXWINCH_CONFIG=str(path))
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert field in errors.decode()
+    assert wrong.strip('"') in errors.decode()
+
+
+async def test_without_settings_it_says_how_to_give_them():
+    process = await run()
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert "FOXWINCH_CONFIG" in errors.decode()
+
+
+async def read_until(stream, wanted):
+    async for line in stream:
+        if wanted in line.decode():
+            return line.decode()
+    raise AssertionError(f"{wanted} was never logged")
+
+
+async def test_a_node_starts_reloads_and_stops_by_signals(tmp_path):
+    async with PlatformSite([StandInWorker(Answer())]) as site:
+        site.model.put("op", "config", configuration())
+        path = tmp_path / "node.toml"
+        text = (ROOT / "examples" / "serve.toml").read_text()
+        text = re.sub(r"127\.0\.0\.1:71\d\d", "127.0.0.1:0", text)
+        path.write_text(
+            text.replace('address = "127.0.0.1:0"', f'address = "{site.store_address}"')
+        )
+        process = await run("--settings", str(path))
+        started = await read_until(process.stdout, "event=started")
+        address = re.search(r"callers=(\S+)", started)[1]
+        await read_until(process.stdout, "event=workers_listed")
+        served = await site.ask_address(address, SAFE, "r1")
+        assert served.status == 200
+        process.send_signal(signal.SIGHUP)
+        assert "changed=nothing" in await read_until(process.stdout, "event=reloaded")
+        process.send_signal(signal.SIGTERM)
+        await read_until(process.stdout, "event=stopped")
+        await process.communicate()
+        assert process.returncode == 0
