--- a/src/foxwinch/bench/fleet/ownership.py
+++ b/src/foxwinch/bench/fleet/ownership.py
@@ -16,7 +16,7 @@
 from foxwinch.core.membership.entry import GossipEntry, GossipKind
 from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.shard.epochs import NO_EPOCH, next_step, next_term
-from foxwinch.core.shard.ownership import (
+from foxwinch.core.shard.events import (
     AttemptFailed,
     Claim,
     ClaimDeclined,
@@ -24,7 +24,6 @@
     MemberFact,
     MembersChanged,
     OwnerHeard,
-    OwnershipDecisions,
     OwnershipEvent,
     Presence,
     Repair,
@@ -32,6 +31,7 @@
     ShardLost,
     TimePassed,
 )
+from foxwinch.core.shard.ownership import OwnershipDecisions
 from foxwinch.core.shard.placement import SHARDS_PER_REGION
 from foxwinch.identifiers import Epoch, NodeId, PeerAddress, ShardNumber
 from foxwinch.node.handover_client import HANDOVER_ANSWER_SECONDS
--- a/src/foxwinch/node/ownership_service.py
+++ b/src/foxwinch/node/ownership_service.py
@@ -6,7 +6,7 @@
 from foxwinch._generated.replication_pb2 import HandoverReply, HandoverRequest, ShardNotice
 from foxwinch.clock import Clock
 from foxwinch.core.journal.configuration import CommitPlace, Configuration, GroupMember
-from foxwinch.core.shard.ownership import (
+from foxwinch.core.shard.events import (
     AttemptFailed,
     Claim,
     ClaimDeclined,
@@ -14,7 +14,6 @@
     MemberFact,
     MembersChanged,
     OwnerHeard,
-    OwnershipDecisions,
     OwnershipEvent,
     Presence,
     Repair,
@@ -23,6 +22,7 @@
     ShardState,
     TimePassed,
 )
+from foxwinch.core.shard.ownership import OwnershipDecisions
 from foxwinch.core.shard.placement import SHARDS_PER_REGION, shard_of
 from foxwinch.identifiers import NodeId, ProgramId, ShardNumber
 from foxwinch.log import EventLog
--- a/tests/test_ownership_decisions.py
+++ b/tests/test_ownership_decisions.py
@@ -10,10 +10,7 @@
     decode_frames,
     encode_frames,
 )
-from foxwinch.core.shard.ownership import (
-    DECLINED_SECONDS,
-    HANDOVER_SECONDS,
-    UNSEEN_OWNER_SECONDS,
+from foxwinch.core.shard.events import (
     AttemptFailed,
     Claim,
     ClaimDeclined,
@@ -21,7 +18,6 @@
     MemberFact,
     MembersChanged,
     OwnerHeard,
-    OwnershipDecisions,
     Presence,
     Repair,
     Serving,
@@ -29,6 +25,12 @@
     ShardState,
     TimePassed,
 )
+from foxwinch.core.shard.ownership import (
+    DECLINED_SECONDS,
+    HANDOVER_SECONDS,
+    UNSEEN_OWNER_SECONDS,
+    OwnershipDecisions,
+)
 from foxwinch.core.shard.placement import Candidate, insert_ranked, ranked, replica_group
 
 SHARDS = 8
