--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -8,6 +8,7 @@
 from foxwinch.cli.config import ConfigCommand
 from foxwinch.cli.dev import DevCommand
 from foxwinch.cli.emulator import EmulatorCommand
+from foxwinch.cli.explain import ExplainCommand
 from foxwinch.cli.fuzz import FuzzCommand
 from foxwinch.cli.node import NodeCommand
 from foxwinch.cli.nodes import NodesCommand
@@ -26,6 +27,7 @@
     command: cappa.Subcommands[
         NodeCommand
         | ServeCommand
+        | ExplainCommand
         | DevCommand
         | EmulatorCommand
         | ConfigCommand
