--- /dev/null
+++ b/tests/test_record_watch.py
@@ -0,0 +1,110 @@
+"""Watches of the shared store on virtual time: changes, lost history, old reads, outages."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from foxwinch.emulator.record_store import Mood, RecordStoreModel
+from foxwinch.records.watch import TableWatch
+from foxwinch.service_tasks import ServiceTasks
+from virtual_clock import VirtualClock
+
+pytestmark = pytest.mark.looptime
+
+
+class Seen:
+    """A watch and what it told."""
+
+    def __init__(self, model):
+        self.values = {}
+        self.versions = []
+        self.watch = TableWatch(model, VirtualClock(), "t", self.take)
+        self.tasks = ServiceTasks("watch")
+        self.tasks.keep(self.watch.run())
+
+    def take(self, read, whole):
+        if whole:
+            self.values.clear()
+        self.versions.append(read.version)
+        for row in read.rows:
+            if row.value is None:
+                self.values.pop(row.row.key, None)
+            else:
+                self.values[row.row.key] = row.value
+
+
+@pytest.fixture
+async def model():
+    return RecordStoreModel(VirtualClock())
+
+
+@asynccontextmanager
+async def watching(model):
+    """Watch within a test: fixtures are set up outside its virtual time."""
+    model.put("t", "a", b"1")
+    watched = Seen(model)
+    await asyncio.sleep(0.1)
+    yield watched
+    await watched.tasks.stop()
+
+
+async def test_changes_and_removals_arrive(model):
+    async with watching(model) as seen:
+        assert seen.values == {"a": b"1"}
+        model.put("t", "b", b"2")
+        model.put("other", "c", b"3")
+        model.remove("t", "a")
+        await asyncio.sleep(0.1)
+        assert seen.values == {"b": b"2"}
+
+
+async def test_a_lost_history_is_made_good(model):
+    async with watching(model) as seen:
+        model.moods.mood = Mood.BUSY
+        await asyncio.sleep(1.0)
+        model.remove("t", "a")
+        model.put("t", "b", b"2")
+        model.forget_history()
+        model.moods.mood = Mood.WELL
+        await asyncio.sleep(3.0)
+        assert seen.values == {"b": b"2"}
+
+
+async def test_an_old_read_never_takes_the_table_back(model):
+    async with watching(model) as seen:
+        model.hold_reads()
+        model.put("t", "a", b"2")
+        await asyncio.sleep(0.1)
+        model.forget_history()
+        model.put("t", "a", b"3")
+        model.forget_history()
+        await asyncio.sleep(2.0)
+        assert seen.values == {"a": b"2"}
+        model.moods.stale_reads = False
+        await asyncio.sleep(2.0)
+        assert seen.values == {"a": b"3"}
+        assert seen.versions == sorted(seen.versions)
+
+
+@pytest.mark.parametrize("mood", [Mood.BUSY, Mood.LIMITED, Mood.SILENT])
+async def test_its_age_tells_how_long_the_store_is_gone(model, mood):
+    async with watching(model) as seen:
+        await asyncio.sleep(2.5)
+        assert seen.watch.age_seconds() < 2.5
+        model.moods.mood = mood
+        await asyncio.sleep(10.0)
+        assert seen.watch.age_seconds() > 7.0
+        model.moods.mood = Mood.WELL
+        model.put("t", "a", b"9")
+        await asyncio.sleep(4.0)
+        assert seen.values == {"a": b"9"}
+
+
+async def test_a_store_that_is_down_is_asked_seldom(model):
+    async with watching(model):
+        model.moods.mood = Mood.BUSY
+        await asyncio.sleep(1.0)
+        before = model.calls.feeds
+        await asyncio.sleep(10.0)
+        assert model.calls.feeds - before < 10.0 / 0.1
--- /dev/null
+++ b/tests/test_routing_core.py
@@ -0,0 +1,180 @@
+"""The pure decisions of routing: routes, workers, loads, shares, events of streams."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxwinch.core.routing.configuration import (
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    WeightedService,
+)
+from foxwinch.core.routing.directory import LAST_RESORT_SECONDS, Worker, WorkerDirectory
+from foxwinch.core.routing.load import FAILURE_SECONDS_MAXIMUM, SHED_SECONDS, LoadTable
+from foxwinch.core.routing.selection import Wish, choose
+from foxwinch.core.routing.shares import ServiceShares
+from foxwinch.core.routing.urgency import LEAST_URGENT, MOST_URGENT, urgency_of
+from foxwinch.core.streams import EventFramer
+
+
+def route(name="r", prefix="/a/", kind=RouteKind.SAFE, backends=(("s", 1.0),), **more):
+    weighted = tuple(WeightedService(service, weight) for service, weight in backends)
+    return Route(name, "h", prefix, kind, 3.0, 0.2, 3, 0, weighted, **more)
+
+
+def worker(number, service="s", zone="z", address=None, **more):
+    return Worker(f"w{number}", service, address or f"10.0.0.{number}:80", zone, 4, **more)
+
+
+def test_the_longest_prefix_of_the_host_is_matched():
+    routes = (route("short", "/a/"), route("long", "/a/b/"))
+    configuration = RoutingConfiguration(1, routes, {})
+    assert configuration.match("h", "/a/b/c").name == "long"
+    assert configuration.match("h", "/a/c").name == "short"
+    assert configuration.match("h", "/b/") is None
+    assert configuration.match("other", "/a/") is None
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        (RouteKind.SAFE, False, True),
+        (RouteKind.UNSAFE, True, False),
+        (RouteKind.STREAM, False, False),
+        (RouteKind.STREAM, True, True),
+    ],
+)
+def test_what_may_run_again(kind, resumable, repeatable):
+    assert route(kind=kind, resumable=resumable).repeatable is repeatable
+
+
+def test_an_older_list_changes_nothing():
+    directory = WorkerDirectory()
+    directory.replace_all([(worker(1), 5)], 9, now=0.0)
+    assert not directory.replace_all([], 8, now=1.0)
+    directory.put(worker(1, draining=True), 4, now=1.0)
+    assert [found.worker_id for found in directory.serving("s", 1.0)] == ["w1"]
+
+
+def test_a_leaving_worker_is_a_last_resort_for_a_while():
+    directory = WorkerDirectory()
+    directory.put(worker(1), 1, now=0.0)
+    directory.put(worker(2), 2, now=0.0)
+    directory.put(worker(1, draining=True), 3, now=10.0)
+    assert [found.worker_id for found in directory.serving("s", 10.1)] == ["w2"]
+    directory.remove("w2", 4, now=10.2)
+    assert {found.worker_id for found in directory.serving("s", 10.3)} == {"w1", "w2"}
+    assert [found.worker_id for found in directory.serving("s", 11.1)] == ["w2"]
+    assert directory.serving("s", 10.2 + LAST_RESORT_SECONDS) == []
+
+
+def test_a_reused_address_belongs_to_the_new_worker_alone():
+    directory = WorkerDirectory()
+    directory.put(worker(1, address="10.0.0.9:80"), 1, now=0.0)
+    directory.put(worker(2, service="other", address="10.0.0.9:80"), 2, now=0.0)
+    assert directory.serving("s", 0.0) == []
+    assert [found.worker_id for found in directory.serving("other", 0.0)] == ["w2"]
+
+
+def test_a_worker_that_comes_back_serves_again():
+    directory = WorkerDirectory()
+    directory.put(worker(1), 1, now=0.0)
+    directory.remove("w1", 2, now=1.0)
+    directory.put(worker(1), 3, now=5.0)
+    assert [found.worker_id for found in directory.serving("s", 9.0)] == ["w1"]
+
+
+def test_failures_in_a_row_are_avoided_longer_up_to_a_bound():
+    loads = LoadTable()
+    waits = []
+    for _ in range(6):
+        loads.failed("w1", 0.0)
+        waits.append(loads.of("w1").avoid_until)
+    assert waits == sorted(waits)
+    assert waits[-1] == FAILURE_SECONDS_MAXIMUM
+    loads.answered("w1")
+    loads.failed("w2", 0.0)
+    assert loads.of("w1").failures == 0
+
+
+def test_the_least_loaded_worker_of_the_own_zone_is_chosen():
+    loads = LoadTable()
+    workers = [worker(1), worker(2), worker(3, zone="far")]
+    loads.began("w1")
+    assert choose(workers, loads, Wish("z"), 0.0, 0.0).worker.worker_id == "w2"
+    loads.began("w2")
+    assert choose(workers, loads, Wish("z"), 0.0, 0.0).worker.worker_id == "w3"
+
+
+def test_the_lines_last_worker_is_preferred_until_it_is_busy():
+    loads = LoadTable()
+    workers = [worker(1), worker(2)]
+    wish = Wish("z", last_worker="w1")
+    loads.began("w1")
+    assert choose(workers, loads, wish, 0.0, 0.0).worker.worker_id == "w1"
+    for _ in range(3):
+        loads.began("w1")
+    assert choose(workers, loads, wish, 0.0, 0.0).worker.worker_id == "w2"
+
+
+def test_avoided_workers_come_last_and_offered_ones_never():
+    loads = LoadTable()
+    workers = [worker(1), worker(2)]
+    loads.shed("w1", 0.0)
+    assert choose(workers, loads, Wish("z"), 0.0, 0.0).worker.worker_id == "w2"
+    assert choose(workers, loads, Wish("z", excluded={"w2"}), 0.0, 0.0).worker.worker_id == "w1"
+    assert choose(workers, loads, Wish("z", excluded={"w1", "w2"}), 0.0, 0.0) is None
+    assert not loads.of("w1").avoided(SHED_SECONDS)
+
+
+@given(st.lists(st.integers(1, 9), min_size=2, max_size=5), st.integers(50, 200))
+def test_shares_follow_weights_over_any_run(weights, requests):
+    shares = ServiceShares()
+    split = route(backends=tuple((f"s{number}", weight) for number, weight in enumerate(weights)))
+    counts = [0] * len(weights)
+    for _ in range(requests):
+        counts[int(shares.order(split)[0][1:])] += 1
+    for count, weight in zip(counts, weights, strict=True):
+        assert abs(count - requests * weight / sum(weights)) <= len(weights)
+
+
+def test_a_service_without_weight_gets_nothing():
+    shares = ServiceShares()
+    split = route(backends=(("s", 1.0), ("off", 0.0)))
+    assert {tuple(shares.order(split)) for _ in range(9)} == {("s",)}
+
+
+@given(st.integers(0, 50), st.integers(0, 50))
+def test_a_higher_rank_is_never_less_urgent(first, second):
+    assert MOST_URGENT <= urgency_of(first) <= LEAST_URGENT
+    if first < second:
+        assert urgency_of(first) <= urgency_of(second)
+
+
+@given(st.data())
+def test_events_come_out_whole_however_the_bytes_are_cut(data):
+    events = [f"id: {number}\ndata: t{number}\n\n".encode() for number in range(1, 6)]
+    stream = b"".join(events)
+    framer = EventFramer()
+    found = []
+    while stream:
+        size = data.draw(st.integers(1, len(stream)))
+        found += framer.feed(stream[:size])
+        stream = stream[size:]
+    assert [event.raw for event in found] == events
+    assert [event.event_id for event in found] == [1, 2, 3, 4, 5]
+    assert [event.data for event in found] == [b"t1", b"t2", b"t3", b"t4", b"t5"]
+    assert not framer.pending
+
+
+def test_a_cut_event_is_pending_and_not_given_out():
+    framer = EventFramer()
+    assert framer.feed(b"id: 1\ndata: whole\n\nid: 2\nda")[0].event_id == 1
+    assert framer.pending
+
+
+def test_an_event_of_several_data_lines_is_one_text():
+    (event,) = EventFramer().feed(b"data: one\ndata: two\n\n")
+    assert event.data == b"one\ntwo"
+    assert event.event_id is None
