--- a/src/foxwinch/bench/capacity/page.py
+++ b/src/foxwinch/bench/capacity/page.py
@@ -37,6 +37,12 @@
 """
 
 
+SERVING_NODE = (
+    "- These lines are of `foxwinch node`. `foxwinch serve`, the node on the users' platform, has\n"
+    "  been played with 11 to 13 machines only; see design/platform.md.\n"
+)
+
+
 def render(measurements: Path) -> str:
     """Return the page for the measurements in a directory."""
     size, limits = DesignSize(), Limits()
@@ -195,7 +201,8 @@
             *_over_limit(fleet),
             f"- Not driven by the hollow fleet yet: {', '.join(absent)}.",
             f"- Keys without a figure: {', '.join(keys) or 'none'}.",
-            f"- Lines without a measurement: {_unmeasured(sections)}.\n",
+            f"- Lines without a measurement: {_unmeasured(sections)}.",
+            SERVING_NODE,
         ]
     )
 
