Read the store's pages as of the first, and store a resumed turn whole

Cause, found by reading: a table of more than 500 rows, or a turn of more than 1 MB, comes in pages, and the version of the last page was taken, so a change between two pages was never heard; ranges were read for one page only. A caller's resumption on a retained route would have stored only the events from there. Change: pages are read on, with the first page's version; on retained routes the worker runs the turn from its start and the caller gets what it lacks. Refusals of the store are logged with their cause. Tests first: a store that pages and changes between pages, and a resumed turn.

--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -26,6 +26,8 @@
 """For the answer of a call that the store holds open."""
 KEPT_SECONDS = 10.0
 READ_LIMIT = 500
+AFTER_KEY = "\x01"
+"""Behind a key it makes the start of what follows that key."""
 STATUS_DONE = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
@@ -90,30 +92,37 @@
 
     async def read(self, first: RowKey, end_key: str, timeout_seconds: float) -> RowsRead | Refused:
         """Read the rows of a partition from `first` up to `end_key`."""
-        query = {
-            "table": first.table,
-            "part": first.partition,
-            "from": first.key,
-            "target_version": end_key,
-            "limit": str(READ_LIMIT),
-        }
-        answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
-        return _rows_read(answer)
+        return await self._read_pages(
+            {
+                "table": first.table,
+                "part": first.partition,
+                "from": first.key,
+                "target_version": end_key,
+            },
+            timeout_seconds,
+        )
 
     async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
-        """Read all rows of a table whose partition is empty, page by page."""
+        """Read all rows of a table whose partition is empty."""
+        return await self._read_pages({"table": table, "part": "", "from": ""}, timeout_seconds)
+
+    async def _read_pages(
+        self, query: dict[str, str], timeout_seconds: float
+    ) -> RowsRead | Refused:
+        """Read page by page; the version is the first page's, so that no later change is missed."""
         rows: list[StoredRow] = []
-        start = ""
+        version: int | None = None
+        query = {**query, "limit": str(READ_LIMIT)}
         while True:
-            query = {"table": table, "part": "", "from": start, "limit": str(READ_LIMIT)}
             answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
             read = _rows_read(answer)
             if isinstance(read, Refused):
                 return read
             rows += read.rows
+            version = read.version if version is None else version
             if not read.more or not read.rows:
-                return RowsRead(tuple(rows), False, read.version, read.now_ms)
-            start = read.rows[-1].row.key + "\x01"
+                return RowsRead(tuple(rows), False, version, read.now_ms)
+            query["from"] = read.rows[-1].row.key + AFTER_KEY
 
     async def changes(
         self, table: str, after_version: int, wait_seconds: float
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -115,6 +115,7 @@
         self._settle(attempts.request, None)
         if isinstance(prompt, NoSuchTurn):
             return RejectedRequest(Rejection.NO_SUCH_TURN, "no_such_turn")
+        self._note_refused("history_refused", attempts.request, prompt)
         return _store_refused(prompt)
 
     async def _undo(
@@ -159,8 +160,18 @@
                 )
                 return RejectedRequest(Rejection.BUDGET_SPENT, "budget_spent")
             case Refused():
+                self._note_refused("budget_refused", request, outcome)
                 return _store_refused(outcome)
 
+    def _note_refused(self, event: str, request: ServiceRequest, refused: Refused) -> None:
+        log.info(
+            event,
+            request=request.request_id,
+            reason=refused.reason.value,
+            detail=refused.detail,
+            waited_ms=int(1e3 * (self._clock.monotonic() - request.received_at)),
+        )
+
     def _settle(self, request: ServiceRequest, summary: StreamSummary | None) -> None:
         if request.program is None or request.budget_tokens is None or request.model is None:
             return
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -34,6 +34,14 @@
     begun: bool = False
     data: list[bytes] = field(default_factory=list)
     """Data of the events, kept where the turn is retained."""
+    caller_has: int | None = None
+    """Id of the last event that the caller got in an earlier try."""
+
+    def had(self, event: StreamEvent) -> bool:
+        """Tell whether the caller got an event in an earlier try."""
+        if self.caller_has is None or event.event_id is None:
+            return False
+        return event.event_id <= self.caller_has
 
     @property
     def tokens(self) -> int:
@@ -70,7 +78,12 @@
     ) -> str:
         """Serve a stream; returns how it ended."""
         attempts.body = prompt.body
-        attempts.last_event_id = attempts.request.last_event_id
+        if attempts.route.retained:
+            # The stored turn must be whole: the worker runs it from the start, and what the caller
+            # has already is not sent again.
+            summary.caller_has = attempts.request.last_event_id
+        else:
+            attempts.last_event_id = attempts.request.last_event_id
         try:
             async with asyncio.timeout(max(0.0, attempts.end_at - self._clock.monotonic())):
                 rejected = await self._try_workers(attempts, prompt, caller, summary)
@@ -128,8 +141,9 @@
                 await caller.begin(head)
                 took = self._clock.monotonic() - attempts.request.received_at
                 self._metrics.first_seconds.labels("stream").observe(took)
-            self._count(events, attempts, summary)
-            await caller.send(b"".join(event.raw for event in events))
+            new = self._count(events, attempts, summary)
+            if new:
+                await caller.send(b"".join(event.raw for event in new))
         if framer.pending or not summary.begun:
             return _Ended.BROKEN
         return _Ended.COMPLETE
@@ -141,14 +155,23 @@
         await caller.answer(taken.answer.head, body)
         return _Ended.PASSED_ON
 
-    def _count(self, events: list[StreamEvent], attempts: Attempts, summary: StreamSummary) -> None:
-        """Count events before they are handed on: what may have arrived counts as spent."""
+    def _count(
+        self, events: list[StreamEvent], attempts: Attempts, summary: StreamSummary
+    ) -> list[StreamEvent]:
+        """Count events before they are handed on: what may have arrived counts as spent.
+
+        Returns those that the caller does not have.
+        """
+        new: list[StreamEvent] = []
         for event in events:
-            summary.events += 1
+            if not summary.had(event):
+                summary.events += 1
+                new.append(event)
             if event.event_id is not None:
                 summary.last_event_id = event.event_id
             if attempts.route.retained:
                 summary.data.append(event.data)
+        return new
 
     async def _complete(
         self,
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -203,6 +203,25 @@
         ]
 
 
+async def test_a_resumed_turn_is_stored_whole():
+    async with site_of(StandInWorker(STREAM_ANSWER)) as site:
+        node = await site.start_node()
+        resumed = await site.turn(node, "t1", path=RETAINED, body=b"one", Last_Event_Id=2)
+        assert resumed.body == events(3, 3)[0]
+        await site.turn(node, "t2", path=RETAINED, body=b"two", Previous_Turn="t1")
+        first, second = site.workers[0].received
+        assert first["Last-Event-Id"] is None
+        assert second.body == b"one" + b"token1\ntoken2\ntoken3\n" + b"two"
+
+
+async def test_a_resumed_turn_that_is_not_kept_goes_on_at_the_worker():
+    async with site_of(StandInWorker(Answer(body=None, pieces=events(3, 4)))) as site:
+        node = await site.start_node()
+        resumed = await site.turn(node, "t1", Last_Event_Id=2)
+        assert resumed.body == b"".join(events(3, 4))
+        assert site.workers[0].received[0]["Last-Event-Id"] == "2"
+
+
 async def test_a_large_turn_is_kept_whole():
     async with site_of(StandInWorker(STREAM_ANSWER)) as site:
         first, second = await site.start_node(), await site.start_node()
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,95 @@
+"""The client of the platform's store against a server that pages its answers."""
+
+import base64
+
+import pytest
+from aiohttp import web
+
+from foxwinch.outcomes import Refused, RunState
+from foxwinch.platform.store_client import PlatformStore
+from foxwinch.records.ports import HistoryLost, RowKey
+from foxwinch.serving.metrics import ServingMetrics
+
+PAGE = 2
+
+
+class PagingServer:
+    """Five rows, two a page; the table changes with every page that is read."""
+
+    def __init__(self):
+        self.version = 10
+        self.keys = ["a", "b", "b/1", "c", "d"]
+        self.status = 200
+
+    async def read(self, request):
+        if self.status != 200:
+            return web.Response(status=self.status)
+        start, end = request.query["from"], request.query.get("target_version")
+        keys = [key for key in self.keys if key >= start and (end is None or key < end)]
+        rows = [
+            {"table": "t", "part": "", "tls_key": key, "value": _encoded(key), "ver": 1}
+            for key in keys[:PAGE]
+        ]
+        self.version += 1
+        document = {"rows": rows, "more": len(keys) > PAGE, "ver": self.version, "now_ms": 5}
+        return web.json_response(document)
+
+
+def _encoded(key):
+    return base64.b64encode(key.encode()).decode()
+
+
+@pytest.fixture
+async def served():
+    server = PagingServer()
+    application = web.Application()
+    application.router.add_get("/v1/rows-get", server.read)
+    application.router.add_get("/v1/rows-feed", server.read)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0]
+    store = PlatformStore(f"{host}:{port}", ServingMetrics())
+    yield server, store
+    await store.close()
+    await runner.cleanup()
+
+
+async def test_a_table_is_read_over_all_its_pages_as_of_the_first(served):
+    _, store = served
+    read = await store.read_table("t", 5.0)
+    assert [row.row.key for row in read.rows] == ["a", "b", "b/1", "c", "d"]
+    assert [row.value for row in read.rows][2] == b"b/1"
+    assert read.version == 11
+
+
+async def test_a_range_is_read_over_all_its_pages(served):
+    _, store = served
+    read = await store.read(RowKey("t", "", "b"), "d", 5.0)
+    assert [row.row.key for row in read.rows] == ["b", "b/1", "c"]
+
+
+@pytest.mark.parametrize(
+    ("status", "run_state"),
+    [(503, RunState.NOT_RUN), (429, RunState.NOT_RUN), (500, RunState.UNKNOWN)],
+)
+async def test_refusals_tell_whether_anything_was_done(served, status, run_state):
+    server, store = served
+    server.status = status
+    read = await store.read_table("t", 5.0)
+    assert isinstance(read, Refused)
+    assert read.run_state is run_state
+
+
+async def test_a_lost_history_is_told(served):
+    server, store = served
+    server.status = 410
+    assert isinstance(await store.changes("t", 1, 0.1), HistoryLost)
+
+
+async def test_a_store_that_is_not_there_did_nothing():
+    store = PlatformStore("127.0.0.1:1", ServingMetrics())
+    read = await store.read_table("t", 5.0)
+    await store.close()
+    assert isinstance(read, Refused)
+    assert read.run_state is RunState.NOT_RUN
