Remove what nothing calls on the users' platform, and bound the loads that a node remembers

Cause, found by reading: loads of workers that left were kept for ever; calls of other nodes were logged as 0.0 although nothing tells them; five functions had no caller. Behaviour towards callers and workers is the same.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -106,11 +106,6 @@
         """Return every worker that is listed and not leaving."""
         return [known.worker for known in self._known.values() if known.leaving_since is None]
 
-    def is_leaving(self, worker_id: str) -> bool:
-        """Tell whether a worker drains or is gone."""
-        known = self._known.get(worker_id)
-        return known is None or known.leaving_since is not None
-
     def forget_gone(self, now: float, after_seconds: float) -> list[str]:
         """Drop workers that left more than `after_seconds` ago; returns their ids."""
         gone = [
--- a/src/foxwinch/core/routing/load.py
+++ b/src/foxwinch/core/routing/load.py
@@ -12,6 +12,8 @@
 """After the first failure; doubled with each one in a row."""
 FAILURE_SECONDS_MAXIMUM = 3.2
 FAILURE_DOUBLINGS = 3
+LOADS_MAXIMUM = 8_192
+"""Above the workers of the design size; beyond it, workers without a call under way are forgotten."""
 
 
 @dataclass(slots=True)
@@ -20,8 +22,6 @@
 
     in_flight: int = 0
     """Calls of this node under way there."""
-    elsewhere: float = 0.0
-    """Calls of other nodes under way there, as last told."""
     failures: int = 0
     """Failures in a row."""
     avoid_until: float = 0.0
@@ -43,6 +43,8 @@
         """Return the load of a worker, empty for one that is new."""
         load = self._loads.get(worker_id)
         if load is None:
+            if len(self._loads) >= LOADS_MAXIMUM:
+                self._loads = {key: held for key, held in self._loads.items() if held.in_flight}
             load = self._loads[worker_id] = WorkerLoad()
         return load
 
@@ -70,13 +72,3 @@
         wait = FAILURE_SECONDS * 2.0 ** min(load.failures, FAILURE_DOUBLINGS)
         load.failures += 1
         load.avoid_until = max(load.avoid_until, now + min(wait, FAILURE_SECONDS_MAXIMUM))
-
-    def in_flight(self) -> dict[str, int]:
-        """Return this node's calls under way by worker."""
-        return {worker: load.in_flight for worker, load in self._loads.items() if load.in_flight}
-
-    def forget(self, worker_id: str) -> None:
-        """Drop a worker that is gone, unless calls are still under way there."""
-        load = self._loads.get(worker_id)
-        if load is not None and load.in_flight == 0:
-            del self._loads[worker_id]
--- a/src/foxwinch/core/routing/selection.py
+++ b/src/foxwinch/core/routing/selection.py
@@ -23,7 +23,6 @@
     cost: float
     candidates: int
     in_flight: int
-    elsewhere: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,13 +51,13 @@
     best = min(turned, key=lambda worker: cost_of(worker, loads, wish, now))
     load = loads.of(best.worker_id)
     cost = cost_of(best, loads, wish, now)
-    return Choice(best, cost, len(candidates), load.in_flight, load.elsewhere)
+    return Choice(best, cost, len(candidates), load.in_flight)
 
 
 def cost_of(worker: Worker, loads: LoadTable, wish: Wish, now: float) -> float:
     """Return the cost of a worker, in parts of its slots."""
     load = loads.of(worker.worker_id)
-    cost = (load.in_flight + load.elsewhere) / max(1, worker.slots)
+    cost = load.in_flight / max(1, worker.slots)
     if worker.zone != wish.zone:
         cost += OTHER_ZONE_COST
     if worker.worker_id == wish.last_worker:
--- a/src/foxwinch/records/turns.py
+++ b/src/foxwinch/records/turns.py
@@ -13,7 +13,7 @@
 
 from foxwinch.clock import Clock
 from foxwinch.core.records.turn import Turn
-from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.records.partitions import partition_of
 from foxwinch.records.ports import (
     Conflict,
@@ -165,8 +165,3 @@
 
 def _size_of(turn: Turn) -> int:
     return len(turn.input) + len(turn.output) + 32 * len(turn.ancestors) + 256
-
-
-def lost_or_refused(refused: Refused) -> bool:
-    """Tell whether the effect of a refused call is unknown."""
-    return refused.run_state is not RunState.NOT_RUN
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -1,6 +1,5 @@
 """Offers one request to workers until one takes it, within the route's bounds."""
 
-import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -151,7 +150,6 @@
                     cost=f"{choice.cost:.3f}",
                     candidates=choice.candidates,
                     own_calls=choice.in_flight,
-                    other_calls=f"{choice.elsewhere:.1f}",
                     list_version=directory.version,
                     left_ms=int(1e3 * (attempts.end_at - now)),
                 )
@@ -205,8 +203,3 @@
         return RejectedRequest(Rejection.NOT_RUN, "no_worker", NO_WORKER_RETRY_SECONDS)
     retry_after = shed.retry_after_seconds or SHED_RETRY_SECONDS
     return RejectedRequest(Rejection.NOT_RUN, "workers_full", retry_after)
-
-
-async def within(clock: Clock, end_at: float) -> asyncio.Timeout:
-    """Return a time limit that ends at `end_at` on the node's clock."""
-    return asyncio.timeout(max(0.0, end_at - clock.monotonic()))
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -62,7 +62,6 @@
     """Another worker has the address."""
     BROKEN_OFF = "broken_off"
     MALFORMED = "malformed"
-    LATE = "late"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -11,7 +11,12 @@
     WeightedService,
 )
 from foxwinch.core.routing.directory import LAST_RESORT_SECONDS, Worker, WorkerDirectory
-from foxwinch.core.routing.load import FAILURE_SECONDS_MAXIMUM, SHED_SECONDS, LoadTable
+from foxwinch.core.routing.load import (
+    FAILURE_SECONDS_MAXIMUM,
+    LOADS_MAXIMUM,
+    SHED_SECONDS,
+    LoadTable,
+)
 from foxwinch.core.routing.selection import Wish, choose
 from foxwinch.core.routing.shares import ServiceShares
 from foxwinch.core.routing.urgency import LEAST_URGENT, MOST_URGENT, urgency_of
@@ -98,6 +103,16 @@
     assert loads.of("w1").failures == 0
 
 
+def test_workers_that_come_and_go_are_forgotten_but_for_calls_under_way():
+    loads = LoadTable()
+    loads.began("busy")
+    for number in range(LOADS_MAXIMUM):
+        loads.of(f"gone{number}")
+    assert loads.of("busy").in_flight == 1
+    loads.ended("busy")
+    assert loads.of("busy").in_flight == 0
+
+
 def test_the_least_loaded_worker_of_the_own_zone_is_chosen():
     loads = LoadTable()
     workers = [worker(1), worker(2), worker(3, zone="far")]
