--- a/src/foxwinch/core/routing/load.py
+++ b/src/foxwinch/core/routing/load.py
@@ -13,7 +13,7 @@
 FAILURE_SECONDS_MAXIMUM = 3.2
 FAILURE_DOUBLINGS = 3
 LOADS_MAXIMUM = 8_192
-"""Above the workers of the design size; beyond it, workers without a call under way are forgotten."""
+"""Above the workers of the design size; beyond it, workers without a call are forgotten."""
 
 
 @dataclass(slots=True)
