--- a/tests/test_serve_command.py
+++ b/tests/test_serve_command.py
@@ -113,3 +113,12 @@
         await read_until(process.stdout, "event=stopped")
         await process.communicate()
         assert process.returncode == 0
+
+
+def test_a_deployed_node_gets_the_versions_that_are_tested():
+    pins = re.compile(r"^([a-z-]+)==([\w.]+)", re.MULTILINE)
+    deployed = dict(pins.findall((ROOT / "deploy" / "requirements.lock").read_text()))
+    tested = dict(pins.findall((ROOT / "requirements.lock").read_text()))
+    declared = dict(pins.findall((ROOT / "deploy" / "requirements.in").read_text()))
+    assert declared.items() <= deployed.items()
+    assert deployed.items() <= tested.items()
