--- a/src/foxwinch/cli/settings.py
+++ b/src/foxwinch/cli/settings.py
@@ -1,15 +1,24 @@
 """`foxwinch settings schema`."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
 import cappa
 
 from foxwinch.cli.help import examples
+from foxwinch.platform.settings import ServeSettings
+from foxwinch.settings.base import StrictModel
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
 
+MODELS: Mapping[str, type[StrictModel]] = {
+    "node": NodeSettings,
+    "cluster": ClusterConfiguration,
+    "serve": ServeSettings,
+}
+
 
 @cappa.command(
     name="schema",
@@ -21,14 +30,15 @@
     """Print a JSON Schema."""
 
     document: Annotated[
-        Literal["node", "cluster"],
-        cappa.Arg(help="node: settings of one process; cluster: the configuration of all"),
+        Literal["node", "cluster", "serve"],
+        cappa.Arg(
+            help="node, serve: settings of one process; cluster: the configuration of all nodes"
+        ),
     ]
 
     def __call__(self) -> None:
         """Print."""
-        model = NodeSettings if self.document == "node" else ClusterConfiguration
-        print(json.dumps(model.model_json_schema(), indent=2))
+        print(json.dumps(MODELS[self.document].model_json_schema(), indent=2))
 
 
 @cappa.command(name="settings", help="What settings files may hold.")
--- a/tests/test_serve_command.py
+++ b/tests/test_serve_command.py
@@ -1,6 +1,7 @@
 """`foxwinch serve` as a process: settings that are refused, start, reload and stop."""
 
 import asyncio
+import json
 import re
 import signal
 import sys
@@ -8,6 +9,7 @@
 
 import pytest
 
+from foxwinch.cli.settings import SettingsSchemaCommand
 from foxwinch.platform.settings import load_serve_settings
 from foxwinch.settings.base import SettingsError
 from platform_site import SAFE, PlatformSite, configuration
@@ -51,6 +53,11 @@
     assert not isinstance(load_serve_settings(ROOT / "examples" / "serve.toml"), SettingsError)
 
 
+def test_the_schema_of_the_settings_is_printed(capsys):
+    SettingsSchemaCommand(document="serve")()
+    assert "grace_seconds" in json.loads(capsys.readouterr().out)["properties"]
+
+
 async def run(*arguments, **environment):
     return await asyncio.create_subprocess_exec(
         sys.executable,
