--- a/src/foxwinch/_generated/operator_grpc.py
+++ b/src/foxwinch/_generated/operator_grpc.py
@@ -22,10 +22,6 @@
     async def ListWorkers(self, stream: 'grpclib.server.Stream[foxwinch._generated.operator_pb2.ListWorkersRequest, foxwinch._generated.operator_pb2.ListWorkersResponse]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def ListShards(self, stream: 'grpclib.server.Stream[foxwinch._generated.operator_pb2.ListShardsRequest, foxwinch._generated.operator_pb2.ListShardsResponse]') -> None:
-        pass
-
     @abc.abstractmethod
     async def ListPrograms(self, stream: 'grpclib.server.Stream[foxwinch._generated.operator_pb2.ListProgramsRequest, foxwinch._generated.operator_pb2.ListProgramsResponse]') -> None:
         pass
@@ -80,12 +76,6 @@
                 foxwinch._generated.operator_pb2.ListWorkersRequest,
                 foxwinch._generated.operator_pb2.ListWorkersResponse,
             ),
-            '/foxwinch.v1.Operator/ListShards': grpclib.const.Handler(
-                self.ListShards,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                foxwinch._generated.operator_pb2.ListShardsRequest,
-                foxwinch._generated.operator_pb2.ListShardsResponse,
-            ),
             '/foxwinch.v1.Operator/ListPrograms': grpclib.const.Handler(
                 self.ListPrograms,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -164,12 +154,6 @@
             foxwinch._generated.operator_pb2.ListWorkersRequest,
             foxwinch._generated.operator_pb2.ListWorkersResponse,
         )
-        self.ListShards = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/foxwinch.v1.Operator/ListShards',
-            foxwinch._generated.operator_pb2.ListShardsRequest,
-            foxwinch._generated.operator_pb2.ListShardsResponse,
-        )
         self.ListPrograms = grpclib.client.UnaryUnaryMethod(
             channel,
             '/foxwinch.v1.Operator/ListPrograms',
--- a/src/foxwinch/bench/cluster_fuzz/oracle.py
+++ b/src/foxwinch/bench/cluster_fuzz/oracle.py
@@ -81,7 +81,7 @@
     if numbers != sorted(set(numbers)):
         raise PropertyError(ORDER, f"{program.name} has {numbers}")
     for call in told:
-        if not program.destroyed and not _is_kept(call, seen):
+        if not _is_kept(call, seen):
             raise PropertyError(HISTORY, f"the answer to {call.marker} is lost")
     for index, message in enumerate(details.history):
         if message.role == "assistant":
--- a/src/foxwinch/bench/fleet/detection.py
+++ b/src/foxwinch/bench/fleet/detection.py
@@ -1,10 +1,11 @@
 """How failure detection holds up under loss and pauses: one region on virtual time."""
 
+import math
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
 from foxwinch.bench.commit import current_commit
 from foxwinch.bench.fleet.fleet import Fleet, FleetShape
-from foxwinch.bench.fleet.measures import percentile
 from foxwinch.bench.fleet.network import NetworkModel
 from foxwinch.bench.fleet.node import HollowNode
 from foxwinch.core.membership.member import Member, MemberState
@@ -161,3 +162,11 @@
 
 def _rounded(value: float | None) -> float | None:
     return round(value, 3) if value is not None else None
+
+
+def percentile(values: Sequence[float], fraction: float) -> float | None:
+    """Return the value below which that fraction lies (nearest rank); None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(fraction * len(ordered)) - 1)]
--- a/src/foxwinch/cli/main.py
+++ b/src/foxwinch/cli/main.py
@@ -15,7 +15,6 @@
 from foxwinch.cli.programs import ProgramsCommand
 from foxwinch.cli.serve import ServeCommand
 from foxwinch.cli.settings import SettingsCommand
-from foxwinch.cli.shards import ShardsCommand
 from foxwinch.cli.workers import WorkersCommand
 
 
@@ -34,7 +33,6 @@
         | ProgramsCommand
         | NodesCommand
         | WorkersCommand
-        | ShardsCommand
         | SettingsCommand
         | FuzzCommand
         | BenchCommand
--- a/src/foxwinch/cli/node.py
+++ b/src/foxwinch/cli/node.py
@@ -47,11 +47,8 @@
         Path | None,
         cappa.Arg(long="--configuration", help="Cluster configuration to propose (TOML)"),
     ] = None
-    table_url: Annotated[
-        str | None, cappa.Arg(long="--table-url", help="Table service", group=PLATFORM)
-    ] = None
-    object_url: Annotated[
-        str | None, cappa.Arg(long="--object-url", help="Object store", group=PLATFORM)
+    store_url: Annotated[
+        str | None, cappa.Arg(long="--store-url", help="Shared store", group=PLATFORM)
     ] = None
     machines_url: Annotated[
         str | None, cappa.Arg(long="--machines-url", help="Machine list", group=PLATFORM)
@@ -90,8 +87,7 @@
             "peer_port": self.peer_port,
             "seeds": self.peers or None,
             "configuration_file": configuration,
-            "platform.table_url": self.table_url,
-            "platform.object_url": self.object_url,
+            "platform.store_url": self.store_url,
             "platform.machines_url": self.machines_url,
         }
 
--- a/src/foxwinch/cli/nodes.py
+++ b/src/foxwinch/cli/nodes.py
@@ -10,7 +10,7 @@
 from foxwinch.cli.help import examples
 from foxwinch.cli.output import print_message, print_table
 
-HEADINGS = ("node", "address", "zone", "region", "state", "revision", "shards", "running", "note")
+HEADINGS = ("node", "address", "zone", "region", "state", "revision", "programs", "running", "note")
 
 
 @cappa.command(
@@ -78,7 +78,7 @@
         node.region,
         node.state,
         node.configuration_revision,
-        node.owned_shards,
+        node.held_families,
         node.running_requests,
         "; ".join(notes),
     )
--- a/src/foxwinch/cli/programs.py
+++ b/src/foxwinch/cli/programs.py
@@ -17,7 +17,7 @@
     "template",
     "class",
     "state",
-    "owner",
+    "node",
     "calls",
     "tokens",
     "created",
@@ -69,7 +69,7 @@
 
 @cappa.command(
     name="show",
-    help="Show a program: owner, epoch, replicas, lag, and what was decided for each call.",
+    help="Show a program: the node that serves it, and what was decided for each call.",
     description=examples("foxwinch programs show P", "foxwinch programs show P --json"),
 )
 @dataclass(kw_only=True)
@@ -94,10 +94,7 @@
         facts = [
             ("parent", detail.parent_program_id or "-"),
             ("children", ",".join(detail.children) or "-"),
-            ("shard", detail.summary.shard),
-            ("epoch", detail.epoch),
-            ("replicas", ",".join(detail.replicas) or "-"),
-            ("records not yet stored", detail.unstored_records),
+            ("journal batches", detail.batches),
             ("cost", f"{detail.cost:g}"),
         ]
         print_table(("fact", "value"), facts)
@@ -141,7 +138,7 @@
         program.template,
         program.class_name,
         program.state,
-        program.owner,
+        program.node,
         program.calls,
         program.tokens,
         created.isoformat(timespec="seconds"),
--- a/src/foxwinch/commands/abandon_program.py
+++ b/src/foxwinch/commands/abandon_program.py
@@ -1,13 +1,13 @@
-"""An operator abandons a program that this node owns."""
+"""An operator abandons a program that this node serves."""
 
 from foxwinch.commands.end_program import end_program
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_family import HeldFamily
 from foxwinch.commands.operator import Accepted
 from foxwinch.commands.program_owner import ProgramOwner
 from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import ProgramId
-from foxwinch.node.interfaces import OwnedBy
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.records.families import ServedElsewhere
 
 OPERATOR_CAUSE = "asked by an operator"
 
@@ -16,19 +16,19 @@
     """Implements `foxwinch.commands.operator.ProgramAbandons`."""
 
     def __init__(self, owner: ProgramOwner) -> None:
-        """Abandon programs of the owner's shards."""
+        """Abandon programs of the owner's families."""
         self._owner = owner
 
     async def abandon(self, program_id: ProgramId) -> Accepted | Refused:
         """Cancel the program's calls, end its child programs and release its engine memory."""
-        held = self._owner.locate(root_of(program_id))
+        held = await self._owner.locate(root_of(program_id))
         if isinstance(held, Refused):
             return held
-        if isinstance(held, OwnedBy):
-            return not_run(Reason.NOT_OWNER, "another node owns the program", 1.0)
+        if isinstance(held, ServedElsewhere):
+            return not_run(Reason.NOT_OWNER, "another node serves the program", 1.0)
         return await self._abandon_held(held, program_id)
 
-    async def _abandon_held(self, held: HeldShard, program_id: ProgramId) -> Accepted | Refused:
+    async def _abandon_held(self, held: HeldFamily, program_id: ProgramId) -> Accepted | Refused:
         program = held.table.find(program_id)
         if program is None:
             return not_run(Reason.NOT_FOUND, f"program {program_id} is not known")
--- a/src/foxwinch/commands/apply_configuration.py
+++ b/src/foxwinch/commands/apply_configuration.py
@@ -28,8 +28,8 @@
     StoredHead,
 )
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
+from foxwinch.records.ports import Written
 from foxwinch.settings.cluster import ClusterConfiguration
-from foxwinch.storage.ports import Committed
 
 ATTEMPTS = 5
 """With the waits below, an operator has an answer within about 20 s of a store that is down."""
@@ -143,13 +143,10 @@
             change.revision, Revision(0), change.token, state.digest, Delta(state.entries)
         )
     outcome = await ports.store.commit(change, whole, head)
-    if isinstance(outcome, Committed):
+    if isinstance(outcome, Written):
         return ChangeAccepted(change.revision)
     if not isinstance(outcome, Refused):
         return not_run(Reason.CONFLICT, "the head has moved on", 0.0)
-    if outcome.reason is Reason.INVALID_REQUEST:
-        # The table knows the token from an attempt whose rows were encoded otherwise.
-        outcome = outcome_unknown(Reason.STORE_UNAVAILABLE, outcome.detail)
     progress.may_have_run |= outcome.run_state is not RunState.NOT_RUN
     return outcome
 
--- a/src/foxwinch/commands/end_program.py
+++ b/src/foxwinch/commands/end_program.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from foxwinch._generated.journal_pb2 import JournalRecord, ProgramFinished
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_family import HeldFamily
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.core.program.lifetime import PARENT_ENDED
 from foxwinch.core.program.state import Program
@@ -14,7 +14,7 @@
 
 
 async def end_program(
-    ports: ProgramPorts, held: HeldShard, program: Program, abandoned: bool, reason: str
+    ports: ProgramPorts, held: HeldFamily, program: Program, abandoned: bool, reason: str
 ) -> Refused | None:
     """End a program; None when it has ended (or had before).
 
@@ -35,7 +35,7 @@
 
 
 async def _end(
-    ports: ProgramPorts, held: HeldShard, program: Program, abandoned: bool, reason: str
+    ports: ProgramPorts, held: HeldFamily, program: Program, abandoned: bool, reason: str
 ) -> Refused | None:
     await _cancel_calls(held, program)
     for child_id in list(program.children):
@@ -57,7 +57,7 @@
     return refused
 
 
-async def _cancel_calls(held: HeldShard, program: Program) -> None:
+async def _cancel_calls(held: HeldFamily, program: Program) -> None:
     calls = [call for call in held.running.values() if call.program is program]
     for call in calls:
         call.cancel(ENDED_CAUSE)
--- a/src/foxwinch/commands/execute.py
+++ b/src/foxwinch/commands/execute.py
@@ -6,7 +6,7 @@
 from foxwinch._generated.journal_pb2 import CallAdmitted, JournalRecord, ProgramCreated
 from foxwinch.commands.call_lifecycle import CallLifecycle
 from foxwinch.commands.end_program import end_program
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_family import HeldFamily
 from foxwinch.commands.model_call import ModelCallDriver
 from foxwinch.commands.program_owner import ProgramOwner
 from foxwinch.commands.requests import (
@@ -38,7 +38,7 @@
 NOT_FOUND = not_run(Reason.NOT_FOUND, "the program is not known")
 CALL_NOT_FOUND = not_run(Reason.NOT_FOUND, "the call is not known")
 LEAVING = not_run(
-    Reason.DRAINING, "the program's owner is about to stop; another node takes over", 1.0
+    Reason.DRAINING, "the program's node is about to stop; another one takes over", 0.5
 )
 CALL_UNSETTLED = Refused(
     Reason.NOT_OWNER,
@@ -50,14 +50,14 @@
 
 
 class ProgramExecutor:
-    """Carries out requests on the programs of shards held here."""
+    """Carries out requests on the programs of families served here."""
 
     def __init__(self, owner: ProgramOwner) -> None:
-        """Use the owner's shards and ports."""
+        """Use the owner's ports."""
         self._owner = owner
         self._ports = owner.ports
 
-    def execute(self, held: HeldShard, request: ProgramRequest) -> AsyncIterator[ProgramEvent]:
+    def execute(self, held: HeldFamily, request: ProgramRequest) -> AsyncIterator[ProgramEvent]:
         """Start a request and iterate over its events."""
         match request:
             case ModelCallRequest():
@@ -75,7 +75,7 @@
             case HistoryRequest():
                 return self._read(held, request)
 
-    async def _read(self, held: HeldShard, request: HistoryRequest) -> AsyncIterator[ProgramEvent]:
+    async def _read(self, held: HeldFamily, request: HistoryRequest) -> AsyncIterator[ProgramEvent]:
         """Read a program once it is certain that no other node has taken it over."""
         refused = await held.confirm_read()
         if refused is not None:
@@ -87,7 +87,7 @@
     # --- calls ---------------------------------------------------------------------------
 
     def _model_call(
-        self, held: HeldShard, request: ModelCallRequest
+        self, held: HeldFamily, request: ModelCallRequest
     ) -> AsyncIterator[ProgramEvent]:
         document = self._document()
         if isinstance(document, Refused):
@@ -123,7 +123,7 @@
         self._owner.drive(opened, driver.run(intent))
         return opened.follow(request.resume_offset)
 
-    def _tool_call(self, held: HeldShard, request: ToolCallRequest) -> AsyncIterator[ProgramEvent]:
+    def _tool_call(self, held: HeldFamily, request: ToolCallRequest) -> AsyncIterator[ProgramEvent]:
         program = self._find(held, request)
         if program is None:
             return one_event(NOT_FOUND)
@@ -152,7 +152,7 @@
         self._owner.drive(opened, driver.run(intent))
         return opened.follow()
 
-    def _spawn(self, held: HeldShard, request: SpawnRequest) -> AsyncIterator[ProgramEvent]:
+    def _spawn(self, held: HeldFamily, request: SpawnRequest) -> AsyncIterator[ProgramEvent]:
         program = self._find(held, request)
         if program is None:
             return one_event(NOT_FOUND)
@@ -179,7 +179,7 @@
         return opened.follow()
 
     def _open(
-        self, held: HeldShard, program: Program, intent: CallIntent, offset: int
+        self, held: HeldFamily, program: Program, intent: CallIntent, offset: int
     ) -> RunningCall | AsyncIterator[ProgramEvent]:
         """Queue a new call, or return the events of the one that its key names already."""
         if program.program_id in held.ending:
@@ -205,7 +205,7 @@
             return one_event(LEAVING)
         return self._owner.open_call(held, program, intent.call_id, intent.idempotency_key)
 
-    def _attach(self, held: HeldShard, request: AttachRequest) -> AsyncIterator[ProgramEvent]:
+    def _attach(self, held: HeldFamily, request: AttachRequest) -> AsyncIterator[ProgramEvent]:
         program = self._find(held, request)
         if program is None:
             return one_event(NOT_FOUND)
@@ -217,7 +217,9 @@
             return self._follow(held, request.call_id, request.offset)
         return one_event(CALL_NOT_FOUND)
 
-    def _follow(self, held: HeldShard, call_id: CallId, offset: int) -> AsyncIterator[ProgramEvent]:
+    def _follow(
+        self, held: HeldFamily, call_id: CallId, offset: int
+    ) -> AsyncIterator[ProgramEvent]:
         running = held.running.get(call_id)
         if running is None:
             return one_event(CALL_UNSETTLED)
@@ -228,7 +230,9 @@
 
     # --- programs ------------------------------------------------------------------------
 
-    async def _create(self, held: HeldShard, request: CreateRequest) -> AsyncIterator[ProgramEvent]:
+    async def _create(
+        self, held: HeldFamily, request: CreateRequest
+    ) -> AsyncIterator[ProgramEvent]:
         template = self._template(request, request.template)
         if isinstance(template, Refused):
             yield template
@@ -247,7 +251,7 @@
             return
         yield program_details(known)
 
-    async def _end(self, held: HeldShard, request: EndRequest) -> AsyncIterator[ProgramEvent]:
+    async def _end(self, held: HeldFamily, request: EndRequest) -> AsyncIterator[ProgramEvent]:
         program = self._find(held, request)
         if program is None:
             yield NOT_FOUND
@@ -256,7 +260,7 @@
         yield program_details(program) if refused is None else refused
 
     def _create_on_first_use(
-        self, held: HeldShard, document: ClusterConfiguration, request: ModelCallRequest
+        self, held: HeldFamily, document: ClusterConfiguration, request: ModelCallRequest
     ) -> Program | Refused:
         """Create a program by its first call; it is committed with that call's intent."""
         if is_single_call(request.program_id) and not request.single_call:
@@ -270,7 +274,7 @@
         program = held.table.find(request.program_id)
         return NOT_FOUND if program is None else program
 
-    def _drop_if_unused(self, held: HeldShard, program: Program) -> None:
+    def _drop_if_unused(self, held: HeldFamily, program: Program) -> None:
         unused = not program.waiting and program.active is None
         if unused and held.uncommitted.pop(program.program_id, None) is not None:
             held.table.drop_uncommitted(program.program_id)
@@ -284,7 +288,7 @@
 
     # --- helpers -------------------------------------------------------------------------
 
-    def _find(self, held: HeldShard, request: ProgramRequest) -> Program | None:
+    def _find(self, held: HeldFamily, request: ProgramRequest) -> Program | None:
         program = held.table.find(request.program_id)
         return program if program is not None and program.tenant == request.tenant else None
 
--- a/src/foxwinch/commands/forward.py
+++ b/src/foxwinch/commands/forward.py
@@ -1,4 +1,4 @@
-"""Send a request on to the owner of its program, with one hop, and serve what others send on."""
+"""Send a request on to the node that serves its program, with one hop; serve what others send."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
@@ -13,16 +13,17 @@
 from foxwinch.commands.requests import ProgramRequest
 from foxwinch.core.program.call_events import FINAL_EVENTS, ProgramEvent
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
-from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort
+from foxwinch.peer.ports import PeerContext, PeerPort, parse_address
+from foxwinch.records.families import ServedElsewhere
 
 METHOD = "program"
 DEADLINE_SECONDS = 3_600.0
-"""Longest stream of one request; the owner ends calls much earlier by class and budget."""
+"""Longest stream of one request; the serving node ends calls much earlier by class and budget."""
 UNREACHABLE_RETRY_SECONDS = 1.0
 
 
 class Forwarder:
-    """Both ends of the hop between the node that a caller reached and the owner."""
+    """Both ends of the hop between the node that a caller reached and the one that serves."""
 
     def __init__(self, peers: PeerPort) -> None:
         """Use the streams between nodes."""
@@ -54,12 +55,16 @@
         self._peers.handle_stream(METHOD, handle)
 
     async def forward(
-        self, address: PeerAddress, request: ProgramRequest
+        self, served: ServedElsewhere, request: ProgramRequest
     ) -> AsyncIterator[ProgramEvent]:
-        """Send a request to the owner and iterate over the events that come back.
+        """Send a request to the node that serves it and iterate over the events that come back.
 
-        Closing the iterator closes the stream, so that the owner sees its follower go.
+        Closing the iterator closes the stream, so that the other node sees its follower go.
         """
+        address = parse_address(served.address)
+        if address is None:
+            yield not_run(Reason.PEER_UNREACHABLE, "the other node has no peer side")
+            return
         answers = self._peers.stream(address, METHOD, encode_request(request), DEADLINE_SECONDS)
         async with aclosing(cast(Any, answers)):
             async for answer in answers:
@@ -75,12 +80,12 @@
         yield Refused(
             Reason.PEER_UNREACHABLE,
             RunState.UNKNOWN,
-            "the owner of the program ended the stream early",
+            "the node that serves the program ended the stream early",
             UNREACHABLE_RETRY_SECONDS,
         )
 
 
 def _lost_hop(refused: Refused) -> Refused:
-    """Tell when to come back: another owner will have taken over."""
+    """Tell when to come back: another node will have taken over."""
     retry = refused.retry_after_seconds or UNREACHABLE_RETRY_SECONDS
     return Refused(refused.reason, refused.run_state, refused.detail, retry)
--- a/src/foxwinch/commands/held_shard.py
+++ b/src/foxwinch/commands/held_family.py
@@ -1,43 +1,46 @@
-"""A shard that this node owns: its programs, running calls and commits."""
+"""A family of programs that this node serves: its state, running calls and commits."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
-from foxwinch._generated.journal_pb2 import JournalRecord, ReadConfirmed
+from foxwinch._generated.journal_pb2 import JournalRecord
 from foxwinch.clock import Clock
 from foxwinch.commands.running_call import RunningCall
-from foxwinch.core.program.requests import Applied, Dropped
+from foxwinch.core.program.requests import Dropped
 from foxwinch.core.program.table import ProgramTable
-from foxwinch.identifiers import CallId, Epoch, ProgramId, ShardNumber
+from foxwinch.identifiers import CallId, ProgramId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import Appended, JournalView
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.records.families import FamilyJournal
 
 READ_RETRY_SECONDS = 0.5
-"""When to read again after too few replicas have confirmed a read."""
+"""When to read again after the store has not confirmed a read."""
 COMMIT_RETRY_SECONDS = 0.2
 """First pause between tries to commit an outcome; doubles up to `COMMIT_RETRY_LIMIT_SECONDS`."""
 COMMIT_RETRY_LIMIT_SECONDS = 2.0
+TAKEN_OVER = "another node has taken the program over"
+TAKEN_OVER_RETRY_SECONDS = 0.2
+"""The next try is sent on to the node that serves the program now."""
 COMMIT_PATIENCE_SECONDS = 2.0
 """How long a caller waits for an outcome to be committed before it is told `unknown`."""
 
 
-class HeldShard:
-    """The programs of one shard under one epoch."""
+class HeldFamily:
+    """A program with its sub-agents, until another node serves them."""
 
     def __init__(
         self,
-        shard: ShardNumber,
-        epoch: Epoch,
+        root: ProgramId,
         table: ProgramTable,
-        journal: JournalView,
+        journal: FamilyJournal,
         clock: Clock,
         log: EventLog,
+        on_lost: Callable[["HeldFamily"], None],
     ) -> None:
-        """Hold the shard until `lost` is set."""
-        self.shard = shard
-        self.epoch = epoch
+        """Serve the family of `root`; `on_lost` runs soon after another node is found to do so."""
+        self.root = root
         self.table = table
+        self.journal = journal
         self.running: dict[CallId, RunningCall] = {}
         self.uncommitted: dict[ProgramId, JournalRecord] = {}
         """Creations that go into the journal with the program's first call."""
@@ -46,35 +49,43 @@
         self.closing = False
         """True while this node is leaving and finishes only what it has accepted."""
         self.lost = False
-        self._journal = journal
+        self.opened_at_seconds = clock.monotonic()
         self._clock = clock
         self._log = log
+        self._on_lost = on_lost
+        journal.on_applied(self.apply)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of the family runs or waits here."""
+        return not self.running and not self.ending
 
     async def commit(self, records: Sequence[JournalRecord]) -> Refused | None:
         """Append records and apply them; returns the refusal when they are not committed."""
         if self.lost:
-            return lost_shard(RunState.NOT_RUN)
-        appended = await self._journal.append(self.shard, self.epoch, records)
-        if isinstance(appended, Appended):
+            return lost_family(RunState.NOT_RUN)
+        refused = await self.journal.append(records)
+        if refused is None:
             self.apply(records)
-            return None
-        return appended
+        self._look_for_loss(refused)
+        return refused
 
     async def confirm_read(self) -> Refused | None:
-        """Prove that no other node has taken the shard over; returns why that was not possible.
+        """Prove that no other node has taken the family over; returns why that was not possible.
 
-        An owner that is cut off or has slept would else read out what is no longer the newest.
+        A node that was cut off or has slept would else read out what is no longer the newest.
         """
-        refused = await self.commit([JournalRecord(read_confirmed=ReadConfirmed())])
+        refused = await self.journal.confirm()
         if refused is None:
             return None
+        self._look_for_loss(refused)
         retry = refused.retry_after_seconds or READ_RETRY_SECONDS
         return not_run(refused.reason, refused.detail, retry)
 
     async def commit_until_done(
         self, records: Sequence[JournalRecord], on_delay: Callable[[Refused], None]
     ) -> bool:
-        """Commit an outcome, however long it takes; False when the shard is lost first.
+        """Commit an outcome, however long it takes; False when the family is lost first.
 
         `on_delay` is called once when the wait is longer than a caller should bear. A record that
         is committed twice after an unknown first try is dropped when it is applied.
@@ -103,22 +114,12 @@
                 continue  # applied when its first call arrived
             applied = self.table.apply(record)
             if isinstance(applied, Dropped):
-                self._log.warning("record_dropped", shard=self.shard, cause=applied.cause)
-
-    def catch_up(self, records: Iterable[JournalRecord]) -> list[ProgramId]:
-        """Apply what the journal holds and this node has missed; the rest is known already.
+                self._log.warning("record_dropped", family=self.root, cause=applied.cause)
 
-        Returns the programs that have ended by it.
-        """
-        ended = []
-        for record in records:
-            restored = record.program_snapshot.created.program_id
-            if restored and self.table.find(ProgramId(restored)) is not None:
-                continue
-            applied = self.table.apply(record)
-            if isinstance(applied, Applied) and record.HasField("program_finished"):
-                ended.append(ProgramId(record.program_finished.program_id))
-        return ended
+    def _look_for_loss(self, refused: Refused | None) -> None:
+        """Give the family up once whoever asked has dealt with the refusal."""
+        if refused is not None and refused.reason is Reason.FENCED:
+            asyncio.get_running_loop().call_soon(self._on_lost, self)
 
     def advance(self, program_id: ProgramId) -> None:
         """Give the next waiting call of a program its turn."""
@@ -129,19 +130,19 @@
             running.turn.set_result(None)
 
     def lose(self) -> list[asyncio.Task[None]]:
-        """Stop all calls: another node owns the shard now; returns the tasks that are ending."""
+        """Stop all calls: another node serves the family now; returns the tasks that are ending."""
         self.lost = True
         calls = list(self.running.values())
         for call in calls:
-            call.end(lost_shard(RunState.UNKNOWN if call.intent_sent else RunState.NOT_RUN))
+            call.end(lost_family(RunState.UNKNOWN if call.intent_sent else RunState.NOT_RUN))
         tasks = [call.task for call in calls if call.task is not None]
         for task in tasks:
             task.cancel()
         return tasks
 
 
-def lost_shard(run_state: RunState) -> Refused:
-    """Return the refusal of a call whose shard has gone to another node."""
+def lost_family(run_state: RunState) -> Refused:
+    """Return the refusal of a call whose family has gone to another node."""
     if run_state is RunState.NOT_RUN:
-        return not_run(Reason.NOT_OWNER, "another node has taken the program over", 1.0)
-    return Refused(Reason.NOT_OWNER, run_state, "another node has taken the program over", 1.0)
+        return not_run(Reason.NOT_OWNER, TAKEN_OVER, TAKEN_OVER_RETRY_SECONDS)
+    return Refused(Reason.NOT_OWNER, run_state, TAKEN_OVER, TAKEN_OVER_RETRY_SECONDS)
--- a/src/foxwinch/commands/operator.py
+++ b/src/foxwinch/commands/operator.py
@@ -5,19 +5,23 @@
 from typing import Protocol
 
 from foxwinch.commands.apply_configuration import ApplyConfiguration
+from foxwinch.commands.ports import LocateFamily
 from foxwinch.core.configuration.change import ChangeAccepted
 from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId, WorkerId, ZoneName
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import MembershipView, MemberState, OwnedBy, OwnershipView
+from foxwinch.node.interfaces import MembershipView, MemberState
 from foxwinch.node.local import LocalConfiguration
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort
+from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort, parse_address
 from foxwinch.queries.configuration import NodeRevision
+from foxwinch.records.families import ServedElsewhere
 
 DRAIN_METHOD = "operator.drain"
 ABANDON_METHOD = "operator.abandon"
 COMMAND_SECONDS = 5.0
+GONE = frozenset({Reason.PEER_UNREACHABLE, Reason.NOT_OWNER})
+"""Refusals after which the node that was asked does not serve the program."""
 log = EventLog("operator")
 
 
@@ -50,7 +54,7 @@
     """Programs of this node that operators abandon."""
 
     async def abandon(self, program_id: ProgramId) -> Accepted | Refused:
-        """Abandon a program that this node owns and release what it holds."""
+        """Abandon a program that this node serves and release what it holds."""
         ...
 
 
@@ -105,13 +109,13 @@
     def __init__(
         self,
         membership: MembershipView,
-        ownership: OwnershipView,
+        locate: LocateFamily,
         peers: PeerPort | None,
         local: LocalCommands,
     ) -> None:
         """Pass on by `peers`; registers the handlers by which fellow nodes pass on to this one."""
         self._membership = membership
-        self._ownership = ownership
+        self._locate = locate
         self._peers = peers
         self._local = local
         if peers is not None:
@@ -133,12 +137,16 @@
         return await self._local.workers.drain_worker(worker)
 
     async def abandon_program(self, program_id: ProgramId) -> Accepted | Refused:
-        """Abandon a program at its owner."""
-        owner = self._ownership.locate(root_of(program_id))
-        if isinstance(owner, Refused):
-            return owner
-        if isinstance(owner, OwnedBy):
-            return await self._pass_on(owner.address, ABANDON_METHOD, program_id.encode())
+        """Abandon a program at the node that serves it, or here when that one is gone."""
+        root = root_of(program_id)
+        located = await self._locate(root)
+        if isinstance(located, Refused):
+            return located
+        if isinstance(located, ServedElsewhere):
+            answer = await self._abandon_at(located, program_id)
+            if not isinstance(answer, Refused) or answer.reason not in GONE:
+                return answer
+            await self._locate(root, located.node)
         log.info("program_abandon_asked", program=program_id)
         return await self._local.programs.abandon(program_id)
 
@@ -146,6 +154,14 @@
         """Put a checked document in force if `expected` is still the newest revision."""
         return await self._local.configuration.apply(command)
 
+    async def _abandon_at(
+        self, served: ServedElsewhere, program_id: ProgramId
+    ) -> Accepted | Refused:
+        address = parse_address(served.address)
+        if address is None:
+            return not_run(Reason.PEER_UNREACHABLE, "the other node has no peer side")
+        return await self._pass_on(address, ABANDON_METHOD, program_id.encode())
+
     def _drain_this_node(self) -> Accepted:
         log.info("node_drain_asked", node=self._membership.this_member().node)
         self._local.drain_node()
--- a/src/foxwinch/commands/ports.py
+++ b/src/foxwinch/commands/ports.py
@@ -1,17 +1,20 @@
 """What the commands of programs need of a node."""
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from foxwinch.backends.ports import GeneratePort, ToolPort
 from foxwinch.clock import Clock
 from foxwinch.commands.call_retries import CallRetries
+from foxwinch.commands.held_family import HeldFamily
+from foxwinch.identifiers import NodeId, ProgramId
 from foxwinch.node.interfaces import (
     ConfigurationView,
     GrantView,
-    JournalView,
     LimitView,
-    OwnershipView,
 )
+from foxwinch.outcomes import Refused
+from foxwinch.records.families import Families, ServedElsewhere
 
 DEFAULT_HISTORY_BYTES = 4 * 1024 * 1024
 
@@ -22,8 +25,7 @@
 
     clock: Clock
     configuration: ConfigurationView
-    ownership: OwnershipView
-    journal: JournalView
+    families: Families
     grants: GrantView
     limits: LimitView
     engine: GeneratePort
@@ -32,3 +34,13 @@
     """Longest history of one program."""
     retries: CallRetries = field(default_factory=CallRetries)
     """Circuits and budgets of repeats, shared by all calls of the node."""
+
+
+class LocateFamily(Protocol):
+    """Finds the node that serves a family; one that nobody serves is served here from then on."""
+
+    async def __call__(
+        self, root: ProgramId, over: NodeId | None = None
+    ) -> HeldFamily | ServedElsewhere | Refused:
+        """Return the family, or the node that serves it unless that is `over`."""
+        ...
--- a/src/foxwinch/commands/program_owner.py
+++ b/src/foxwinch/commands/program_owner.py
@@ -1,16 +1,16 @@
-"""The owner's side of programs: the shards held here, their calls, and how calls end.
+"""The programs that this node serves: their families, their calls, and how calls end.
 
-The journal's service calls `load_shard` after it has taken a shard over, `drop_shard` when it has
-lost one, and `snapshot_records` before it truncates a shard's journal.
+A family is opened by the first request for one of its programs. It is served until another node
+takes it over, or until all its programs are over and nobody may read them any more.
 """
 
 import asyncio
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Coroutine, Iterator
 from typing import Any, TypeVar
 
-from foxwinch._generated.journal_pb2 import CallAdmitted, JournalRecord
+from foxwinch._generated.journal_pb2 import CallAdmitted
 from foxwinch.commands.call_lifecycle import CallLifecycle
-from foxwinch.commands.held_shard import HeldShard, lost_shard
+from foxwinch.commands.held_family import HeldFamily, lost_family
 from foxwinch.commands.model_call import ModelCallDriver
 from foxwinch.commands.ports import ProgramPorts
 from foxwinch.commands.running_call import RunningCall
@@ -18,51 +18,86 @@
 from foxwinch.commands.tool_call import ToolCallDriver
 from foxwinch.core.program.identity import is_single_call
 from foxwinch.core.program.recovery import Recovery, decide, unknown_outcome
-from foxwinch.core.program.snapshot import snapshot_records
 from foxwinch.core.program.state import Call, Program
 from foxwinch.core.program.table import ProgramTable
-from foxwinch.identifiers import CallId, Epoch, ProgramId, ShardNumber
+from foxwinch.identifiers import CallId, NodeId, ProgramId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import OwnedBy, OwnedHere
-from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.outcomes import Reason, Refused, RunState
+from foxwinch.records.families import OpenedFamily, ServedElsewhere
 
 Result = TypeVar("Result")
 CLIENT_GONE = "client_gone"
 IDLE_POLL_SECONDS = 0.1
-LOADING_RETRY_SECONDS = 0.5
-"""When to ask again while a shard that was taken over is still being read."""
 
 
 class ProgramOwner:
-    """Holds the programs of the shards that this node owns."""
+    """Holds the families of programs that this node serves."""
 
     def __init__(self, ports: ProgramPorts) -> None:
-        """Start without shards."""
+        """Start without families."""
         self.ports = ports
         self.log = EventLog("programs")
-        self._shards: dict[ShardNumber, HeldShard] = {}
+        self.closing = False
+        """True while this node is leaving: what is idle is left to other nodes."""
+        self._families: dict[ProgramId, HeldFamily] = {}
+        self._opening: dict[ProgramId, asyncio.Task[HeldFamily | ServedElsewhere | Refused]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    # --- shards --------------------------------------------------------------------------
+    # --- families ------------------------------------------------------------------------
 
-    def load_shard(
-        self, shard: ShardNumber, epoch: Epoch, records: Iterable[JournalRecord]
-    ) -> None:
-        """Take a shard over: rebuild its programs and settle what was left running.
+    async def locate(
+        self, root: ProgramId, over: NodeId | None = None
+    ) -> HeldFamily | ServedElsewhere | Refused:
+        """Return the family of a root, served from now on if no other node serves it.
 
-        Called on the event loop once the epoch is held and the journal's tail is read. Under the
-        epoch that is held already, only what this node has missed is applied: calls go on.
+        A family that node `over` serves is taken over.
         """
-        present = self._shards.get(shard)
-        if present is not None and present.epoch == epoch:
-            for program_id in present.catch_up(records):
-                self.ports.grants.finish(program_id)
+        held = self._families.get(root)
+        if held is not None:
+            held.closing = self.closing
+            return held
+        opening = self._opening.get(root)
+        if opening is None:
+            opening = asyncio.get_running_loop().create_task(self._open(root, over))
+            self._opening[root] = opening
+            opening.add_done_callback(lambda _: self._opening.pop(root, None))
+        return await asyncio.shield(opening)
+
+    def held(self, root: ProgramId) -> HeldFamily | None:
+        """Return a family if this node serves it."""
+        return self._families.get(root)
+
+    def families(self) -> Iterator[HeldFamily]:
+        """Iterate over the families that this node serves."""
+        return iter(list(self._families.values()))
+
+    def held_count(self) -> int:
+        """Return how many families this node serves."""
+        return len(self._families)
+
+    def drop(self, held: HeldFamily) -> None:
+        """Give a family up: its running calls end truthfully, its programs leave memory."""
+        if self._families.get(held.root) is not held:
             return
-        self.drop_shard(shard)
-        table = ProgramTable(records)
-        held = HeldShard(shard, epoch, table, self.ports.journal, self.ports.clock, self.log)
-        self._shards[shard] = held
-        self.log.info("shard_loaded", shard=shard, epoch=epoch, programs=len(table))
+        del self._families[held.root]
+        self.log.info("family_dropped", family=held.root, running=len(held.running))
+        held.lose()
+
+    async def _open(
+        self, root: ProgramId, over: NodeId | None
+    ) -> HeldFamily | ServedElsewhere | Refused:
+        opened = await self.ports.families.open(root, over)
+        if not isinstance(opened, OpenedFamily):
+            return opened
+        return self._serve(root, opened)
+
+    def _serve(self, root: ProgramId, opened: OpenedFamily) -> HeldFamily:
+        """Rebuild a family's programs and settle what was left running."""
+        table = ProgramTable(opened.records)
+        held = HeldFamily(root, table, opened.journal, self.ports.clock, self.log, self.drop)
+        self._families[root] = held
+        if opened.records:
+            self.log.info("family_opened", family=root, programs=len(table))
         for program in table:
             self.ports.grants.adopt(program.program_id)
             if program.finished is not None:
@@ -70,45 +105,12 @@
             left = program.calls.get(program.active) if program.active is not None else None
             if left is not None:
                 self._recover(held, program, left)
-
-    def drop_shard(self, shard: ShardNumber) -> None:
-        """Give a shard up: its running calls end truthfully, its programs leave memory."""
-        held = self._shards.pop(shard, None)
-        if held is None:
-            return
-        self.log.info("shard_dropped", shard=shard, epoch=held.epoch, running=len(held.running))
-        held.lose()
-
-    def snapshot_records(self, shard: ShardNumber) -> list[JournalRecord]:
-        """Return the least records that rebuild the shard's programs; empty when not held.
-
-        Covers exactly what `append` has committed and this node has applied by now.
-        """
-        held = self._shards.get(shard)
-        if held is None:
-            return []
-        return snapshot_records(p for p in held.table if p.program_id not in held.uncommitted)
-
-    def shards(self) -> Iterator[HeldShard]:
-        """Iterate over the shards held."""
-        return iter(list(self._shards.values()))
-
-    def locate(self, root: ProgramId) -> HeldShard | OwnedBy | Refused:
-        """Find the shard of a program by the root of its family, or the node that holds it."""
-        located = self.ports.ownership.locate(root)
-        if not isinstance(located, OwnedHere):
-            return located
-        held = self._shards.get(located.shard)
-        if held is None:
-            detail = "the program's shard is being taken over"
-            return not_run(Reason.NOT_OWNER, detail, LOADING_RETRY_SECONDS)
-        held.closing = located.closing
         return held
 
     # --- calls ---------------------------------------------------------------------------
 
     def open_call(
-        self, held: HeldShard, program: Program, call_id: CallId, key: str
+        self, held: HeldFamily, program: Program, call_id: CallId, key: str
     ) -> RunningCall:
         """Return a new call of a program, to be driven by `drive`."""
         running = RunningCall(call_id, program, bool(key), self._unfollowed)
@@ -142,9 +144,9 @@
         return await asyncio.shield(task)
 
     async def stop(self) -> None:
-        """Drop every shard and end every task."""
-        for shard in list(self._shards):
-            self.drop_shard(shard)
+        """Drop every family and end every task."""
+        for held in self.families():
+            self.drop(held)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -155,19 +157,14 @@
         while self.running_calls():
             await self.ports.clock.sleep(IDLE_POLL_SECONDS)
 
-    def running_in(self, shard: ShardNumber) -> int:
-        """Return the number of calls of a shard that have not ended."""
-        held = self._shards.get(shard)
-        return 0 if held is None else len(held.running)
-
     def running_calls(self) -> int:
         """Return the number of calls that have not ended."""
-        return sum(len(held.running) for held in self._shards.values())
+        return sum(len(held.running) for held in self._families.values())
 
     def _task_ended(self, task: asyncio.Task[None], running: RunningCall | None) -> None:
         if running is not None and running.final is None:
             state = RunState.UNKNOWN if running.intent_sent else RunState.NOT_RUN
-            running.end(lost_shard(state) if task.cancelled() else _internal(state))
+            running.end(lost_family(state) if task.cancelled() else _internal(state))
         if not task.cancelled() and task.exception() is not None:
             self.log.error(
                 "call_driver_failed",
@@ -184,7 +181,7 @@
 
     # --- recovery ------------------------------------------------------------------------
 
-    def _recover(self, held: HeldShard, program: Program, call: Call) -> None:
+    def _recover(self, held: HeldFamily, program: Program, call: Call) -> None:
         now = self.ports.clock.wall()
         running = self.open_call(held, program, call.call_id, call.admitted.idempotency_key)
         running.intent_sent = True
--- a/src/foxwinch/commands/sweep.py
+++ b/src/foxwinch/commands/sweep.py
@@ -1,16 +1,19 @@
-"""What ends by itself: calls that nobody follows, programs left alone, memory of finished ones."""
+"""What ends by itself: calls that nobody follows, programs left alone, families that are over."""
 
 import asyncio
 
 from foxwinch.commands.end_program import end_program
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_family import HeldFamily
 from foxwinch.commands.program_owner import CLIENT_GONE, ProgramOwner
 from foxwinch.core.program.lifetime import cause_of_abandonment
 from foxwinch.core.program.state import Program
+from foxwinch.outcomes import Reason
 
 SWEEP_SECONDS = 1.0
 RECONNECT_SECONDS = 10.0
 """How long a call with an idempotency key runs on after its caller has gone."""
+EMPTY_SECONDS = 5.0
+"""A family without programs is kept so long: its first call may still be on its way."""
 RETENTION_SECONDS = 600.0
 """How long a finished program can be read and its calls repeated by key."""
 
@@ -19,7 +22,7 @@
     """A service that looks over all programs held here from time to time."""
 
     def __init__(self, owner: ProgramOwner) -> None:
-        """Sweep the owner's shards once started."""
+        """Sweep the owner's families once started."""
         self._owner = owner
         self._clock = owner.ports.clock
         self._task: asyncio.Task[None] | None = None
@@ -37,11 +40,12 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_SECONDS)
-            for held in self._owner.shards():
+            for held in self._owner.families():
                 self.sweep(held)
+                await self._remove_if_over(held)
 
-    def sweep(self, held: HeldShard) -> None:
-        """Look over one shard."""
+    def sweep(self, held: HeldFamily) -> None:
+        """Look over one family."""
         now = self._clock.monotonic()
         for call in list(held.running.values()):
             left_at = call.unfollowed_at_seconds
@@ -56,7 +60,16 @@
             elif not program.children and _expired(program, wall):
                 held.table.forget(program.program_id)
 
-    async def _abandon(self, held: HeldShard, program: Program, cause: str) -> None:
+    async def _remove_if_over(self, held: HeldFamily) -> None:
+        """Drop a family without programs, and remove what the store still keeps of it."""
+        kept_seconds = self._clock.monotonic() - held.opened_at_seconds
+        if len(held.table) or not held.idle or kept_seconds < EMPTY_SECONDS:
+            return
+        refused = await held.journal.remove()
+        if refused is None or refused.reason is Reason.FENCED:
+            self._owner.drop(held)
+
+    async def _abandon(self, held: HeldFamily, program: Program, cause: str) -> None:
         refused = await end_program(self._owner.ports, held, program, True, cause)
         self._owner.log.info(
             "program_abandoned",
--- a/src/foxwinch/core/shard/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Shards: placement on nodes, epochs, takeover."""
--- a/src/foxwinch/emulator/http_platform.py
+++ b/src/foxwinch/emulator/http_platform.py
@@ -1,4 +1,4 @@
-"""Table service, object store and machine list of the stand-ins over HTTP."""
+"""The shared store and the machine list of the stand-ins over HTTP."""
 
 from dataclasses import asdict
 
@@ -8,16 +8,19 @@
 from foxwinch.emulator.http_faults import answer, refusal_response, refused_at
 from foxwinch.emulator.stand_ins import StandIns
 from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.storage.ports import Condition, ConditionFailed, Row, Transaction, Write
-from foxwinch.storage.table_http import (
-    CommittedDocument,
+from foxwinch.records.ports import Conflict, HistoryLost, RowCondition, RowKey, RowsRead, RowWrite
+from foxwinch.storage.records_http import (
     ConditionDocument,
-    PageDocument,
-    RowDocument,
+    ConflictDocument,
+    RowsDocument,
     TransactionDocument,
+    WriteDocument,
+    WrittenDocument,
+    row_document,
 )
 
-MAXIMUM_PAGE_ROWS = 1_000
+AFTER_ALL_KEYS = "\U0010ffff"
+WAIT_SECONDS_MAXIMUM = 30.0
 
 
 class PlatformHandlers:
@@ -29,87 +32,57 @@
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Register the handlers."""
-        router.add_post("/table/transactions", self.transact)
-        router.add_get("/table/rows", self.rows)
-        router.add_put("/store/objects/{key}", self.put_object)
-        router.add_get("/store/objects/{key}", self.get_object)
-        router.add_delete("/store/objects/{key}", self.delete_object)
+        router.add_post("/store/transactions", self.transact)
+        router.add_get("/store/rows", self.rows)
+        router.add_get("/store/changes", self.changes)
         router.add_get("/platform/machines", self.machines)
 
     async def transact(self, request: web.Request) -> web.StreamResponse:
         """Apply a transaction."""
         body = await request.read()
-        gate = self._stand_ins.table_gate
+        gate = self._stand_ins.store_gate
         refused = await refused_at(gate)
         if refused is not None:
             return refused
         try:
-            transaction = _transaction(TransactionDocument.model_validate_json(body))
+            transaction = TransactionDocument.model_validate_json(body)
         except ValidationError:
             return refusal_response(not_run(Reason.INVALID_REQUEST, "not a transaction"))
-        outcome = gate.apply(lambda: self._stand_ins.table.transact(transaction))
-        if isinstance(outcome, Refused):
-            return refusal_response(outcome)
-        if isinstance(outcome, ConditionFailed):
-            found = ConditionDocument(key=outcome.key, version=outcome.version)
-            return await answer(request, gate, _json(found.model_dump_json(), 412))
-        committed = CommittedDocument(versions=list(outcome.versions))
-        return await answer(request, gate, _json(committed.model_dump_json()))
+        conditions, writes = _conditions(transaction), _writes(transaction)
+        outcome = gate.apply(lambda: self._stand_ins.store.apply(conditions, writes))
+        if isinstance(outcome, Conflict):
+            rows = [row_document(row) for row in outcome.rows]
+            conflict = ConflictDocument.model_construct(rows=rows, now_ms=outcome.now_ms)
+            return await answer(request, gate, _json(conflict.model_dump_json(), 412))
+        written = WrittenDocument(version=outcome.version, now_ms=outcome.now_ms)
+        return await answer(request, gate, _json(written.model_dump_json()))
 
     async def rows(self, request: web.Request) -> web.StreamResponse:
-        """Read one row or a page."""
-        gate = self._stand_ins.table_gate
+        """Read a range of a partition."""
+        gate = self._stand_ins.store_gate
         refused = await refused_at(gate)
         if refused is not None:
             return refused
-        key = request.query.get("key")
-        if key is None:
-            return await answer(request, gate, self._page(request))
-        row = self._stand_ins.table.read(key)
-        response = web.Response(status=404) if row is None else _json(_row(row).model_dump_json())
-        return await answer(request, gate, response)
-
-    def _page(self, request: web.Request) -> web.Response:
-        limit = min(int(request.query.get("limit", MAXIMUM_PAGE_ROWS)), MAXIMUM_PAGE_ROWS)
-        page = self._stand_ins.table.scan(
-            request.query.get("prefix", ""), request.query.get("start", ""), limit
-        )
-        document = PageDocument.model_construct(
-            rows=[_row(row) for row in page.rows], next_key=page.next_key
-        )
-        return _json(document.model_dump_json())
-
-    async def put_object(self, request: web.Request) -> web.StreamResponse:
-        """Store an object."""
-        data = await request.read()
-        gate = self._stand_ins.objects_gate
+        query = request.query
+        first = RowKey(query["table"], query.get("partition", ""), query.get("first", ""))
+        read = self._stand_ins.store.rows_between(first, query.get("end", AFTER_ALL_KEYS))
+        return await answer(request, gate, _rows(read))
+
+    async def changes(self, request: web.Request) -> web.StreamResponse:
+        """Wait for changes of a table."""
+        gate = self._stand_ins.store_gate
         refused = await refused_at(gate)
         if refused is not None:
             return refused
-        key = request.match_info["key"]
-        outcome = gate.apply(lambda: self._stand_ins.objects.put(key, data))
-        if isinstance(outcome, Refused):
-            return refusal_response(outcome)
-        return await answer(request, gate, web.Response(status=204))
-
-    async def get_object(self, request: web.Request) -> web.StreamResponse:
-        """Read an object."""
-        gate = self._stand_ins.objects_gate
-        refused = await refused_at(gate)
-        if refused is not None:
-            return refused
-        data = self._stand_ins.objects.get(request.match_info["key"])
-        response = web.Response(status=404) if data is None else web.Response(body=data)
-        return await answer(request, gate, response)
-
-    async def delete_object(self, request: web.Request) -> web.StreamResponse:
-        """Delete an object."""
-        gate = self._stand_ins.objects_gate
-        refused = await refused_at(gate)
-        if refused is not None:
-            return refused
-        self._stand_ins.objects.delete(request.match_info["key"])
-        return await answer(request, gate, web.Response(status=204))
+        query = request.query
+        wait_seconds = min(float(query["wait"]), WAIT_SECONDS_MAXIMUM)
+        after = int(query["after"])
+        heard = await self._stand_ins.store.changes(query["table"], after, wait_seconds)
+        if isinstance(heard, HistoryLost):
+            return await answer(request, gate, _json("{}", 410))
+        if isinstance(heard, Refused):
+            return refusal_response(heard)
+        return await answer(request, gate, _rows(heard))
 
     async def machines(self, request: web.Request) -> web.StreamResponse:
         """Read the lagging list."""
@@ -123,16 +96,23 @@
         return await answer(request, gate, web.json_response(document))
 
 
-def _transaction(document: TransactionDocument) -> Transaction:
-    return Transaction(
-        document.token,
-        tuple(Condition(condition.key, condition.version) for condition in document.conditions),
-        tuple(Write(write.key, write.value) for write in document.writes),
-    )
+def _conditions(document: TransactionDocument) -> tuple[RowCondition, ...]:
+    return tuple(RowCondition(_place(entry), entry.version) for entry in document.conditions)
+
+
+def _writes(document: TransactionDocument) -> tuple[RowWrite, ...]:
+    return tuple(RowWrite(_place(entry), entry.value) for entry in document.writes)
 
 
-def _row(row: Row) -> RowDocument:
-    return RowDocument.model_construct(key=row.key, value=row.value, version=row.version)
+def _place(entry: ConditionDocument | WriteDocument) -> RowKey:
+    return RowKey(entry.table, entry.partition, entry.key)
+
+
+def _rows(read: RowsRead) -> web.Response:
+    document = RowsDocument.model_construct(
+        rows=[row_document(row) for row in read.rows], version=read.version, now_ms=read.now_ms
+    )
+    return _json(document.model_dump_json())
 
 
 def _json(text: str, status: int = 200) -> web.Response:
--- a/src/foxwinch/emulator/in_process.py
+++ b/src/foxwinch/emulator/in_process.py
@@ -20,20 +20,21 @@
     ToolFaults,
 )
 from foxwinch.emulator.machines import MachineModel
-from foxwinch.emulator.objects import ObjectModel
-from foxwinch.emulator.table import TableModel
+from foxwinch.emulator.record_store import RecordStoreModel
 from foxwinch.emulator.tools import ToolModel
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
-from foxwinch.storage.ports import (
-    Committed,
-    ConditionFailed,
-    Machine,
-    Row,
-    RowPage,
-    Stored,
-    Transaction,
+from foxwinch.records.ports import (
+    Conflict,
+    HistoryLost,
+    RowCondition,
+    RowKey,
+    RowsRead,
+    RowWrite,
+    Written,
 )
+from foxwinch.storage.ports import Machine
 
+AFTER_ALL_KEYS = "\U0010ffff"
 REQUEST_TIMEOUT_SECONDS = 5.0
 """After which a client gives a request up; as the HTTP adapters have it."""
 Result = TypeVar("Result")
@@ -94,54 +95,46 @@
         return outcome_unknown(self._unavailable, f"the answer of {self.name} was lost")
 
 
-class InProcessTable:
-    """`TablePort` over a model that several clients may share."""
+class InProcessRecords:
+    """`RecordStore` over a model that several clients may share."""
 
     def __init__(
-        self, model: TableModel, clock: Clock, faults: ServiceFaults | None = None
+        self, model: RecordStoreModel, clock: Clock, faults: ServiceFaults | None = None
     ) -> None:
         """Use `model`; the faults are those of this client's way to it."""
         self.model = model
         self.gate = FaultGate(clock, faults)
-        self.service = InProcessService("the table", Reason.STORE_UNAVAILABLE, self.gate, clock)
+        self.service = InProcessService("the store", Reason.STORE_UNAVAILABLE, self.gate, clock)
 
-    async def transact(self, transaction: Transaction) -> Committed | ConditionFailed | Refused:
-        """See the port."""
-        return await self.service.request(lambda: self.model.transact(transaction))
-
-    async def read(self, key: str) -> Row | Refused | None:
-        """See the port."""
-        return await self.service.request(lambda: self.model.read(key))
-
-    async def scan(self, prefix: str, start: str = "", limit: int = 1000) -> RowPage | Refused:
+    async def transact(
+        self,
+        conditions: tuple[RowCondition, ...],
+        writes: tuple[RowWrite, ...],
+        timeout_seconds: float,
+    ) -> Written | Conflict | Refused:
         """See the port."""
-        return await self.service.request(lambda: self.model.scan(prefix, start, limit))
-
-
-class InProcessObjects:
-    """`ObjectPort` over a model that several clients may share."""
-
-    def __init__(
-        self, model: ObjectModel, clock: Clock, faults: ServiceFaults | None = None
-    ) -> None:
-        """Use `model`; the faults are those of this client's way to it."""
-        self.model = model
-        self.gate = FaultGate(clock, faults)
-        self.service = InProcessService(
-            "the object store", Reason.STORE_UNAVAILABLE, self.gate, clock
+        return await self.service.request(
+            lambda: self.model.apply(conditions, writes), timeout_seconds
         )
 
-    async def put(self, key: str, data: bytes) -> Stored | Refused:
+    async def read(self, first: RowKey, end_key: str, timeout_seconds: float) -> RowsRead | Refused:
         """See the port."""
-        return await self.service.request(lambda: self.model.put(key, data))
+        return await self.service.request(
+            lambda: self.model.rows_between(first, end_key), timeout_seconds
+        )
 
-    async def get(self, key: str) -> bytes | Refused | None:
+    async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
         """See the port."""
-        return await self.service.request(lambda: self.model.get(key))
+        return await self.read(RowKey(table, "", ""), AFTER_ALL_KEYS, timeout_seconds)
 
-    async def delete(self, key: str) -> Stored | Refused:
+    async def changes(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> RowsRead | HistoryLost | Refused:
         """See the port."""
-        return await self.service.request(lambda: self.model.delete(key))
+        gated = await self.gate.enter()
+        if gated.verdict is not GateVerdict.PASS:
+            return self.service.refusal(gated)
+        return await self.model.changes(table, after_version, wait_seconds)
 
 
 class InProcessMachines:
--- a/src/foxwinch/emulator/process.py
+++ b/src/foxwinch/emulator/process.py
@@ -56,8 +56,7 @@
             "emulator_url": self.url,
             "workers_url": f"{self.url}/workers",
             "tools_url": f"{self.url}/tools",
-            "table_url": f"{self.url}/table",
-            "object_url": f"{self.url}/store",
+            "store_url": f"{self.url}/store",
             "machines_url": f"{self.url}/platform",
         }
 
--- a/src/foxwinch/emulator/record_store.py
+++ b/src/foxwinch/emulator/record_store.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from enum import StrEnum
 
+from sortedcontainers import SortedDict
+
 from foxwinch.clock import Clock
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
 from foxwinch.records.ports import (
@@ -22,6 +24,8 @@
     Written,
 )
 
+EMPTY: SortedDict = SortedDict()
+
 
 class Mood(StrEnum):
     """How the store treats calls."""
@@ -68,14 +72,51 @@
 @dataclass(slots=True)
 class _Calls:
     writes: int = 0
+    commits: int = 0
+    """Transactions that took effect."""
     reads: int = 0
     feeds: int = 0
 
 
-@dataclass(slots=True)
-class _State:
-    rows: dict[RowKey, _Stored] = field(default_factory=dict)
-    version: int = 0
+class _Rows:
+    """Rows by partition and key."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._partitions: dict[tuple[str, str], SortedDict] = {}
+
+    def get(self, row: RowKey) -> _Stored | None:
+        found: _Stored | None = self._partition(row).get(row.key)
+        return found
+
+    def put(self, row: RowKey, stored: _Stored) -> None:
+        place = (row.table, row.partition)
+        self._partitions.setdefault(place, SortedDict())[row.key] = stored
+
+    def remove(self, row: RowKey) -> None:
+        self._partition(row).pop(row.key, None)
+
+    def between(self, first: RowKey, end_key: str | None) -> Iterator[StoredRow]:
+        """Yield the rows of a partition in order, from `first` up to `end_key`."""
+        partition = self._partition(first)
+        for key in partition.irange(first.key, end_key, inclusive=(True, False)):
+            stored = partition[key]
+            row = RowKey(first.table, first.partition, key)
+            yield StoredRow(row, stored.value, stored.version)
+
+    def of(self, table: str) -> Iterator[tuple[RowKey, _Stored]]:
+        for (name, partition), rows in self._partitions.items():
+            if name == table:
+                yield from ((RowKey(name, partition, key), rows[key]) for key in rows)
+
+    def copy(self) -> "_Rows":
+        copied = _Rows()
+        copied.version = self.version
+        copied._partitions = {place: rows.copy() for place, rows in self._partitions.items()}
+        return copied
+
+    def _partition(self, row: RowKey) -> SortedDict:
+        return self._partitions.get((row.table, row.partition), EMPTY)
 
 
 class RecordStoreModel:
@@ -84,8 +125,8 @@
     def __init__(self, clock: Clock) -> None:
         """Start empty and well."""
         self._clock = clock
-        self._state = _State()
-        self._frozen: _State | None = None
+        self._state = _Rows()
+        self._frozen: _Rows | None = None
         self._history: list[StoredRow] = []
         self._history_from = 0
         self._changed = asyncio.Event()
@@ -100,12 +141,12 @@
 
     def value(self, row: RowKey) -> bytes | None:
         """Return a row's value as it stands."""
-        stored = self._state.rows.get(row)
+        stored = self._state.get(row)
         return stored.value if stored is not None else None
 
     def rows_of(self, table: str) -> dict[RowKey, bytes]:
         """Return all rows of a table as they stand."""
-        return {row: stored.value for row, stored in self._state.rows.items() if row.table == table}
+        return {row: stored.value for row, stored in self._state.of(table)}
 
     def put(self, table: str, key: str, value: bytes, partition: str = "") -> int:
         """Write a row as the operator or a worker would, whatever the mood."""
@@ -123,7 +164,7 @@
 
     def hold_reads(self) -> None:
         """From now on plain reads return the rows as they are now."""
-        self._frozen = _State(dict(self._state.rows), self._state.version)
+        self._frozen = self._state.copy()
         self.moods.stale_reads = True
 
     async def transact(
@@ -164,12 +205,11 @@
         refused = await self._enter(self.moods.of(first.partition), timeout_seconds)
         if refused is not None:
             return refused
-        return self._select(
-            lambda row: (
-                (row.table, row.partition) == (first.table, first.partition)
-                and first.key <= row.key < end_key
-            )
-        )
+        return self.rows_between(first, end_key)
+
+    def rows_between(self, first: RowKey, end_key: str) -> RowsRead:
+        """Return the rows of a partition from `first` up to `end_key`, whatever the mood."""
+        return self._select(first, end_key)
 
     async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
         """Read the rows of a table whose partition is empty."""
@@ -177,7 +217,7 @@
         refused = await self._enter(self.moods.of(""), timeout_seconds)
         if refused is not None:
             return refused
-        return self._select(lambda row: row.table == table and not row.partition)
+        return self._select(RowKey(table, "", ""), None)
 
     async def changes(
         self, table: str, after_version: int, wait_seconds: float
@@ -225,23 +265,20 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.moods.late_seconds, self.apply, conditions, writes)
 
-    def _select(self, chosen: Callable[[RowKey], bool]) -> RowsRead:
+    def _select(self, first: RowKey, end_key: str | None) -> RowsRead:
         state = self._frozen if self.moods.stale_reads and self._frozen else self._state
-        rows = tuple(
-            StoredRow(row, stored.value, stored.version)
-            for row, stored in sorted(state.rows.items(), key=lambda entry: entry[0].key)
-            if chosen(row)
-        )
+        rows = tuple(state.between(first, end_key))
         return RowsRead(rows, False, state.version, self.now_ms())
 
     def _commit(self, writes: tuple[RowWrite, ...]) -> int:
+        self.calls.commits += 1
         self._state.version += 1
         version = self._state.version
         for write in writes:
             if write.value is None:
-                self._state.rows.pop(write.row, None)
+                self._state.remove(write.row)
             else:
-                self._state.rows[write.row] = _Stored(write.value, version)
+                self._state.put(write.row, _Stored(write.value, version))
             self._history.append(StoredRow(write.row, write.value, version))
         self.on_write(writes)
         self._wake_feeds()
@@ -252,11 +289,11 @@
         self._changed = asyncio.Event()
 
     def _version_of(self, row: RowKey) -> int:
-        stored = self._state.rows.get(row)
+        stored = self._state.get(row)
         return stored.version if stored is not None else 0
 
     def _stored(self, row: RowKey) -> StoredRow:
-        stored = self._state.rows.get(row)
+        stored = self._state.get(row)
         if stored is None:
             return StoredRow(row, None, 0)
         return StoredRow(row, stored.value, stored.version)
--- a/src/foxwinch/emulator/server.py
+++ b/src/foxwinch/emulator/server.py
@@ -49,8 +49,7 @@
         """Tell the faults in force."""
         stand_ins = self._stand_ins
         faults = FaultSettings(
-            table=stand_ins.table_gate.faults,
-            objects=stand_ins.objects_gate.faults,
+            store=stand_ins.store_gate.faults,
             machines=stand_ins.machines_gate.faults,
             tools=stand_ins.tool_faults,
             engines={name: engine.faults for name, engine in stand_ins.engines.items()},
@@ -94,7 +93,7 @@
             "tool_executions": runs,
             "seats": seats,
             "sessions": tools.sessions,
-            "table_commits": stand_ins.table.commits,
+            "store_commits": stand_ins.store.calls.commits,
         }
         return web.json_response(document)
 
--- a/src/foxwinch/emulator/settings.py
+++ b/src/foxwinch/emulator/settings.py
@@ -31,8 +31,7 @@
 class FaultSettings(StrictModel):
     """Faults of every service; a service that is not named keeps those it has."""
 
-    table: ServiceFaults | None = None
-    objects: ServiceFaults | None = None
+    store: ServiceFaults | None = None
     machines: ServiceFaults | None = None
     tools: ToolFaults | None = None
     engines: dict[str, EngineFaults] = Field(default_factory=dict)
--- a/src/foxwinch/emulator/virtual_cluster.py
+++ b/src/foxwinch/emulator/virtual_cluster.py
@@ -12,15 +12,13 @@
 from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
 from foxwinch.emulator.in_process import (
     InProcessMachines,
-    InProcessObjects,
-    InProcessTable,
+    InProcessRecords,
     InProcessTools,
 )
 from foxwinch.emulator.in_process_engine import InProcessEngine
 from foxwinch.emulator.machines import MachineModel
 from foxwinch.emulator.network import MemoryNetwork, addresses
-from foxwinch.emulator.objects import ObjectModel
-from foxwinch.emulator.table import TableModel
+from foxwinch.emulator.record_store import RecordStoreModel
 from foxwinch.emulator.tools import ToolModel
 from foxwinch.identifiers import ModelName, NodeId, RegionName, ToolName, WorkerId, ZoneName
 from foxwinch.node.node import Node, build_node
@@ -43,9 +41,8 @@
     node: Node
     clock: VirtualClock
     address: PeerAddress
-    table: InProcessTable
-    """This node's way to the table; its faults may be changed."""
-    objects: InProcessObjects
+    records: InProcessRecords
+    """This node's way to the shared store; its faults may be changed."""
 
     @property
     def identity(self) -> NodeId:
@@ -64,10 +61,9 @@
         """Serve the workers and tools of `document`; nodes are added one by one."""
         self.document = document
         self.network = MemoryNetwork(seed)
-        self.tables = TableModel()
-        self.objects = ObjectModel()
         self.tools = ToolModel(tuple(ToolName(tool.name) for tool in document.tools))
         self.clock = VirtualClock(seed)
+        self.store = RecordStoreModel(self.clock)
         self.engines = {
             WorkerId(worker.name): self._engine(worker) for worker in _engine_workers(document)
         }
@@ -96,8 +92,8 @@
     async def kill(self, virtual: VirtualNode) -> None:
         """End a node at once: nothing that it does afterwards reaches anybody."""
         self.network.kill(virtual.address)
-        virtual.table.gate.faults = virtual.table.gate.faults.model_copy(update={"down": True})
-        virtual.objects.gate.faults = virtual.objects.gate.faults.model_copy(update={"down": True})
+        gate = virtual.records.gate
+        gate.faults = gate.faults.model_copy(update={"down": True})
         await self._stop(virtual)
 
     def pause(self, virtual: VirtualNode) -> None:
@@ -125,8 +121,7 @@
     async def _stop(self, virtual: VirtualNode) -> None:
         self.nodes.pop(virtual.identity, None)
         await virtual.node.stop()
-        await virtual.table.service.stop()
-        await virtual.objects.service.stop()
+        await virtual.records.service.stop()
         self.network.kill(virtual.address)
 
     def _build(self) -> VirtualNode:
@@ -143,20 +138,18 @@
             seeds=tuple(seeds),
             drain_seconds=DRAIN_SECONDS,
         )
-        table = InProcessTable(self.tables, clock)
-        objects = InProcessObjects(self.objects, clock)
+        records = InProcessRecords(self.store, clock)
         ports = NodePorts(
             clock=clock,
             engine=InProcessEngine(self.engines),
             tools=InProcessTools(self.tools, clock),
-            table=table,
-            objects=objects,
+            records=records,
             machines=InProcessMachines(self.machines, clock),
             peers=self.network.join(identity, address),
             peer_address=address,
         )
         node = build_node(settings, ports, self.document, node=identity)
-        return VirtualNode(node, clock, address, table, objects)
+        return VirtualNode(node, clock, address, records)
 
     def _engine(self, worker: WorkerSettings) -> EngineWorker:
         pools = {pool.name: pool for pool in self.document.pools}
--- a/src/foxwinch/identifiers.py
+++ b/src/foxwinch/identifiers.py
@@ -23,8 +23,6 @@
 """A failure zone inside a region."""
 RegionName = NewType("RegionName", str)
 """A region: a set of zones joined by good links."""
-ShardNumber = NewType("ShardNumber", int)
-"""A shard of a region's programs, from 0 to the number of shards less one."""
 Epoch = NewType("Epoch", int)
 """A fencing number: the holder of a higher epoch makes every lower one void."""
 Revision = NewType("Revision", int)
--- a/src/foxwinch/node/configuration_service.py
+++ b/src/foxwinch/node/configuration_service.py
@@ -46,9 +46,9 @@
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerContext, PeerPort
 from foxwinch.queries.configuration import STATUS_METHOD, NodeRevision, revisions_at_nodes
+from foxwinch.records.ports import RecordStore
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClusterConfiguration
-from foxwinch.storage.ports import TablePort
 
 FETCH_METHOD = "configuration.fetch"
 FETCH_SECONDS = 2.0
@@ -67,7 +67,7 @@
     """What the service needs of the node."""
 
     clock: Clock
-    table: TablePort
+    records: RecordStore
     peer: PeerPort
     gossip: GossipView
     membership: MembershipView
@@ -85,7 +85,7 @@
         """Use `ports`; `initial` is proposed when the table holds no configuration yet."""
         self._ports = ports
         self._initial = initial
-        self._store = ConfigurationStore(ports.table)
+        self._store = ConfigurationStore(ports.records)
         self._replica = ConfigurationReplica()
         self._listeners: list[Callable[[ConfigurationSnapshot], None]] = []
         self._snapshot: ConfigurationSnapshot | None = None
--- a/src/foxwinch/node/configuration_store.py
+++ b/src/foxwinch/node/configuration_store.py
@@ -1,11 +1,10 @@
-"""The configuration's rows in the platform's table.
+"""The configuration's rows in the shared store, all in one partition.
 
-`configuration/head` names the newest revision. `configuration/revision/N` holds revision N as the
-difference from N-1, `configuration/snapshot/N` now and then the whole document. Bodies too large
-for a row are in `configuration/body/N-TOKEN/I`, written before the row that refers to them.
+`head` names the newest revision. `revision/N` holds revision N as the difference from N-1,
+`snapshot/N` now and then the whole document. Bodies too large for a row are in `body/N-TOKEN/I`,
+written before the row that refers to them.
 """
 
-import asyncio
 from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
@@ -14,86 +13,60 @@
 from foxwinch.core.configuration.change import Change, decode, encode
 from foxwinch.core.configuration.document import Unreadable
 from foxwinch.identifiers import Revision
-from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
-from foxwinch.storage.ports import (
-    Committed,
-    Condition,
-    ConditionFailed,
-    Row,
-    RowPage,
-    TablePort,
-    Transaction,
-    Write,
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.records.ports import (
+    Conflict,
+    RecordStore,
+    RowCondition,
+    RowKey,
+    RowsRead,
+    RowWrite,
+    StoredRow,
+    Written,
 )
 
-PREFIX = "configuration/"
-HEAD_KEY = f"{PREFIX}head"
+TABLE = "configuration"
+PARTITION = "0"
+HEAD_KEY = "head"
+REVISION = "revision/"
+SNAPSHOT = "snapshot/"
+BODY = "body/"
+AFTER_SLASH = "0"
+"""The character after a slash: in place of it, it ends the range of keys with a prefix."""
+AFTER_KEY = "\x01"
 ROW_BODY_BYTES = 32 * 1024
-"""Larger bodies are cut into rows of this size; tables commonly bound rows at 64 KiB or more."""
+"""Larger bodies are cut into rows of this size; stores commonly bound rows at 64 KiB."""
 ROWS_PER_TRANSACTION = 8
 SNAPSHOT_REVISIONS = 64
 """A node that was away reads one whole document and at most so many differences."""
-TABLE_SECONDS = 3.0
-"""The table answers in tens of milliseconds; past this it counts as down."""
-SLOW = "the table did not answer in time"
+STORE_SECONDS = 3.0
+"""The store answers in tens of milliseconds; past this it counts as down."""
 KEPT_REVISIONS = 512
-"""Revisions kept in the table; a lost answer can be settled by its token for so long."""
+"""Revisions kept in the store; a lost answer can be settled by its token for so long."""
 
 
 @dataclass(frozen=True, slots=True)
 class StoredHead:
-    """The head row; revision 0 stands for a table without a configuration."""
+    """The head row; revision 0 stands for a store without a configuration."""
 
     revision: Revision
     snapshot: Revision
     row_version: int
 
 
-class BoundedTable:
-    """A table whose answers are waited for only so long; see `TablePort`."""
-
-    def __init__(self, table: TablePort) -> None:
-        """Bound the waits for `table`."""
-        self._table = table
-
-    async def transact(self, transaction: Transaction) -> Committed | ConditionFailed | Refused:
-        """Apply a transaction; a wait given up may have taken effect."""
-        try:
-            async with asyncio.timeout(TABLE_SECONDS):
-                return await self._table.transact(transaction)
-        except TimeoutError:
-            return outcome_unknown(Reason.STORE_UNAVAILABLE, SLOW)
-
-    async def read(self, key: str) -> Row | Refused | None:
-        """Read one row."""
-        try:
-            async with asyncio.timeout(TABLE_SECONDS):
-                return await self._table.read(key)
-        except TimeoutError:
-            return not_run(Reason.STORE_UNAVAILABLE, SLOW, TABLE_SECONDS)
-
-    async def scan(self, prefix: str, start: str, limit: int) -> RowPage | Refused:
-        """Read a page of rows."""
-        try:
-            async with asyncio.timeout(TABLE_SECONDS):
-                return await self._table.scan(prefix, start, limit)
-        except TimeoutError:
-            return not_run(Reason.STORE_UNAVAILABLE, SLOW, TABLE_SECONDS)
-
-
 class ConfigurationStore:
     """Reads and writes the rows; every failure is a `Refused`."""
 
-    def __init__(self, table: TablePort) -> None:
-        """Use `table`, and give up waiting for it after a bound."""
-        self._bounded = BoundedTable(table)
+    def __init__(self, store: RecordStore) -> None:
+        """Keep the rows in `store`."""
+        self._store = store
 
     async def head(self) -> StoredHead | Refused:
         """Read the head."""
-        row = await self._bounded.read(HEAD_KEY)
+        row = await self._read(HEAD_KEY)
         if isinstance(row, Refused):
             return row
-        if row is None:
+        if row is None or row.value is None:
             return StoredHead(Revision(0), Revision(0), 0)
         message = _parse_head(row.value)
         if isinstance(message, Refused):
@@ -104,9 +77,11 @@
 
     async def token_of(self, revision: Revision) -> str | Refused | None:
         """Read the token of the change that made a revision; None when the row is gone."""
-        row = await self._bounded.read(_revision_key(revision))
-        if row is None or isinstance(row, Refused):
+        row = await self._read(_revision_key(revision))
+        if isinstance(row, Refused):
             return row
+        if row is None or row.value is None:
+            return None
         message = _parse_change(row.value)
         return message if isinstance(message, Refused) else message.token
 
@@ -115,21 +90,21 @@
         changes: list[Change] = []
         start = held
         if held < head.snapshot:
-            row = await self._bounded.read(_snapshot_key(head.snapshot))
-            if row is None or isinstance(row, Refused):
-                return row or _damaged(f"snapshot {head.snapshot} is missing")
+            row = await self._read(_snapshot_key(head.snapshot))
+            if isinstance(row, Refused):
+                return row
+            if row is None or row.value is None:
+                return _damaged(f"snapshot {head.snapshot} is missing")
             snapshot = await self._change_of(row.value)
             if isinstance(snapshot, Refused):
                 return snapshot
             changes.append(snapshot)
             start = head.snapshot
-        page = await self._bounded.scan(
-            f"{PREFIX}revision/", _revision_key(Revision(start + 1)), KEPT_REVISIONS
-        )
-        if isinstance(page, Refused):
-            return page
-        for found in page.rows:
-            change = await self._change_of(found.value)
+        read = await self._range(_revision_key(Revision(start + 1)), _end_of(REVISION))
+        if isinstance(read, Refused):
+            return read
+        for found in read.rows:
+            change = await self._change_of(found.value or b"")
             if isinstance(change, Refused):
                 return change
             changes.append(change)
@@ -137,46 +112,36 @@
 
     async def commit(
         self, change: Change, whole: Change | None, head: StoredHead
-    ) -> Committed | ConditionFailed | Refused:
+    ) -> Written | Conflict | Refused:
         """Make `change` the head if the head is still `head`; `whole` also makes a snapshot."""
         revision_row = await self._store_body(change)
         if isinstance(revision_row, Refused):
             return revision_row
-        writes = [Write(_revision_key(change.revision), revision_row.SerializeToString())]
+        writes = [_put(_revision_key(change.revision), revision_row.SerializeToString())]
         snapshot = head.snapshot
         if whole is not None:
             snapshot_row = await self._store_body(whole)
             if isinstance(snapshot_row, Refused):
                 return snapshot_row
             snapshot = change.revision
-            writes.append(Write(_snapshot_key(snapshot), snapshot_row.SerializeToString()))
+            writes.append(_put(_snapshot_key(snapshot), snapshot_row.SerializeToString()))
         new_head = ConfigurationHead(
             revision=change.revision, token=change.token, snapshot_revision=snapshot
         )
-        writes.append(Write(HEAD_KEY, new_head.SerializeToString()))
-        return await self._bounded.transact(
-            Transaction(
-                f"{change.token}/head/{change.revision}",
-                (Condition(HEAD_KEY, head.row_version),),
-                tuple(writes),
-            )
-        )
+        writes.append(_put(HEAD_KEY, new_head.SerializeToString()))
+        condition = RowCondition(_row(HEAD_KEY), head.row_version)
+        return await self._store.transact((condition,), tuple(writes), STORE_SECONDS)
 
     async def prune(self, head: Revision) -> Refused | None:
         """Delete rows that nobody needs: older than the kept revisions."""
-        oldest = Revision(head - KEPT_REVISIONS)
-        for section in ("revision", "snapshot", "body"):
-            end = f"{PREFIX}{section}/{max(oldest, 0):012d}"
-            page = await self._bounded.scan(f"{PREFIX}{section}/", "", KEPT_REVISIONS)
-            if isinstance(page, Refused):
-                return page
-            keys = [row.key for row in page.rows if row.key < end]
-            for index in range(0, len(keys), ROWS_PER_TRANSACTION):
-                batch = tuple(Write(k, None) for k in keys[index : index + ROWS_PER_TRANSACTION])
-                token = f"prune/{batch[0].key}/{batch[-1].key}/{len(batch)}/{head}"
-                outcome = await self._bounded.transact(Transaction(token, (), batch))
-                if isinstance(outcome, Refused):
-                    return outcome
+        oldest = max(head - KEPT_REVISIONS, 0)
+        for section in (REVISION, SNAPSHOT, BODY):
+            read = await self._range(section, f"{section}{oldest:012d}")
+            if isinstance(read, Refused):
+                return read
+            refused = await self._transact([RowWrite(row.row, None) for row in read.rows])
+            if refused is not None:
+                return refused
         return None
 
     async def _store_body(self, change: Change) -> ConfigurationChange | Refused:
@@ -187,15 +152,10 @@
         if len(body) <= ROW_BODY_BYTES:
             return message
         pieces = [body[i : i + ROW_BODY_BYTES] for i in range(0, len(body), ROW_BODY_BYTES)]
-        writes = [
-            Write(_body_key(change, part, index), piece) for index, piece in enumerate(pieces)
-        ]
-        for index in range(0, len(writes), ROWS_PER_TRANSACTION):
-            token = f"{change.token}/{part}/{change.revision}/{index}"
-            batch = tuple(writes[index : index + ROWS_PER_TRANSACTION])
-            outcome = await self._bounded.transact(Transaction(token, (), batch))
-            if isinstance(outcome, Refused):
-                return not_run(outcome.reason, outcome.detail, outcome.retry_after_seconds)
+        writes = [_put(_body_key(change, part, index), piece) for index, piece in enumerate(pieces)]
+        refused = await self._transact(writes)
+        if refused is not None:
+            return not_run(refused.reason, refused.detail, refused.retry_after_seconds)
         message.body = b""
         message.chunk_count = len(pieces)
         return message
@@ -214,31 +174,55 @@
 
     async def _read_body(self, message: ConfigurationChange) -> bytes | Refused:
         prefix = _body_prefix(Revision(message.revision), message.token, _part(message))
-        pieces: list[bytes] = []
-        start = ""
-        while len(pieces) < message.chunk_count:
-            page = await self._bounded.scan(prefix, start, ROWS_PER_TRANSACTION)
-            if isinstance(page, Refused):
-                return page
-            pieces.extend(row.value for row in page.rows)
-            if page.next_key is None:
-                break
-            start = page.next_key
+        read = await self._range(prefix, _end_of(prefix))
+        if isinstance(read, Refused):
+            return read
+        pieces = [row.value or b"" for row in read.rows]
         if len(pieces) != message.chunk_count:
             return _damaged(f"revision {message.revision} lacks rows of its body")
         return b"".join(pieces)
 
+    async def _read(self, key: str) -> StoredRow | Refused | None:
+        read = await self._range(key, key + AFTER_KEY)
+        if isinstance(read, Refused):
+            return read
+        return read.rows[0] if read.rows else None
+
+    async def _range(self, first: str, end: str) -> RowsRead | Refused:
+        return await self._store.read(_row(first), end, STORE_SECONDS)
+
+    async def _transact(self, writes: list[RowWrite]) -> Refused | None:
+        """Write rows that nobody changes at the same time."""
+        for index in range(0, len(writes), ROWS_PER_TRANSACTION):
+            batch = tuple(writes[index : index + ROWS_PER_TRANSACTION])
+            outcome = await self._store.transact((), batch, STORE_SECONDS)
+            if isinstance(outcome, Refused):
+                return outcome
+        return None
+
+
+def _row(key: str) -> RowKey:
+    return RowKey(TABLE, PARTITION, key)
+
+
+def _put(key: str, value: bytes) -> RowWrite:
+    return RowWrite(_row(key), value)
+
+
+def _end_of(prefix: str) -> str:
+    return prefix[:-1] + AFTER_SLASH
+
 
 def _revision_key(revision: Revision) -> str:
-    return f"{PREFIX}revision/{revision:012d}"
+    return f"{REVISION}{revision:012d}"
 
 
 def _snapshot_key(revision: Revision) -> str:
-    return f"{PREFIX}snapshot/{revision:012d}"
+    return f"{SNAPSHOT}{revision:012d}"
 
 
 def _body_prefix(revision: Revision, token: str, part: str) -> str:
-    return f"{PREFIX}body/{revision:012d}-{token}-{part}/"
+    return f"{BODY}{revision:012d}-{token}-{part}/"
 
 
 def _part(message: ConfigurationChange) -> str:
@@ -264,4 +248,4 @@
 
 
 def _damaged(detail: str) -> Refused:
-    return Refused(Reason.INTERNAL, RunState.NOT_RUN, f"configuration in the table: {detail}")
+    return Refused(Reason.INTERNAL, RunState.NOT_RUN, f"configuration in the store: {detail}")
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -9,17 +9,15 @@
 from foxwinch.clock import Clock, SystemClock
 from foxwinch.http_exchange import new_session
 from foxwinch.identifiers import NodeId
-from foxwinch.node.membership_service import parse_address
 from foxwinch.node.node import new_node_identity
 from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
-from foxwinch.peer.ports import PeerAddress
+from foxwinch.peer.ports import PeerAddress, parse_address
 from foxwinch.peer.service import PeerService
 from foxwinch.settings.process import NodeSettings, PlatformSettings
 from foxwinch.storage.machines_http import HttpMachines
-from foxwinch.storage.object_http import HttpObjects
 from foxwinch.storage.rate_limit import RateLimiter
-from foxwinch.storage.table_http import HttpTable
+from foxwinch.storage.records_http import HttpRecords
 
 BURST_SECONDS = 2.0
 """Requests to the platform that may come at once, as seconds of its rate."""
@@ -59,8 +57,7 @@
         clock=clock,
         engine=HttpEngine(session, directory.url_of),
         tools=HttpTools(tool_session, directory.urls_of_tool),
-        table=_table(platform, session, clock),
-        objects=_objects(platform, session, clock),
+        records=_records(platform, session, clock),
         machines=HttpMachines(session, platform.machines_url) if platform.machines_url else None,
         peers=peers,
         peer_address=_advertised(settings, peers),
@@ -76,22 +73,13 @@
     return given or peers.address
 
 
-def _table(
+def _records(
     platform: PlatformSettings, session: aiohttp.ClientSession, clock: Clock
-) -> HttpTable | None:
-    if platform.table_url is None:
+) -> HttpRecords | None:
+    if platform.store_url is None:
         return None
-    limiter = _limiter(clock, platform.table_requests_per_second)
-    return HttpTable(session, platform.table_url, limiter)
-
-
-def _objects(
-    platform: PlatformSettings, session: aiohttp.ClientSession, clock: Clock
-) -> HttpObjects | None:
-    if platform.object_url is None:
-        return None
-    limiter = _limiter(clock, platform.object_requests_per_second)
-    return HttpObjects(session, platform.object_url, limiter)
+    limiter = _limiter(clock, platform.store_requests_per_second)
+    return HttpRecords(session, platform.store_url, limiter)
 
 
 def _limiter(clock: Clock, requests_per_second: float) -> RateLimiter:
--- a/src/foxwinch/node/interfaces.py
+++ b/src/foxwinch/node/interfaces.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from foxwinch._generated.journal_pb2 import JournalRecord
 from foxwinch.core.membership.entry import GossipEntry as GossipEntry
 from foxwinch.core.membership.entry import GossipKind as GossipKind
 from foxwinch.core.membership.member import Member as Member
@@ -19,15 +18,12 @@
     ClassName,
     Epoch,
     ModelName,
-    NodeId,
     ProgramId,
     Revision,
-    ShardNumber,
     TenantName,
     WorkerId,
 )
 from foxwinch.outcomes import Refused
-from foxwinch.peer.ports import PeerAddress
 from foxwinch.settings.cluster import ClusterConfiguration
 
 # --- configuration ---------------------------------------------------------------------------
@@ -103,67 +99,13 @@
 
 
 class EpochView(Protocol):
-    """Fencing numbers of shards and workers.
-
-    Kept in the table service; while that is down, in a majority of the resource's replicas.
-    """
+    """Fencing numbers of workers, kept in the shared store."""
 
     async def raise_epoch(self, resource: str) -> EpochClaim | Refused:
         """Take `resource` over under a new, higher epoch; `CONFLICT` when a race was lost."""
         ...
 
 
-# --- ownership and journal -------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class OwnedHere:
-    """This node owns the shard of the program."""
-
-    shard: ShardNumber
-    epoch: Epoch
-    closing: bool = False
-    """This node is leaving: calls that were accepted are finished, new ones are refused."""
-
-
-@dataclass(frozen=True, slots=True)
-class OwnedBy:
-    """Another node owns the shard of the program."""
-
-    shard: ShardNumber
-    node: NodeId
-    address: PeerAddress
-
-
-class OwnershipView(Protocol):
-    """Which node owns a program."""
-
-    def locate(self, program_id: ProgramId) -> OwnedHere | OwnedBy | Refused:
-        """Find the owner; refused with `NOT_OWNER` and a retry time while nobody is known to."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class Appended:
-    """Records are committed: they survive the loss of this node."""
-
-    last_index: int
-
-
-class JournalView(Protocol):
-    """The journal of the shards that this node owns."""
-
-    async def append(
-        self, shard: ShardNumber, epoch: Epoch, records: Sequence[JournalRecord]
-    ) -> Appended | Refused:
-        """Commit records in order, under the shard's epoch.
-
-        `FENCED`: another owner has taken over, nothing may be served. `NO_QUORUM` with
-        `unknown`: the records may or may not survive. With `not_run`: they were never sent.
-        """
-        ...
-
-
 # --- grants ----------------------------------------------------------------------------------
 
 
@@ -271,6 +213,3 @@
     def settle(self, admitted: Admitted, used_tokens: int) -> None:
         """Correct the estimate by what was used."""
         ...
-
-
-# --- the platform's clock --------------------------------------------------------------------
--- a/src/foxwinch/node/local.py
+++ b/src/foxwinch/node/local.py
@@ -5,23 +5,25 @@
 from foxwinch._generated.journal_pb2 import JournalRecord
 from foxwinch.identifiers import (
     ClassName,
-    Epoch,
+    NodeId,
     ProgramId,
     Revision,
-    ShardNumber,
     TenantName,
 )
 from foxwinch.node.interfaces import (
     Admitted,
-    Appended,
     ConfigurationSnapshot,
-    OwnedHere,
 )
 from foxwinch.outcomes import Refused
+from foxwinch.records.families import (
+    Applied,
+    Families,
+    FamilyJournal,
+    OpenedFamily,
+    ServedElsewhere,
+)
 from foxwinch.settings.cluster import ClusterConfiguration
 
-LOCAL_EPOCH = Epoch(1)
-
 
 class LocalConfiguration:
     """A configuration that never changes."""
@@ -40,27 +42,59 @@
         """Accept a listener that will never be called."""
 
 
-class LocalOwnership:
-    """This node owns everything."""
+class LocalJournal(FamilyJournal):
+    """A journal in this process's memory; nothing survives its end."""
+
+    def __init__(self, records: list[JournalRecord]) -> None:
+        """Append to `records`."""
+        self._records = records
+        self._batches = 0
+
+    @property
+    def batches(self) -> int:
+        """How many times it has been appended to."""
+        return self._batches
+
+    def on_applied(self, applied: Applied) -> None:
+        """Accept a listener that will never be called: no append is ever in doubt."""
 
-    def locate(self, program_id: ProgramId) -> OwnedHere | Refused:
-        """Return the one shard."""
-        return OwnedHere(ShardNumber(0), LOCAL_EPOCH)
+    async def append(self, records: Sequence[JournalRecord]) -> Refused | None:
+        """Keep the records."""
+        self._records.extend(records)
+        self._batches += 1
+        return None
+
+    async def confirm(self) -> Refused | None:
+        """Nobody else can take the family over."""
+        return None
+
+    async def remove(self) -> Refused | None:
+        """Drop the records."""
+        self._records.clear()
+        return None
 
 
-class LocalJournal:
-    """Records in this process's memory; nothing survives its end."""
+class LocalFamilies(Families):
+    """This node serves every family."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.records: list[JournalRecord] = []
-
-    async def append(
-        self, shard: ShardNumber, epoch: Epoch, records: Sequence[JournalRecord]
-    ) -> Appended | Refused:
-        """Keep the records."""
-        self.records.extend(records)
-        return Appended(len(self.records) - 1)
+        self._records: dict[ProgramId, list[JournalRecord]] = {}
+
+    async def open(
+        self, root: ProgramId, over: NodeId | None = None
+    ) -> OpenedFamily | ServedElsewhere | Refused:
+        """Return the family."""
+        records = self._records.setdefault(root, [])
+        return OpenedFamily(LocalJournal(records), list(records))
+
+    async def read(self, root: ProgramId) -> Sequence[JournalRecord] | Refused:
+        """Return a family's records."""
+        return list(self._records.get(root, ()))
+
+    async def served(self, partition: str) -> Sequence[tuple[ProgramId, NodeId]] | Refused:
+        """Return nothing: there is no other node whose families could be left behind."""
+        return ()
 
 
 class LocalLimits:
--- a/src/foxwinch/node/membership_service.py
+++ b/src/foxwinch/node/membership_service.py
@@ -18,7 +18,7 @@
 from foxwinch.log import EventLog
 from foxwinch.node.interfaces import GossipEntry
 from foxwinch.outcomes import Refused
-from foxwinch.peer.ports import PeerPort
+from foxwinch.peer.ports import PeerPort, parse_address
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.storage.ports import MachinePort
 
@@ -166,11 +166,3 @@
                 listener(value)
             except Exception as error:
                 self._log.error("membership_listener_failed", cause=repr(error))
-
-
-def parse_address(text: str) -> PeerAddress | None:
-    """Read `ip:port`, with brackets around an IPv6 number; None when it is no such thing."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        return None
-    return PeerAddress(host.strip("[]"), int(port))
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -17,10 +17,10 @@
 from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
 from foxwinch.node.parts.context import DrainingService, NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart, build_grants
-from foxwinch.node.parts.journal import JournalPart, build_journal
 from foxwinch.node.parts.membership import MembershipPart, build_membership
 from foxwinch.node.parts.operator import OperatorPart, build_operator
 from foxwinch.node.parts.programs import ProgramsPart, build_programs
+from foxwinch.node.parts.records import RecordsPart, build_records
 from foxwinch.node.ports import NodePorts
 from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.settings.cluster import ClusterConfiguration
@@ -37,7 +37,7 @@
 
     membership: MembershipPart
     configuration: ConfigurationPart
-    journal: JournalPart
+    records: RecordsPart
     grants: GrantsPart
     programs: ProgramsPart
     operator: OperatorPart
@@ -47,7 +47,6 @@
         return (
             *self.membership.services,
             *self.configuration.services,
-            *self.journal.services,
             *self.grants.services,
             *self.programs.services,
         )
@@ -116,12 +115,12 @@
     async def _hand_over(self) -> None:
         """Drain part by part, after the requests of the callers at this node have ended.
 
-        Shards go first, each once its calls have ended: as long as this node owns one, fellow
+        Programs go first, each once its calls have ended: as long as calls of one run here, fellow
         nodes send its calls here. Workers go after the last call that was granted here.
         """
         await self.gate.wait_idle()
         parts = self.parts
-        for part in (parts.journal, parts.programs, parts.grants, parts.configuration):
+        for part in (parts.programs, parts.grants, parts.configuration):
             for service in part.services:
                 if isinstance(service, DrainingService):
                     await service.drain()
@@ -148,11 +147,11 @@
     )
     membership = build_membership(context)
     configuration = build_configuration(context, membership)
-    journal = build_journal(context, membership)
-    grants = build_grants(context, membership, configuration, journal)
-    programs = build_programs(context, membership, configuration, journal, grants)
-    operator = build_operator(context, membership, configuration, journal, grants, programs)
-    parts = NodeParts(membership, configuration, journal, grants, programs, operator)
+    records = build_records(context)
+    grants = build_grants(context, membership, configuration, records)
+    programs = build_programs(context, membership, configuration, records, grants)
+    operator = build_operator(context, membership, configuration, grants, programs)
+    parts = NodeParts(membership, configuration, records, grants, programs, operator)
     return Node(context, parts)
 
 
--- a/src/foxwinch/node/parts/configuration.py
+++ b/src/foxwinch/node/parts/configuration.py
@@ -26,14 +26,14 @@
 
 
 def build_configuration(context: NodeContext, membership: MembershipPart) -> ConfigurationPart:
-    """Build the part; without a table the proposed document is kept as it is."""
-    if context.ports.table is None:
+    """Build the part; without a store the proposed document is kept as it is."""
+    if context.ports.records is None:
         if context.proposed is None:
-            raise ValueError("a node without a table needs a cluster configuration to propose")
+            raise ValueError("a node without a store needs a cluster configuration to propose")
         return _fixed(context, context.proposed)
     ports = ConfigurationServicePorts(
         clock=context.ports.clock,
-        table=context.ports.table,
+        records=context.ports.records,
         peer=context.ports.peers or NoPeers(),
         gossip=membership.gossip,
         membership=membership.membership,
--- a/src/foxwinch/node/parts/grants.py
+++ b/src/foxwinch/node/parts/grants.py
@@ -10,8 +10,8 @@
 from foxwinch.node.orders_service import OrdersService
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext, NodeService
-from foxwinch.node.parts.journal import JournalPart
 from foxwinch.node.parts.membership import MembershipPart
+from foxwinch.node.parts.records import RecordsPart
 from foxwinch.node.steward_client import StewardClient
 from foxwinch.node.steward_directory import StewardDirectory
 from foxwinch.node.steward_facts import GossipedDrains, StewardFacts
@@ -62,11 +62,11 @@
     context: NodeContext,
     membership: MembershipPart,
     configuration: ConfigurationPart,
-    journal: JournalPart,
+    records: RecordsPart,
 ) -> GrantsPart:
     """Build the part; a node without fellow nodes is steward of every worker."""
     directory = StewardDirectory(membership.membership, membership.gossip)
-    steward = StewardService(_steward_ports(context, membership, configuration, journal), directory)
+    steward = StewardService(_steward_ports(context, membership, configuration, records), directory)
     client = StewardClient(context.node, steward.desk, context.ports.peers)
     clock = context.ports.clock
     grants = GrantsService(directory, client, configuration.configuration, clock)
@@ -91,7 +91,7 @@
     context: NodeContext,
     membership: MembershipPart,
     configuration: ConfigurationPart,
-    journal: JournalPart,
+    records: RecordsPart,
 ) -> StewardPorts:
     return StewardPorts(
         node=context.node,
@@ -100,7 +100,7 @@
         configuration=configuration.configuration,
         membership=membership.membership,
         gossip=membership.gossip,
-        epochs=journal.epochs,
+        epochs=records.epochs,
         peers=context.ports.peers,
         machines=context.ports.machines,
         registry=context.registry,
--- a/src/foxwinch/node/parts/membership.py
+++ b/src/foxwinch/node/parts/membership.py
@@ -9,9 +9,9 @@
 from foxwinch.node.interfaces import GossipView, Member, MembershipView, MemberState
 from foxwinch.node.local_cluster import LocalGossip, LocalMembership
 from foxwinch.node.membership_metrics import MembershipCollector
-from foxwinch.node.membership_service import MembershipService, parse_address
+from foxwinch.node.membership_service import MembershipService
 from foxwinch.node.parts.context import NodeContext, NodeService
-from foxwinch.peer.ports import PeerPort
+from foxwinch.peer.ports import PeerPort, parse_address
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/node/parts/operator.py
+++ b/src/foxwinch/node/parts/operator.py
@@ -6,18 +6,15 @@
 from foxwinch._generated.operator_pb2 import NodeStatus
 from foxwinch.commands.operator import LocalCommands, OperatorCommands
 from foxwinch.core.membership.actions import RegionState
-from foxwinch.node.interfaces import ConfigurationView, OwnershipView
+from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext
 from foxwinch.node.parts.grants import GrantsPart
-from foxwinch.node.parts.journal import JournalPart
 from foxwinch.node.parts.membership import MembershipPart
 from foxwinch.node.parts.programs import ProgramsPart
-from foxwinch.node.shard_readiness import ShardReadiness
 from foxwinch.operator.handlers import OperatorHandlers
 from foxwinch.outcomes import Refused
 from foxwinch.queries.cluster import ClusterQueries, LocalFacts
-from foxwinch.queries.facts import ShardFacts
 
 
 class Readiness:
@@ -27,26 +24,21 @@
         self,
         context: NodeContext,
         configuration: ConfigurationView,
-        shards: ShardFacts,
+        families: Callable[[], int],
         regions: Callable[[], Sequence[RegionState]],
-        ownership: OwnershipView,
     ) -> None:
         """Read the gate of `context` and the given parts."""
         self._context = context
         self._regions = regions
-        self._ownership = ShardReadiness(ownership)
         self._configuration = configuration
-        self._shards = shards
+        self._families = families
 
     def not_ready_because(self) -> str | None:
         """Return None when the node takes new work, else the reason."""
         if self._context.gate.closed:
             return "draining"
         snapshot = self._configuration.current()
-        if isinstance(snapshot, Refused):
-            return snapshot.detail
-        missing = self._ownership.missing()
-        return f"{missing} shards have had no owner yet" if missing else None
+        return snapshot.detail if isinstance(snapshot, Refused) else None
 
     def status(self) -> NodeStatus:
         """Return what this node says of itself."""
@@ -56,7 +48,7 @@
             configuration_revision=0 if isinstance(snapshot, Refused) else snapshot.revision,
             draining=self._context.gate.closed,
             running_requests=self._context.gate.running,
-            owned_shards=len(self._shards.shards()),
+            held_families=self._families(),
             not_ready_because=self.not_ready_because() or "",
             cut_off_regions=[state.region for state in self._regions() if state.cut_off],
         )
@@ -74,7 +66,6 @@
     context: NodeContext,
     membership: MembershipPart,
     configuration: ConfigurationPart,
-    journal: JournalPart,
     grants: GrantsPart,
     programs: ProgramsPart,
 ) -> OperatorPart:
@@ -82,19 +73,18 @@
     readiness = Readiness(
         context,
         configuration.configuration,
-        journal.facts,
+        programs.owner.held_count,
         membership.regions,
-        journal.ownership,
     )
     queries = ClusterQueries(
         membership.membership,
-        journal.ownership,
+        programs.owner.locate,
         context.ports.peers,
-        LocalFacts(readiness, grants.facts, journal.facts, programs.facts),
+        LocalFacts(readiness, grants.facts, programs.facts),
     )
     commands = OperatorCommands(
         membership.membership,
-        journal.ownership,
+        programs.owner.locate,
         context.ports.peers,
         LocalCommands(
             drain_node=context.stop_requested.set,
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -1,4 +1,4 @@
-"""Part: the programs that this node owns, and the way to the owners of the others."""
+"""Part: the programs that this node serves, and the way to the nodes that serve the others."""
 
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -7,6 +7,7 @@
 
 from foxwinch.backends.no_tools import NoTools
 from foxwinch.commands.abandon_program import AbandonCommand
+from foxwinch.commands.adopt import FamilyAdoption
 from foxwinch.commands.call_retries import CallRetries
 from foxwinch.commands.forward import Forwarder
 from foxwinch.commands.operator import ProgramAbandons
@@ -19,13 +20,12 @@
 from foxwinch.gateway.authentication import Authenticator
 from foxwinch.gateway.chat import ChatHandlers, GatewayContext
 from foxwinch.gateway.programs import ProgramHandlers
-from foxwinch.identifiers import ShardNumber
-from foxwinch.node.local import LOCAL_EPOCH, LocalOwnership
+from foxwinch.node.interfaces import MembershipView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart
-from foxwinch.node.parts.journal import JournalPart
 from foxwinch.node.parts.membership import MembershipPart
+from foxwinch.node.parts.records import RecordsPart
 from foxwinch.queries.facts import ProgramFacts
 from foxwinch.queries.programs import OwnedPrograms
 
@@ -37,32 +37,41 @@
     add_caller_routes: Callable[[web.UrlDispatcher], None]
     owner: ProgramOwner
     execute: Callable[[ProgramRequest], AsyncIterator[ProgramEvent]]
-    """Carries a caller's request out, here or at the owner."""
+    """Carries a caller's request out, here or at the node that serves the program."""
     facts: ProgramFacts
     abandons: ProgramAbandons
     services: tuple[NodeService, ...] = ()
 
 
 class ProgramService:
-    """The owner and its sweeper as one service."""
+    """The owner with its sweeper and its search for programs left behind, as one service."""
 
-    def __init__(self, owner: ProgramOwner, router: ProgramRouter) -> None:
-        """Run `owner`, whose shards the journal's service loads and drops."""
+    def __init__(
+        self, owner: ProgramOwner, router: ProgramRouter, membership: MembershipView
+    ) -> None:
+        """Run `owner` behind `router`."""
         self._owner = owner
         self._router = router
         self._sweeper = ProgramSweeper(owner)
+        self._adoption = FamilyAdoption(owner, membership)
 
     async def start(self) -> None:
-        """Start sweeping."""
+        """Start sweeping and looking."""
         await self._sweeper.start()
+        await self._adoption.start()
 
     async def stop(self) -> None:
         """End every call truthfully."""
+        await self._adoption.stop()
         await self._sweeper.stop()
         await self._owner.stop()
 
     async def drain(self) -> None:
-        """Wait until every call has ended, also without followers, and every answer is sent."""
+        """Wait until every call has ended, also without followers, and every answer is sent.
+
+        What is idle meanwhile is left to whichever node is asked for it next.
+        """
+        self._owner.closing = True
         await self._owner.wait_idle()
         await self._router.wait_sent()
 
@@ -71,7 +80,7 @@
     context: NodeContext,
     membership: MembershipPart,
     configuration: ConfigurationPart,
-    journal: JournalPart,
+    records: RecordsPart,
     grants: GrantsPart,
 ) -> ProgramsPart:
     """Build the part."""
@@ -79,8 +88,7 @@
     ports = ProgramPorts(
         clock=context.ports.clock,
         configuration=configuration.configuration,
-        ownership=journal.ownership,
-        journal=journal.journal,
+        families=records.families,
         grants=grants.grants,
         limits=configuration.limits,
         engine=context.ports.engine,
@@ -103,9 +111,6 @@
         ChatHandlers(gateway).add_routes(routes)
         ProgramHandlers(gateway).add_routes(routes)
 
-    if isinstance(journal.ownership, LocalOwnership):
-        owner.load_shard(ShardNumber(0), LOCAL_EPOCH, ())
-    journal.attach_programs(owner, owner.running_in)
     facts = OwnedPrograms(owner, context.node)
     return ProgramsPart(
         add_caller_routes,
@@ -113,5 +118,5 @@
         router.execute,
         facts,
         AbandonCommand(owner),
-        (ProgramService(owner, router),),
+        (ProgramService(owner, router, membership.membership),),
     )
--- a/src/foxwinch/node/ports.py
+++ b/src/foxwinch/node/ports.py
@@ -5,7 +5,8 @@
 from foxwinch.backends.ports import EnginePort, ToolPort
 from foxwinch.clock import Clock
 from foxwinch.peer.ports import PeerAddress, PeerPort
-from foxwinch.storage.ports import MachinePort, ObjectPort, TablePort
+from foxwinch.records.ports import RecordStore
+from foxwinch.storage.ports import MachinePort
 
 NO_PEER_ADDRESS = PeerAddress("127.0.0.1", 0)
 """Address of a node without a peer side."""
@@ -18,9 +19,8 @@
     clock: Clock
     engine: EnginePort
     tools: ToolPort | None = None
-    table: TablePort | None = None
-    """None: the platform's table service is not configured."""
-    objects: ObjectPort | None = None
+    records: RecordStore | None = None
+    """None: no shared store is configured; all is kept in memory."""
     machines: MachinePort | None = None
     peers: PeerPort | None = None
     """None: a node without fellow nodes."""
--- a/src/foxwinch/operator/handlers.py
+++ b/src/foxwinch/operator/handlers.py
@@ -47,10 +47,6 @@
         """Answer with the workers of all stewards."""
         await _answer(stream, lambda request: self._queries.workers())
 
-    async def ListShards(self, stream: Stream[Any, Any]) -> None:
-        """Answer with the shards of all owners."""
-        await _answer(stream, lambda request: self._queries.shards())
-
     async def ListPrograms(self, stream: Stream[Any, Any]) -> None:
         """Answer with programs that match."""
         await _answer(stream, self._queries.programs)
--- a/src/foxwinch/peer/ports.py
+++ b/src/foxwinch/peer/ports.py
@@ -60,3 +60,11 @@
     def handle_datagrams(self, handler: DatagramHandler) -> None:
         """Give every datagram that arrives to `handler`."""
         ...
+
+
+def parse_address(text: str) -> PeerAddress | None:
+    """Read `ip:port`, with brackets around an IPv6 number; None when it is no such thing."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        return None
+    return PeerAddress(host.strip("[]"), int(port))
--- a/src/foxwinch/queries/cluster.py
+++ b/src/foxwinch/queries/cluster.py
@@ -9,23 +9,22 @@
     FactsResponse,
     ListProgramsRequest,
     ListProgramsResponse,
-    ListShardsResponse,
     ListWorkersResponse,
     NodeStatus,
     ProgramDetail,
 )
+from foxwinch.commands.ports import LocateFamily
 from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId
 from foxwinch.node.interfaces import (
     Member,
     MembershipView,
     MemberState,
-    OwnedBy,
-    OwnershipView,
 )
 from foxwinch.outcomes import Refused
-from foxwinch.peer.ports import PeerContext, PeerPort
-from foxwinch.queries.facts import NodeFacts, ProgramFacts, ShardFacts, WorkerFacts
+from foxwinch.peer.ports import PeerContext, PeerPort, parse_address
+from foxwinch.queries.facts import NodeFacts, ProgramFacts, WorkerFacts
+from foxwinch.records.families import ServedElsewhere
 
 FACTS_METHOD = "operator.facts"
 PROGRAM_METHOD = "operator.program"
@@ -44,7 +43,6 @@
 
     node: NodeFacts
     workers: WorkerFacts
-    shards: ShardFacts
     programs: ProgramFacts
 
 
@@ -62,13 +60,13 @@
     def __init__(
         self,
         membership: MembershipView,
-        ownership: OwnershipView,
+        locate: LocateFamily,
         peers: PeerPort | None,
         local: LocalFacts,
     ) -> None:
         """Ask the members by `peers`; registers the handlers by which fellow nodes ask."""
         self._membership = membership
-        self._ownership = ownership
+        self._locate = locate
         self._peers = peers
         self._local = local
         if peers is not None:
@@ -88,13 +86,6 @@
         found.sort(key=lambda worker: worker.worker)
         return ListWorkersResponse(workers=found, silent_nodes=facts.silent)
 
-    async def shards(self) -> ListShardsResponse:
-        """Return the shards of all owners in order of their numbers."""
-        facts = await self._ask_all(FactsRequest(shards=True))
-        found = [shard for answer in facts.answers for shard in answer.shards]
-        found.sort(key=lambda shard: (shard.shard, -shard.epoch))
-        return ListShardsResponse(shards=found, silent_nodes=facts.silent)
-
     async def programs(self, request: ListProgramsRequest) -> ListProgramsResponse:
         """Return programs that match, the newest first."""
         limit = _limit(request)
@@ -105,16 +96,18 @@
         return ListProgramsResponse(programs=found[:limit], silent_nodes=facts.silent, more=more)
 
     async def program(self, program_id: ProgramId) -> ProgramDetail | Refused:
-        """Return one program, asked of its owner."""
-        owner = self._ownership.locate(root_of(program_id))
-        if isinstance(owner, Refused):
-            return owner
-        if not isinstance(owner, OwnedBy) or self._peers is None:
-            return await self._local.programs.program(program_id)
-        answer = await self._peers.call(
-            owner.address, PROGRAM_METHOD, program_id.encode(), FACTS_SECONDS
-        )
-        return answer if isinstance(answer, Refused) else ProgramDetail.FromString(answer)
+        """Return one program, asked of the node that serves it, or as the store has it."""
+        located = await self._locate(root_of(program_id))
+        if isinstance(located, Refused):
+            return located
+        address = parse_address(located.address) if isinstance(located, ServedElsewhere) else None
+        if address is not None and self._peers is not None:
+            answer = await self._peers.call(
+                address, PROGRAM_METHOD, program_id.encode(), FACTS_SECONDS
+            )
+            if not isinstance(answer, Refused):
+                return ProgramDetail.FromString(answer)
+        return await self._local.programs.program(program_id)
 
     def _members(self) -> list[Member]:
         return sorted(self._membership.members(), key=lambda member: member.node)
@@ -142,8 +135,6 @@
         response = FactsResponse(node=self._local.node.status())
         if request.workers:
             response.workers.extend(self._local.workers.workers())
-        if request.shards:
-            response.shards.extend(self._local.shards.shards())
         if request.HasField("programs"):
             limit = _limit(request.programs)
             found = self._local.programs.programs(request.programs)
--- a/src/foxwinch/queries/facts.py
+++ b/src/foxwinch/queries/facts.py
@@ -8,7 +8,6 @@
     NodeStatus,
     ProgramDetail,
     ProgramSummary,
-    ShardStatus,
     WorkerStatus,
 )
 from foxwinch.identifiers import ProgramId
@@ -23,16 +22,8 @@
         ...
 
 
-class ShardFacts(Protocol):
-    """The shards that this node owns."""
-
-    def shards(self) -> Sequence[ShardStatus]:
-        """Return a status for each shard that this node owns."""
-        ...
-
-
 class ProgramFacts(Protocol):
-    """The programs that this node owns."""
+    """The programs that this node serves."""
 
     def programs(self, request: ListProgramsRequest) -> Sequence[ProgramSummary]:
         """Return programs that match, one more than the limit when there are more."""
@@ -59,16 +50,8 @@
         return ()
 
 
-class NoShards:
-    """A node that owns no shard."""
-
-    def shards(self) -> Sequence[ShardStatus]:
-        """Return none."""
-        return ()
-
-
 class NoPrograms:
-    """A node that owns no program."""
+    """A node that serves no program."""
 
     def programs(self, request: ListProgramsRequest) -> Sequence[ProgramSummary]:
         """Return none."""
--- a/src/foxwinch/queries/programs.py
+++ b/src/foxwinch/queries/programs.py
@@ -1,4 +1,4 @@
-"""The programs that this node owns, as operators see them: no content of histories."""
+"""The programs that this node serves, as operators see them: no content of histories."""
 
 from collections.abc import Iterator, Sequence
 
@@ -9,11 +9,12 @@
     ProgramDetail,
     ProgramSummary,
 )
-from foxwinch.commands.held_shard import HeldShard
+from foxwinch.commands.held_family import HeldFamily
 from foxwinch.commands.program_owner import ProgramOwner
 from foxwinch.commands.views import state_name
 from foxwinch.core.program.identity import root_of
 from foxwinch.core.program.state import Call, Program, WaitingCall
+from foxwinch.core.program.table import ProgramTable
 from foxwinch.identifiers import NodeId, ProgramId
 from foxwinch.outcomes import Reason, Refused, not_run
 
@@ -28,7 +29,7 @@
     """Implements `foxwinch.queries.facts.ProgramFacts`."""
 
     def __init__(self, owner: ProgramOwner, node: NodeId) -> None:
-        """Read the owner's shards; `node` is this node."""
+        """Read the owner's families; `node` is this node."""
         self._owner = owner
         self._node = node
 
@@ -37,7 +38,7 @@
         limit = min(request.limit or DEFAULT_LIMIT, MAXIMUM_LIMIT)
         matching = [
             (held, program)
-            for held in self._owner.shards()
+            for held in self._owner.families()
             for program in held.table
             if _matches(request, program)
         ]
@@ -46,22 +47,31 @@
 
     async def program(self, program_id: ProgramId) -> ProgramDetail | Refused:
         """Return one program with its calls and why each waited and went where it did."""
-        held = self._owner.locate(root_of(program_id))
-        if isinstance(held, Refused):
-            return held
-        program = held.table.find(program_id) if isinstance(held, HeldShard) else None
-        if program is None or not isinstance(held, HeldShard):
+        root = root_of(program_id)
+        held = self._owner.held(root)
+        if held is not None:
+            return self._detail(held.table.find(program_id), program_id, held)
+        records = await self._owner.ports.families.read(root)
+        if isinstance(records, Refused):
+            return records
+        return self._detail(ProgramTable(records).find(program_id), program_id, None)
+
+    def _detail(
+        self, program: Program | None, program_id: ProgramId, held: HeldFamily | None
+    ) -> ProgramDetail | Refused:
+        """Describe a program; one that is not served here as its journal tells."""
+        if program is None:
             return not_run(Reason.NOT_FOUND, f"program {program_id} is not known")
         return ProgramDetail(
             summary=self._summary(held, program),
             parent_program_id=program.created.parent_program_id,
             children=program.children,
             calls=list(_calls(held, program)),
-            epoch=held.epoch,
+            batches=held.journal.batches if held is not None else 0,
             cost=program.ledger.spent.cost,
         )
 
-    def _summary(self, held: HeldShard, program: Program) -> ProgramSummary:
+    def _summary(self, held: HeldFamily | None, program: Program) -> ProgramSummary:
         created = program.created
         return ProgramSummary(
             program_id=program.program_id,
@@ -69,8 +79,7 @@
             template=created.template,
             class_name=created.class_name,
             state=state_name(program),
-            owner=self._node,
-            shard=held.shard,
+            node=self._node if held is not None else "",
             calls=program.ledger.spent.calls,
             tokens=program.ledger.spent.tokens,
             created_at_seconds=created.created_at_seconds,
@@ -83,16 +92,16 @@
     return not request.state or state_name(program) == request.state
 
 
-def _calls(held: HeldShard, program: Program) -> Iterator[CallStatus]:
+def _calls(held: HeldFamily | None, program: Program) -> Iterator[CallStatus]:
     for call in program.calls.values():
         yield _call(held, call)
     for position, waiting in enumerate(program.waiting.values()):
         yield _waiting(waiting, position + (program.active is not None))
 
 
-def _call(held: HeldShard, call: Call) -> CallStatus:
+def _call(held: HeldFamily | None, call: Call) -> CallStatus:
     outcome = call.outcome
-    running = held.running.get(call.call_id)
+    running = held.running.get(call.call_id) if held is not None else None
     started = running.started if running is not None else None
     status = CallStatus(
         call_id=call.call_id,
--- /dev/null
+++ b/src/foxwinch/records/family_journal.py
@@ -0,0 +1,188 @@
+"""The journal of one family in the shared store.
+
+Each append is one transaction: the rows of a batch and the family's head, under the version of the
+head. When the answer is lost, the same append is sent again: at the same version only one of all
+that were sent can take effect, and the token in the head tells which.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch.clock import Clock
+from foxwinch.core.limits.backoff import Backoff
+from foxwinch.identifiers import ProgramId
+from foxwinch.log import EventLog
+from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.records.families import Applied, FamilyHead, FamilyJournal
+from foxwinch.records.family_rows import (
+    after_batches,
+    batch_writes,
+    first_batch,
+    head_of,
+    head_row,
+    head_write,
+)
+from foxwinch.records.ports import Conflict, RecordStore, RowCondition, RowWrite, Written
+from foxwinch.records.repeat import CALL_SECONDS
+
+APPEND_SECONDS = 2.0
+"""For which an append is sent again before its outcome is told as unknown."""
+APPEND_BACKOFF = Backoff(base_seconds=0.05, cap_seconds=0.4)
+ROWS_IN_TRANSACTION = 90
+TAKEN_OVER = "another node has taken the family over"
+TOO_LARGE = not_run(Reason.INVALID_REQUEST, "the call is larger than the store takes at once")
+log = EventLog("families")
+
+
+class StoredJournal(FamilyJournal):
+    """One family's journal; appends go one after another."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        clock: Clock,
+        root: ProgramId,
+        head: FamilyHead,
+        new_token: Callable[[], str],
+    ) -> None:
+        """Append after `head`; `new_token` returns what no other change has."""
+        self._store = store
+        self._clock = clock
+        self._root = root
+        self._head = head
+        self._new_token = new_token
+        self._lock = asyncio.Lock()
+        self._lost = False
+        self._doubtful: dict[str, tuple[JournalRecord, ...]] = {}
+        self._applied: Applied = lambda records: None
+
+    @property
+    def batches(self) -> int:
+        """How many times the journal has been appended to."""
+        return self._head.batches
+
+    def on_applied(self, applied: Applied) -> None:
+        """Tell `applied` of records whose append was given up and took effect all the same."""
+        self._applied = applied
+
+    async def append(self, records: Sequence[JournalRecord]) -> Refused | None:
+        """Append records, all or none; None when they are there for good."""
+        async with self._lock:
+            return await self._append(tuple(records))
+
+    async def confirm(self) -> Refused | None:
+        """Prove that no other node has taken the family over."""
+        async with self._lock:
+            return await self._confirm()
+
+    async def remove(self) -> Refused | None:
+        """Remove the journal: first it is marked as empty, then its rows go, the head last."""
+        async with self._lock:
+            if not self._head.version:
+                return None
+            emptied = self._head._replace(first=self._head.batches, token=self._new_token())
+            refused = await self._change(emptied, [], ())
+            return refused or await self._remove_rows()
+
+    # --- changes of the head -----------------------------------------------------------------
+
+    async def _append(self, records: tuple[JournalRecord, ...]) -> Refused | None:
+        token = self._new_token()
+        while True:
+            head = self._head
+            batch = batch_writes(self._root, head.batches, records)
+            if batch is None:
+                return TOO_LARGE
+            wanted = head._replace(batches=head.batches + 1, token=token)
+            refused = await self._change(wanted, batch, records)
+            if refused is None or self._head is head or self._lost:
+                return refused
+
+    async def _change(
+        self, wanted: FamilyHead, rows: list[RowWrite], records: tuple[JournalRecord, ...]
+    ) -> Refused | None:
+        """Put a head and rows; a refusal after which the head has moved on may be tried anew."""
+        if self._lost:
+            return not_run(Reason.FENCED, TAKEN_OVER)
+        writes = (head_write(self._root, wanted), *rows)
+        give_up_at = self._clock.monotonic() + APPEND_SECONDS
+        may_have_run = False
+        attempt = 0
+        while True:
+            answer = await self._transact(writes)
+            if isinstance(answer, Written):
+                self._settled(wanted._replace(version=answer.version))
+                return None
+            if isinstance(answer, Conflict):
+                return self._conflict(answer, wanted, may_have_run)
+            may_have_run = may_have_run or answer.run_state is not RunState.NOT_RUN
+            wait = APPEND_BACKOFF.wait_seconds(attempt, 0.5 + 0.5 * self._clock.uniform())
+            attempt += 1
+            if self._clock.monotonic() + wait > give_up_at:
+                break
+            await self._clock.sleep(wait)
+        if may_have_run:
+            self._doubtful[wanted.token] = records
+        run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
+        return Refused(answer.reason, run_state, answer.detail, answer.retry_after_seconds)
+
+    async def _transact(self, writes: tuple[RowWrite, ...]) -> Written | Conflict | Refused:
+        condition = RowCondition(head_row(self._root), self._head.version)
+        return await self._store.transact((condition,), writes, CALL_SECONDS)
+
+    async def _confirm(self) -> Refused | None:
+        if self._lost:
+            return not_run(Reason.FENCED, TAKEN_OVER)
+        answer = await self._transact(())
+        if isinstance(answer, Refused):
+            return not_run(answer.reason, answer.detail, answer.retry_after_seconds)
+        if isinstance(answer, Written):
+            return None
+        head = self._head
+        refused = self._conflict(answer, head, may_have_run=False)
+        return refused if self._lost or self._head is head else None
+
+    def _conflict(
+        self, conflict: Conflict, wanted: FamilyHead, may_have_run: bool
+    ) -> Refused | None:
+        """Find out who has changed the head: this very change, an earlier one, or another node."""
+        found = head_of(conflict.rows[0])
+        if found is not None and found.version and found.token == wanted.token:
+            self._settled(found)
+            return None
+        earlier = self._doubtful.get(found.token) if found is not None else None
+        if found is not None and earlier is not None:
+            log.info("late_append_found", family=self._root, records=len(earlier))
+            self._settled(found)
+            self._applied(earlier)
+            return not_run(Reason.CONFLICT, "an earlier append has just taken effect")
+        self._lost = True
+        node = found.node if found is not None else ""
+        log.info("family_lost", family=self._root, to_node=node, version=self._head.version)
+        run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
+        return Refused(Reason.FENCED, run_state, TAKEN_OVER)
+
+    def _settled(self, head: FamilyHead) -> None:
+        """Take a head that is in force: nothing that was sent before can take effect any more."""
+        self._head = head
+        self._doubtful.clear()
+
+    # --- removal -----------------------------------------------------------------------------
+
+    async def _remove_rows(self) -> Refused | None:
+        read = await self._store.read(
+            first_batch(self._root), after_batches(self._root), CALL_SECONDS
+        )
+        if isinstance(read, Refused):
+            return read
+        writes = [RowWrite(row.row, None) for row in read.rows]
+        writes.append(RowWrite(head_row(self._root), None))
+        for start in range(0, len(writes), ROWS_IN_TRANSACTION):
+            answer = await self._transact(tuple(writes[start : start + ROWS_IN_TRANSACTION]))
+            if isinstance(answer, Refused):
+                return answer
+            if isinstance(answer, Conflict):
+                return self._conflict(answer, self._head, may_have_run=False)
+        self._lost = True
+        return None
--- /dev/null
+++ b/src/foxwinch/records/family_rows.py
@@ -0,0 +1,113 @@
+"""The rows of a family in the shared store: one head, and the batches of its journal."""
+
+from collections.abc import Sequence
+
+from google.protobuf.message import DecodeError
+
+from foxwinch._generated.families_pb2 import FamilyHead as FamilyHeadMessage
+from foxwinch._generated.families_pb2 import JournalBatch
+from foxwinch._generated.journal_pb2 import JournalRecord
+from foxwinch.identifiers import NodeId, ProgramId
+from foxwinch.records.families import FamilyHead
+from foxwinch.records.partitions import partition_of
+from foxwinch.records.ports import RowKey, RowWrite, StoredRow
+from foxwinch.records.turns import PIECE_BYTES
+
+HEADS_TABLE = "families"
+JOURNALS_TABLE = "journals"
+PIECES_MAXIMUM = 12
+"""Rows of one batch: some 720 kB in base64, below the 1 MB of a transaction."""
+SEPARATOR = "/"
+AFTER_SEPARATOR = "0"
+"""The character after the separator, which ends the range of a family's batches."""
+BATCH_DIGITS = 8
+
+
+def head_row(root: ProgramId) -> RowKey:
+    """Return where a family's head lies."""
+    return RowKey(HEADS_TABLE, partition_of(root), root)
+
+
+def first_batch(root: ProgramId) -> RowKey:
+    """Return where the range of a family's batches begins."""
+    return RowKey(JOURNALS_TABLE, partition_of(root), root + SEPARATOR)
+
+
+def after_batches(root: ProgramId) -> str:
+    """Return the key that ends the range of a family's batches."""
+    return root + AFTER_SEPARATOR
+
+
+def head_of(stored: StoredRow) -> FamilyHead | None:
+    """Read a head; None for one that cannot be read."""
+    if stored.value is None:
+        return FamilyHead(0, 0, NodeId(""), "", "")
+    try:
+        message = FamilyHeadMessage.FromString(stored.value)
+    except DecodeError:
+        return None
+    return FamilyHead(
+        stored.version,
+        message.batches,
+        NodeId(message.node),
+        message.address,
+        message.token,
+        message.first,
+    )
+
+
+def head_write(root: ProgramId, head: FamilyHead) -> RowWrite:
+    """Return the write that puts a head; its version is the store's to give."""
+    message = FamilyHeadMessage(
+        batches=head.batches,
+        node=head.node,
+        address=head.address,
+        token=head.token,
+        first=head.first,
+    )
+    return RowWrite(head_row(root), message.SerializeToString())
+
+
+def batch_writes(
+    root: ProgramId, number: int, records: Sequence[JournalRecord]
+) -> list[RowWrite] | None:
+    """Return the rows of a batch; None when it is larger than one transaction may be."""
+    data = JournalBatch(records=records).SerializeToString()
+    pieces = [data[at : at + PIECE_BYTES] for at in range(0, len(data), PIECE_BYTES)] or [b""]
+    if len(pieces) > PIECES_MAXIMUM:
+        return None
+    return [
+        RowWrite(_piece_row(root, number, index, len(pieces)), piece)
+        for index, piece in enumerate(pieces)
+    ]
+
+
+def records_of(
+    root: ProgramId, rows: Sequence[StoredRow], head: FamilyHead
+) -> list[JournalRecord] | None:
+    """Put batches together; None when one is missing, as in a read that is too old."""
+    numbers = range(head.first, head.batches)
+    pieces: dict[int, list[bytes]] = {}
+    expected: dict[int, int] = {}
+    for row in rows:
+        number, count = _place_of(row.row.key, root)
+        pieces.setdefault(number, []).append(row.value or b"")
+        expected[number] = count
+    if any(len(pieces.get(number, ())) != expected.get(number) for number in numbers):
+        return None
+    return [
+        record
+        for number in numbers
+        for record in JournalBatch.FromString(b"".join(pieces[number])).records
+    ]
+
+
+def _piece_row(root: ProgramId, number: int, index: int, count: int) -> RowKey:
+    key = f"{root}{SEPARATOR}{number:0{BATCH_DIGITS}d}{SEPARATOR}{index:02d}.{count:02d}"
+    return RowKey(JOURNALS_TABLE, partition_of(root), key)
+
+
+def _place_of(key: str, root: ProgramId) -> tuple[int, int]:
+    """Return the number of a row's batch, and how many rows that batch has."""
+    number, _, piece = key[len(root) + 1 :].partition(SEPARATOR)
+    return int(number), int(piece.partition(".")[2])
--- a/src/foxwinch/records/partitions.py
+++ b/src/foxwinch/records/partitions.py
@@ -9,4 +9,9 @@
 
 def partition_of(key: str) -> str:
     """Return the partition of a record's key."""
-    return f"{xxhash.xxh32_intdigest(key.encode()) % PARTITIONS:02x}"
+    return partition_name(xxhash.xxh32_intdigest(key.encode()) % PARTITIONS)
+
+
+def partition_name(number: int) -> str:
+    """Return the name of a partition by its number."""
+    return f"{number:02x}"
--- a/src/foxwinch/settings/process.py
+++ b/src/foxwinch/settings/process.py
@@ -71,13 +71,10 @@
 class PlatformSettings(StrictModel):
     """Base URLs of the platform's services."""
 
-    table_url: str | None = None
-    object_url: str | None = None
+    store_url: str | None = None
     machines_url: str | None = None
-    table_requests_per_second: Annotated[float, Field(gt=0)] = 50.0
-    """This node's share of the table's rate; more requests wait, or are refused with a time."""
-    object_requests_per_second: Annotated[float, Field(gt=0)] = 20.0
-    """This node's share of the object store's rate."""
+    store_requests_per_second: Annotated[float, Field(gt=0)] = 200.0
+    """This node's share of the store's rate; more requests wait, or are refused with a time."""
 
 
 class NodeSettings(StrictModel):
@@ -101,6 +98,6 @@
     peer_tls: TlsSettings | None = None
     operator_key_hashes: tuple[KeyHash, ...] = ()
     configuration_file: str | None = None
-    """Cluster configuration to propose when the table holds none yet."""
+    """Cluster configuration to propose when the store holds none yet."""
     drain_seconds: Annotated[float, Field(gt=0)] = 60.0
     log_level: Annotated[str, Field(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
