--- a/src/foxwinch/cli/serve.py
+++ b/src/foxwinch/cli/serve.py
@@ -9,11 +9,9 @@
 
 from foxwinch.cli.exit_codes import ExitCode
 from foxwinch.cli.help import examples
-from foxwinch.cli.output import fail, fail_settings
-from foxwinch.log_sink import log_to_standard_output
-from foxwinch.platform.process import run_serve
-from foxwinch.platform.settings import ENVIRONMENT_VARIABLE, load_serve_settings
-from foxwinch.settings.base import SettingsError
+from foxwinch.cli.output import fail
+from foxwinch.platform.process import serve
+from foxwinch.platform.settings import ENVIRONMENT_VARIABLE
 
 
 @cappa.command(
@@ -39,11 +37,6 @@
             path = Path(os.environ[ENVIRONMENT_VARIABLE])
         if path is None:
             fail(ExitCode.INVALID, f"settings: give --settings or set {ENVIRONMENT_VARIABLE}")
-        settings = load_serve_settings(path)
-        if isinstance(settings, SettingsError):
-            fail_settings(settings)
-        log_to_standard_output(settings.log_level)
-        try:
-            run_serve(settings, path)
-        except OSError as error:
-            fail(ExitCode.INVALID, f"cannot start: {error}")
+        problems = serve(path)
+        if problems:
+            fail(ExitCode.INVALID, "\n".join(problems))
--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -11,6 +11,7 @@
 
 from foxwinch.clock import SystemClock
 from foxwinch.log import EventLog
+from foxwinch.log_sink import log_to_standard_output
 from foxwinch.platform.front_door import FrontDoor
 from foxwinch.platform.names import CONFIGURATION_TABLE, WORKERS_TABLE
 from foxwinch.platform.settings import ServeSettings, load_serve_settings
@@ -18,6 +19,7 @@
 from foxwinch.platform.translation import configuration_of, worker_of
 from foxwinch.platform.worker_client import HttpWorkers
 from foxwinch.records.store_state import ObservedStore
+from foxwinch.records.watch import wait_that_notices_within
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.node import ServingNode
 from foxwinch.serving.routing import RoutingTables
@@ -65,6 +67,7 @@
             workers_table=WORKERS_TABLE,
             decode_configuration=configuration_of,
             decode_worker=worker_of,
+            wait_seconds=wait_that_notices_within(settings.store.notice_ms / 1e3),
         )
         self._node = ServingNode(
             name=settings.name,
@@ -174,8 +177,20 @@
     return application
 
 
-def run_serve(settings: ServeSettings, settings_path: Path) -> None:
-    """Run one node until its planned stop."""
+def serve(settings_path: Path) -> tuple[str, ...]:
+    """Run one node by a settings file until its planned stop; returns why it could not start."""
+    settings = load_serve_settings(settings_path)
+    if isinstance(settings, SettingsError):
+        return tuple(f"{settings.source}: {problem}" for problem in settings.problems)
+    log_to_standard_output(settings.log_level)
+    try:
+        _run(settings, settings_path)
+    except OSError as error:
+        return (f"cannot start: {error}",)
+    return ()
+
+
+def _run(settings: ServeSettings, settings_path: Path) -> None:
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     process = ServeProcess(settings, settings_path)
--- a/src/foxwinch/platform/settings.py
+++ b/src/foxwinch/platform/settings.py
@@ -27,6 +27,8 @@
 
     address: IpAndPort
     row_bytes: Annotated[int, Field(ge=1_024)] = 65_536
+    notice_ms: Annotated[float, Field(ge=1_000, le=60_000)] = 3_000
+    """A change whose answer was lost must be noticed within it."""
 
 
 class ServeSettings(StrictModel):
--- a/src/foxwinch/records/budgets.py
+++ b/src/foxwinch/records/budgets.py
@@ -9,6 +9,8 @@
 import itertools
 from dataclasses import dataclass, field
 
+from cachetools import LRUCache
+
 from foxwinch.clock import Clock
 from foxwinch.core.limits.backoff import Backoff
 from foxwinch.core.records.account import (
@@ -45,6 +47,8 @@
 BLOCKED_SECONDS = 0.15
 """Before a turn that waits for other nodes' leases asks again."""
 BLOCKED_RETRY_SECONDS = 0.5
+SPENT_REMEMBERED = 20_000
+"""Programs whose spent tokens are remembered after they are quiet, the last used ones."""
 log = EventLog("budgets")
 
 
@@ -94,6 +98,7 @@
         self._programs: dict[str, _Program] = {}
         self._sequences = itertools.count(1)
         self._probe_at = 0.0
+        self._spent: LRUCache[str, int] = LRUCache(SPENT_REMEMBERED)
 
     @property
     def programs(self) -> int:
@@ -103,7 +108,14 @@
     async def reserve(
         self, program_id: str, reserve: Reserve, give_up_at: float, end_at: float
     ) -> Reserved | Exhausted | Refused:
-        """Take tokens for a turn that is over by `end_at`; a refusal: it must not run."""
+        """Take tokens for a turn that is over by `end_at`; a refusal: it must not run.
+
+        What the store counts as spent only grows, so a budget that it exceeds needs no call: a
+        program that loops without end asks again and again.
+        """
+        spent = self._spent.get(program_id, 0)
+        if spent + reserve.tokens > reserve.budget:
+            return Exhausted(spent)
         program = self._program(program_id)
         now = self._clock.monotonic()
         program.wanted = Ahead(reserve.tokens, reserve.budget)
@@ -249,9 +261,14 @@
                 self._take_over(program, result)
             case Written():
                 account.written(change, result.version)
+                self._remember_spent(program)
                 await self._complete(program, change)
         return None
 
+    def _remember_spent(self, program: _Program) -> None:
+        spent = program.account.record.spent
+        self._spent[program.row.key] = max(spent, self._spent.get(program.row.key, 0))
+
     def _take_over(self, program: _Program, conflict: Conflict) -> None:
         """Go on from the row as it stands."""
         record, version = BudgetRecord(), 0
@@ -259,6 +276,7 @@
             if row.row.key == program.row.key and row.value is not None:
                 record, version = BudgetRecord.decode(row.value), row.version
         applied = program.account.conflicted(record, version)
+        self._remember_spent(program)
         if applied is not None:
             self._grant(program, applied)
 
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -13,7 +13,10 @@
 from foxwinch.records.ports import HistoryLost, RecordStore, RowsRead
 
 WAIT_SECONDS = 2.0
-"""For which the store holds a call open; a call that is answered later than that is lost."""
+"""For which the store holds a call open, where nothing else is said."""
+ANSWER_SECONDS = 1.0
+"""Until a call that was held open to its end is taken for lost, with some room."""
+SHORTEST_WAIT_SECONDS = 0.5
 READ_SECONDS = 1.0
 RETRY_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=0.6)
 STALE_SECONDS = 0.25
@@ -21,6 +24,11 @@
 log = EventLog("watch")
 
 
+def wait_that_notices_within(seconds: float) -> float:
+    """Return how long calls may be held open for a lost answer to be noticed within `seconds`."""
+    return max(SHORTEST_WAIT_SECONDS, seconds - ANSWER_SECONDS)
+
+
 class TableWatch:
     """Keeps a reader up to date with one table."""
 
@@ -30,8 +38,14 @@
         clock: Clock,
         table: str,
         take: Callable[[RowsRead, bool], None],
+        wait_seconds: float = WAIT_SECONDS,
     ) -> None:
-        """Give `take` the rows, and whether they are the whole table or changes."""
+        """Give `take` the rows, and whether they are the whole table or changes.
+
+        A call is held open for `wait_seconds`: the longer, the fewer calls, and the later a lost
+        answer is noticed.
+        """
+        self._wait_seconds = wait_seconds
         self._store = store
         self._clock = clock
         self._table = table
@@ -76,7 +90,7 @@
         return await self._store.read_table(self._table, READ_SECONDS)
 
     async def _hear(self) -> RowsRead | HistoryLost | Refused:
-        return await self._store.changes(self._table, self._version, WAIT_SECONDS)
+        return await self._store.changes(self._table, self._version, self._wait_seconds)
 
     def _apply(self, read: RowsRead, whole: bool) -> None:
         self._version = read.version
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -1,5 +1,6 @@
 """Offers one request to workers until one takes it, within the route's bounds."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -31,6 +32,11 @@
 SHED_RETRY_SECONDS = 0.3
 SHORTEST_CALL_SECONDS = 0.02
 """With less time left no worker can do anything."""
+PATIENCE_TARGETS = 4.0
+"""A worker that has not begun to answer after so many of the route's target times is taken for
+silent, where the request may run at another one."""
+PATIENCE_SECONDS = 0.3
+"""At least; a full worker answers within it."""
 log = EventLog("attempts")
 
 
@@ -164,16 +170,39 @@
             attempts.body,
             left,
             attempts.last_event_id,
-            urgency_of(attempts.route.priority),
+            urgency_of(attempts.route.priority, self._is_late(attempts.request)),
         )
         with self.counted(worker):
-            outcome = await self._workers.call(worker, call)
+            outcome = await self._answer_of(worker, call, self._patience(attempts, left))
         if isinstance(outcome, CallRefused):
             self._note_refused(worker, outcome, attempts.request.request_id)
         elif isinstance(outcome, CallLost):
             self.failed(worker, outcome.failure, attempts.request.request_id)
         return outcome
 
+    async def _answer_of(
+        self, worker: Worker, call: OutgoingCall, patience_seconds: float
+    ) -> WorkerAnswer | CallRefused | CallLost:
+        try:
+            async with asyncio.timeout(patience_seconds):
+                return await self._workers.call(worker, call)
+        except TimeoutError:
+            return CallLost(CallFailure.SILENT, f"no answer in {patience_seconds:.2f} s")
+
+    def _patience(self, attempts: Attempts, left: float) -> float:
+        """Return for how long to wait for a worker to begin its answer."""
+        others = len(attempts.ran_on) + 1 < max(1, attempts.route.attempts)
+        if not attempts.route.repeatable or not others:
+            return left
+        return min(left, max(PATIENCE_SECONDS, PATIENCE_TARGETS * attempts.route.target_seconds))
+
+    def _is_late(self, request: ServiceRequest) -> bool:
+        """Tell whether the request's program should be over by now."""
+        program = request.program
+        if program is None or program.finish_seconds is None:
+            return False
+        return self._clock.monotonic() - request.received_at >= program.finish_seconds
+
     def _note_refused(self, worker: Worker, refused: CallRefused, request_id: str) -> None:
         now = self._clock.monotonic()
         if refused.failure is CallFailure.SHED:
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -60,6 +60,8 @@
     """The worker says that it did not run the request."""
     WRONG_WORKER = "wrong_worker"
     """Another worker has the address."""
+    SILENT = "silent"
+    """No answer for so long that another worker is asked; it may have run the request."""
     BROKEN_OFF = "broken_off"
     MALFORMED = "malformed"
 
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -7,7 +7,7 @@
 from foxwinch.core.routing.directory import Worker, WorkerDirectory
 from foxwinch.log import EventLog
 from foxwinch.records.ports import RecordStore, RowsRead, StoredRow
-from foxwinch.records.watch import TableWatch
+from foxwinch.records.watch import WAIT_SECONDS, TableWatch
 from foxwinch.serving.metrics import ServingMetrics
 
 FORGET_WORKERS_SECONDS = 30.0
@@ -28,8 +28,12 @@
         workers_table: str,
         decode_configuration: Callable[[StoredRow], RoutingConfiguration | None],
         decode_worker: Callable[[StoredRow], Worker | None],
+        wait_seconds: float = WAIT_SECONDS,
     ) -> None:
-        """Read rows by the given decoders; a row that they return None for is passed over."""
+        """Read rows by the given decoders; a row that they return None for is passed over.
+
+        The store holds each call of a watch open for `wait_seconds`.
+        """
         self._clock = clock
         self._metrics = metrics
         self._decode_configuration = decode_configuration
@@ -37,9 +41,11 @@
         self._configuration: RoutingConfiguration | None = None
         self._directory = WorkerDirectory()
         self.configuration_watch = TableWatch(
-            store, clock, configuration_table, self._take_configuration
+            store, clock, configuration_table, self._take_configuration, wait_seconds
+        )
+        self.workers_watch = TableWatch(
+            store, clock, workers_table, self._take_workers, wait_seconds
         )
-        self.workers_watch = TableWatch(store, clock, workers_table, self._take_workers)
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -61,6 +61,33 @@
     assert 0 < int(got["Deadline-Ms"]) <= 3000
 
 
+async def test_a_safe_request_does_not_wait_for_a_silent_worker():
+    async with site_of(StandInWorker(Answer(silent=True)), StandInWorker(Answer())) as site:
+        node = await site.start_node()
+        for number in range(4):
+            reply = await site.ask(node, SAFE, f"r{number}", Deadline_Ms=2500)
+            assert reply.status == 200
+        assert len(site.workers[1].received) == 4
+        assert len(site.workers[0].received) < 4
+
+
+async def test_a_request_that_may_run_once_waits_for_its_worker():
+    async with site_of(StandInWorker(Answer(silent=True))) as site:
+        node = await site.start_node()
+        reply = await site.ask(node, UNSAFE, "r1", Deadline_Ms=900)
+        assert reply.status == 504
+
+
+async def test_a_program_that_is_late_yields_to_those_in_time(site):
+    site.workers[0].answers = [STREAM_ANSWER, STREAM_ANSWER, Answer()]
+    node = await site.start_node()
+    await site.turn(node, "r1", Finish_Ms=500)
+    await site.turn(node, "r2", Finish_Ms=-300)
+    await site.ask(node, SAFE, "r3", Program="p1", Session="l1", Finish_Ms=0)
+    in_time, late, tool = (int(got["Urgency"]) for got in site.workers[0].received)
+    assert in_time < late == tool
+
+
 async def test_a_call_tells_its_worker_how_urgent_it_is(site):
     ranked = [{**route, "priority": rank} for rank, route in enumerate(routes())]
     site.model.put("op", "config", configuration(version=2, routes=ranked))
--- a/tests/test_program_budgets.py
+++ b/tests/test_program_budgets.py
@@ -87,6 +87,29 @@
     assert isinstance(await nodes[0].reserve("r9", 350), Exhausted)
 
 
+async def test_a_budget_that_is_spent_for_good_is_told_without_asking_the_store(model, nodes):
+    for number in range(3):
+        await nodes[0].reserve(f"r{number}", 350)
+        nodes[0].ledger.settle("p", f"r{number}", MOST)
+    assert isinstance(await nodes[0].reserve("r9", 350), Exhausted)
+    await asyncio.sleep(3.0)
+    assert nodes[0].ledger.programs == 0
+    before = model.calls.writes
+    model.moods.mood = Mood.SILENT
+    for number in range(10, 20):
+        assert isinstance(await nodes[0].reserve(f"r{number}", 350), Exhausted)
+    assert nodes[0].ledger.programs == 0
+    assert model.calls.writes == before
+
+
+async def test_a_turn_that_still_fits_is_not_taken_for_spent(nodes):
+    for number in range(2):
+        await nodes[0].reserve(f"r{number}", 300)
+        nodes[0].ledger.settle("p", f"r{number}", MOST)
+    await asyncio.sleep(3.0)
+    assert isinstance(await nodes[0].reserve("r9", 300), Reserved)
+
+
 async def test_what_others_hold_is_no_reason_for_a_final_refusal(nodes):
     assert isinstance(await nodes[0].reserve("r1", 250), Reserved)
     assert isinstance(await nodes[1].reserve("r2", 250), Reserved)
--- a/tests/test_record_watch.py
+++ b/tests/test_record_watch.py
@@ -6,7 +6,7 @@
 import pytest
 
 from foxwinch.emulator.record_store import Mood, RecordStoreModel
-from foxwinch.records.watch import TableWatch
+from foxwinch.records.watch import TableWatch, wait_that_notices_within
 from foxwinch.service_tasks import ServiceTasks
 from virtual_clock import VirtualClock
 
@@ -108,3 +108,28 @@
         before = model.calls.feeds
         await asyncio.sleep(10.0)
         assert model.calls.feeds - before < 10.0 / 0.1
+
+
+@pytest.mark.parametrize("seconds", [2.0, 3.0, 4.0])
+async def test_a_lost_answer_of_a_watch_is_noticed_in_time(seconds):
+    clock = VirtualClock()
+    model = RecordStoreModel(clock)
+    model.put("t", "a", b"1")
+    heard = asyncio.Event()
+
+    def take(read, _):
+        if b"2" in [row.value for row in read.rows]:
+            heard.set()
+
+    wait_seconds = wait_that_notices_within(seconds)
+    watch = TableWatch(model, clock, "t", take, wait_seconds)
+    following = asyncio.ensure_future(watch.run())
+    await asyncio.sleep(0.5)
+    model.moods.mood = Mood.SILENT
+    await asyncio.sleep(wait_seconds + 0.1)
+    model.put("t", "a", b"2")
+    model.moods.mood = Mood.WELL
+    began = clock.monotonic()
+    await heard.wait()
+    following.cancel()
+    assert clock.monotonic() - began <= seconds
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -160,11 +160,16 @@
     assert {tuple(shares.order(split)) for _ in range(9)} == {("s",)}
 
 
-@given(st.integers(0, 50), st.integers(0, 50))
-def test_a_higher_rank_is_never_less_urgent(first, second):
-    assert MOST_URGENT <= urgency_of(first) <= LEAST_URGENT
+@given(st.integers(0, 50), st.integers(0, 50), st.booleans(), st.booleans())
+def test_a_higher_rank_is_never_less_urgent(first, second, late, other_late):
+    assert MOST_URGENT <= urgency_of(first, late) <= LEAST_URGENT
     if first < second:
-        assert urgency_of(first) <= urgency_of(second)
+        assert urgency_of(first, late) <= urgency_of(second, other_late)
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+def test_a_late_program_comes_after_those_of_its_rank_that_are_in_time(rank):
+    assert urgency_of(rank) < urgency_of(rank, late=True) < urgency_of(rank + 1)
 
 
 @given(st.data())
--- a/tests/test_serve_command.py
+++ b/tests/test_serve_command.py
@@ -22,6 +22,7 @@
     "zone": "z",
     "region": "r",
     "bounds.grace_s": "8",
+    "bounds.contact_ms": "3000",
     "listen.front": "10.1.0.38:8149",
     "listen.ready": "10.1.0.38:8141",
     "port_range.0": "7380",
