--- a/src/foxwinch/bench/cluster_fuzz/client.py
+++ b/src/foxwinch/bench/cluster_fuzz/client.py
@@ -76,7 +76,6 @@
     calls: list[ClientCall] = field(default_factory=list)
     created: bool = False
     ended: bool = False
-    """The last copy of committed records of its shard was killed, see `losses`."""
 
     @property
     def identity(self) -> ProgramId:
--- a/src/foxwinch/bench/failover/scenarios.py
+++ b/src/foxwinch/bench/failover/scenarios.py
@@ -92,7 +92,7 @@
 
 
 async def store_down(cluster: FailoverCluster, log: FaultLog) -> None:
-    """Table and object store refuse everything for a while."""
+    """The shared store refuses everything for a while."""
     fault_at = time.monotonic()
     await cluster.set_faults({"store": {"down": True}})
     log.affected.append((fault_at, set()))
--- a/src/foxwinch/bench/overhead.py
+++ b/src/foxwinch/bench/overhead.py
@@ -204,7 +204,7 @@
 
 
 async def _wait_until_served(side: Side) -> None:
-    """Ask until a whole round is served: fresh nodes still take shards and workers over."""
+    """Ask until a whole round is served: fresh nodes still take workers over."""
     load = _load(side, Case(1, 1, 1), SERVED_REQUESTS)
     async with asyncio.timeout(START_SECONDS):
         while True:
--- a/src/foxwinch/bench/overhead_settings.py
+++ b/src/foxwinch/bench/overhead_settings.py
@@ -11,7 +11,7 @@
 UNFENCED_ENGINES = ("open-1", "open-2", "open-3", "open-4")
 """Engines of the same process for who holds no epoch: the node's own refuse them."""
 ZONES = ("zone-1", "zone-2", "zone-3")
-"""One node in each, so that a majority of the journal's replicas is in memory."""
+"""One node in each."""
 CALLER_KEY = "key-of-the-overhead-bench"
 EMULATOR = """\
 pace = "instant"
--- a/src/foxwinch/commands/adopt.py
+++ b/src/foxwinch/commands/adopt.py
@@ -4,11 +4,11 @@
 held. Every partition of the store is looked over by one node: the live member that ranks first.
 """
 
-import asyncio
 from collections.abc import Sequence
 
 import xxhash
 
+from foxwinch.commands.periodic import PeriodicWork
 from foxwinch.commands.program_owner import ProgramOwner
 from foxwinch.core.membership.member import MemberState
 from foxwinch.identifiers import NodeId, ProgramId
@@ -23,25 +23,13 @@
 log = EventLog("programs")
 
 
-class FamilyAdoption:
-    """A service that looks for families of nodes that are gone."""
+class FamilyAdoption(PeriodicWork):
+    """Looks for families of nodes that are gone."""
 
     def __init__(self, owner: ProgramOwner, membership: MembershipView) -> None:
         """Take families over into `owner`."""
-        self._owner = owner
+        super().__init__(owner)
         self._membership = membership
-        self._clock = owner.ports.clock
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Start looking."""
-        self._task = self._owner.spawn_task(self._run())
-
-    async def stop(self) -> None:
-        """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -98,7 +98,7 @@
         self.grant = grant
         if await self.life.commit_intent():
             return True
-        self._settle_grant(not_run(Reason.NO_QUORUM, ""))
+        self._settle_grant(not_run(Reason.STORE_UNAVAILABLE, "the intent was not stored"))
         return False
 
     async def _acquire(self) -> Grant | Refused:
--- a/src/foxwinch/commands/operator.py
+++ b/src/foxwinch/commands/operator.py
@@ -67,8 +67,8 @@
         self._row = NodeRevision(node, zone, MemberState.ALIVE, revision, revision, serving=True)
 
     async def apply(self, command: ApplyConfiguration) -> ChangeAccepted | Refused:
-        """Refuse: there is no table service to keep a change."""
-        detail = "this node runs without a table service, which keeps the configuration"
+        """Refuse: there is no store to keep a change."""
+        detail = "this node runs without a shared store, which keeps the configuration"
         return not_run(Reason.STORE_UNAVAILABLE, detail)
 
     async def revisions_at_nodes(self) -> Sequence[NodeRevision]:
--- a/src/foxwinch/commands/sweep.py
+++ b/src/foxwinch/commands/sweep.py
@@ -1,10 +1,9 @@
 """What ends by itself: calls that nobody follows, programs left alone, families that are over."""
 
-import asyncio
-
 from foxwinch.commands.end_program import end_program
 from foxwinch.commands.held_family import HeldFamily
-from foxwinch.commands.program_owner import CLIENT_GONE, ProgramOwner
+from foxwinch.commands.periodic import PeriodicWork
+from foxwinch.commands.program_owner import CLIENT_GONE
 from foxwinch.core.program.lifetime import cause_of_abandonment
 from foxwinch.core.program.state import Program
 from foxwinch.outcomes import Reason
@@ -18,24 +17,8 @@
 """How long a finished program can be read and its calls repeated by key."""
 
 
-class ProgramSweeper:
-    """A service that looks over all programs held here from time to time."""
-
-    def __init__(self, owner: ProgramOwner) -> None:
-        """Sweep the owner's families once started."""
-        self._owner = owner
-        self._clock = owner.ports.clock
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Start sweeping."""
-        self._task = self._owner.spawn_task(self._run())
-
-    async def stop(self) -> None:
-        """Stop sweeping."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+class ProgramSweeper(PeriodicWork):
+    """Looks over all programs served here from time to time."""
 
     async def _run(self) -> None:
         while True:
--- a/src/foxwinch/core/membership/parameters.py
+++ b/src/foxwinch/core/membership/parameters.py
@@ -62,7 +62,7 @@
     """What a node sends in datagrams; as much arrives, so a third of the 6,000 B/s is left for
     requests over TCP."""
     budget_burst_bytes: float = 32_000.0
-    """Saved up while little is sent: the owners of 64 shards, told twice, do not wait."""
+    """Saved up while little is sent: news that comes all at once does not wait."""
     budget_overdraft_bytes: float = 9_000.0
     """What probes and answers may take beyond the budget, and urgent news half of it."""
     former_addresses: int = 256
