--- a/src/foxwinch/bench/failover/operators.py
+++ b/src/foxwinch/bench/failover/operators.py
@@ -33,7 +33,7 @@
         raise RuntimeError(f"programs cannot be listed: {listed.detail}")
     found: dict[str, set[str]] = {}
     for program in listed.programs:
-        found.setdefault(name_of_node(program.owner), set()).add(program.program_id)
+        found.setdefault(name_of_node(program.node), set()).add(program.program_id)
     return found
 
 
