--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -57,7 +57,7 @@
 
 async def answered_by_two(urls, session):
     """Run a call that is granted w1 first and w2 next."""
-    rig = Rig().load()
+    rig = Rig()
     rig.engine.generate = HttpEngine(session, urls.get).generate
     async with asyncio.timeout(HANG_SECONDS):
         text, last = await collect(rig.model(maximum_tokens=TOKENS))
