--- a/src/foxwinch/commands/apply_configuration.py
+++ b/src/foxwinch/commands/apply_configuration.py
@@ -146,6 +146,8 @@
     if isinstance(outcome, Written):
         return ChangeAccepted(change.revision)
     if not isinstance(outcome, Refused):
+        # A call that was delivered twice conflicts with itself: only the head's token tells.
+        progress.may_have_run = True
         return not_run(Reason.CONFLICT, "the head has moved on", 0.0)
     progress.may_have_run |= outcome.run_state is not RunState.NOT_RUN
     return outcome
--- a/src/foxwinch/records/store_state.py
+++ b/src/foxwinch/records/store_state.py
@@ -4,6 +4,7 @@
 sent and the moment that the answer arrived. Old samples are dropped, as clocks drift.
 """
 
+import asyncio
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -81,6 +82,11 @@
         self.store_clock = StoreClock()
         self._unanswered_at = float("-inf")
         self._lost_since: float | None = None
+        self._lost = asyncio.Event()
+
+    async def wait_until_lost(self) -> None:
+        """Wait until the last call was refused or left without an answer."""
+        await self._lost.wait()
 
     def lost_seconds(self) -> float:
         """Return for how long every call has been refused or left without an answer."""
@@ -124,7 +130,9 @@
             self._unanswered_at = now
             if self._lost_since is None:
                 self._lost_since = now
+                self._lost.set()
         else:
             self._lost_since = None
+            self._lost.clear()
             self.store_clock.observe(outcome.now_ms, sent_at, now)
         return outcome
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -54,6 +54,11 @@
         self._confirmed_at: float | None = None
         self._lost_since: float | None = None
 
+    @property
+    def table(self) -> str:
+        """Return the name of the table."""
+        return self._table
+
     @property
     def version(self) -> int:
         """Return the version up to which the table is known."""
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -5,6 +5,7 @@
 from foxwinch.clock import Clock
 from foxwinch.log import EventLog
 from foxwinch.records.budgets import BudgetLedger
+from foxwinch.records.store_probe import StoreProbe
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.turns import TurnRecords
 from foxwinch.service_tasks import ServiceTasks
@@ -75,6 +76,8 @@
         """Begin to follow the configuration and the workers."""
         self._tasks.keep(self.routing.configuration_watch.run())
         self._tasks.keep(self.routing.workers_watch.run())
+        table = self.routing.configuration_watch.table
+        self._tasks.keep(StoreProbe(self._store, self._clock, table).run())
 
     async def handle(self, request: ServiceRequest, caller: Caller) -> None:
         """Serve one request."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -115,7 +115,7 @@
         }
         self.model.put("servers", f"w{number}", json.dumps({**entry, **changes}).encode())
 
-    async def start_node(self, wait=True):
+    async def start_node(self, wait=True, notice_ms=3_000):
         """Start a node; returns it once it is ready."""
         settings = ServeSettings.model_validate(
             {
@@ -129,7 +129,7 @@
                     "peers": "127.0.0.1:0",
                     "metrics": "127.0.0.1:0",
                 },
-                "store": {"address": self.store_address},
+                "store": {"address": self.store_address, "notice_ms": notice_ms},
             }
         )
         node = ServeProcess(settings, None)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from configuration_cluster import DOCUMENT, FakeCluster, document_with
+from foxwinch._generated.configuration_pb2 import ConfigurationChange
 from foxwinch.commands.apply_configuration import ApplyConfiguration
 from foxwinch.core.configuration.change import Change, ChangeAccepted
 from foxwinch.core.configuration.document import Delta, difference, entries_of, state_of
@@ -147,6 +148,24 @@
     assert lonely.service.current().reason is Reason.STALE_CONFIGURATION
 
 
+def test_change_that_conflicts_with_its_own_repeat_is_not_called_not_run(cluster):
+    node = cluster.start_node()
+    transact = node.records.transact
+
+    async def transact_twice_then_fail(*arguments):
+        await transact(*arguments)
+        answer = await transact(*arguments)
+        node.records.gate.faults = ServiceFaults(down=True)
+        return answer
+
+    node.records.transact = transact_twice_then_fail
+    outcome = apply(cluster, node, "change-one", 1, document_with(7))
+    assert outcome.run_state is RunState.UNKNOWN
+    node.records.gate.faults = ServiceFaults()
+    command = ApplyConfiguration("change-one", 1, document_with(7), repeated=True)
+    assert cluster.run(node.service.apply(command)) == ChangeAccepted(2)
+
+
 def test_status_lists_the_revision_at_each_node(cluster):
     nodes = [cluster.start_node() for _ in range(3)]
     cluster.cut = {3}
@@ -227,14 +246,26 @@
         token = sorted(self.sent)[which % len(self.sent)]
         self.send(self.node(choice), token, *self.sent[token][:2])
 
+    def tokens_in_store(self):
+        rows = self.cluster.model.rows_of("configuration")
+        return {
+            ConfigurationChange.FromString(value).token
+            for row, value in rows.items()
+            if row.key.startswith("revision/")
+        }
+
+    def none_of_those_reported_as_not_run_took_effect(self):
+        """A change that is sent again may take effect then: so look before it is."""
+        not_run = {token for token, sent in self.sent.items() if sent[2] is RunState.NOT_RUN}
+        assert not not_run & self.tokens_in_store(), "a change reported as not run took effect"
+
     def send(self, node, token, expected, rate):
-        earlier = self.sent.get(token, (expected, rate, None))[2]
+        self.none_of_those_reported_as_not_run_took_effect()
         command = ApplyConfiguration(token, expected, document_with(rate), token in self.sent)
         outcome = self.cluster.run(node.service.apply(command))
         if isinstance(outcome, ChangeAccepted):
             same = self.accepted.setdefault(outcome.revision, float(rate))
             assert same == rate, "two documents accepted under one revision"
-            assert earlier != RunState.NOT_RUN, "a change reported as not run took effect"
         state = RunState.RAN if isinstance(outcome, ChangeAccepted) else outcome.run_state
         self.sent[token] = (expected, rate, state)
 
@@ -286,6 +317,7 @@
             node.records.gate.faults = ServiceFaults()
         cluster.run(asyncio.sleep(2 * IN_FORCE_SECONDS))
         views = {rate_at(node) for node in cluster.nodes.values()}
+        self.none_of_those_reported_as_not_run_took_effect()
         cluster.close()
         assert cluster.failures == []
         assert len(views) <= 1, "the nodes do not agree after the faults"
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -421,12 +421,12 @@
 
 
 async def test_a_node_stays_ready_while_a_part_of_the_store_is_down(site):
-    node = await site.start_node()
+    node = await site.start_node(notice_ms=30_000)
     site.model.moods.partitions = frozenset(f"{number:02x}" for number in range(256))
     site.model.moods.mood = Mood.BUSY
     for number in range(3):
         assert (await site.turn(node, f"r{number}")).status == 503
-    assert await site.ready(node) == 200
+        assert await site.ready(node) == 200
 
 
 async def test_metrics_tell_what_was_served(site):
