--- a/src/foxwinch/emulator/settings.py
+++ b/src/foxwinch/emulator/settings.py
@@ -5,9 +5,9 @@
 from pydantic import Field
 
 from foxwinch.emulator.faults import EngineFaults, ServiceFaults, ToolFaults
+from foxwinch.settings.addresses import IpAddress, Port
 from foxwinch.settings.base import StrictModel
 from foxwinch.settings.cluster import ClusterConfiguration, Name
-from foxwinch.settings.process import IpAddress, Port
 
 EVERY_ENGINE = "*"
 """Name under which faults of all engines are given."""
--- a/src/foxwinch/platform/settings.py
+++ b/src/foxwinch/platform/settings.py
@@ -5,8 +5,8 @@
 
 from pydantic import Field
 
+from foxwinch.settings.addresses import IpAddress, IpAndAnyPort, IpAndPort
 from foxwinch.settings.base import SettingsError, StrictModel, check, read_toml
-from foxwinch.settings.process import IpAddress, IpAndAnyPort, IpAndPort
 
 ENVIRONMENT_VARIABLE = "FOXWINCH_CONFIG"
 """Holds the path of the settings file."""
--- a/tests/test_serve_command.py
+++ b/tests/test_serve_command.py
@@ -4,6 +4,7 @@
 import json
 import re
 import signal
+import subprocess
 import sys
 from pathlib import Path
 
@@ -130,3 +131,13 @@
     declared = dict(pins.findall((ROOT / "deploy" / "requirements.in").read_text()))
     assert declared.items() <= deployed.items()
     assert deployed.items() <= tested.items()
+
+
+def test_a_deployed_start_imports_nothing_of_the_command_line_or_of_our_own_cluster():
+    deployed = (ROOT / "deploy" / "requirements.lock").read_text()
+    assert not re.search(r"^(rich|cappa)==", deployed, re.MULTILINE)
+    look = "import sys, foxwinch.platform.start; print(*sys.modules)"
+    asked = [sys.executable, "-c", look]
+    loaded = subprocess.run(asked, capture_output=True, text=True, check=True).stdout.split()
+    assert "foxwinch.platform.process" in loaded
+    assert not {"cappa", "foxwinch.cli", "foxwinch.settings.cluster", "foxwinch.node"} & set(loaded)
