--- a/src/foxwinch/core/routing/load.py
+++ b/src/foxwinch/core/routing/load.py
@@ -4,6 +4,7 @@
 failure in a row. Avoided workers are still chosen when there is no other.
 """
 
+import math
 from dataclasses import dataclass
 
 SHED_SECONDS = 0.05
@@ -14,6 +15,10 @@
 FAILURE_DOUBLINGS = 3
 LOADS_MAXIMUM = 8_192
 """Above the workers of the design size; beyond it, workers without a call are forgotten."""
+WAIT_GAIN = 0.3
+"""Of the newest observation in the smoothed wait."""
+WAIT_HALF_LIFE_SECONDS = 1.0
+"""About two turns: a worker that was slow is tried again soon."""
 
 
 @dataclass(slots=True)
@@ -26,6 +31,14 @@
     """Failures in a row."""
     avoid_until: float = 0.0
     """On the node's steady clock."""
+    wait_seconds: float = 0.0
+    """Smoothed time until the worker began to answer, as of `wait_at`."""
+    wait_at: float = 0.0
+
+    def expected_wait_seconds(self, now: float) -> float:
+        """Return how long the worker takes to begin an answer; fades while nothing is seen."""
+        half_lives = (now - self.wait_at) / WAIT_HALF_LIFE_SECONDS
+        return self.wait_seconds * math.exp2(-half_lives)
 
     def avoided(self, now: float) -> bool:
         """Tell whether the worker is better left alone at `now`."""
@@ -56,6 +69,16 @@
         """Count a call out, however it ended."""
         self.of(worker_id).in_flight -= 1
 
+    def began_to_answer(self, worker_id: str, seconds: float, now: float) -> None:
+        """Take the time that a worker took to begin an answer.
+
+        It tells of the calls of other nodes, which this one does not see.
+        """
+        load = self.of(worker_id)
+        expected = load.expected_wait_seconds(now)
+        load.wait_seconds = expected + WAIT_GAIN * (seconds - expected)
+        load.wait_at = now
+
     def answered(self, worker_id: str) -> None:
         """Note that a worker gave a sound answer."""
         load = self.of(worker_id)
--- a/src/foxwinch/core/routing/selection.py
+++ b/src/foxwinch/core/routing/selection.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from foxwinch.core.routing.affinity import preferred_worker
 from foxwinch.core.routing.directory import Worker
 from foxwinch.core.routing.load import LoadTable
 
@@ -10,6 +11,12 @@
 """Of a worker's slots: a call into another zone costs a little way and bytes."""
 LAST_WORKER_GAIN = 0.25
 """Of a worker's slots: what the cache of the line's last worker is worth."""
+PREFERRED_GAIN = 0.2
+"""Of a worker's slots: what the cache of the program's history is worth, where it mostly lies."""
+WAIT_COST_PER_SECOND = 2.0
+"""What the time until a worker begins to answer costs: it tells of calls of other nodes."""
+IDLE_WAIT_SECONDS = 0.06
+"""Within which a worker with free slots begins to answer."""
 AVOIDED_COST = 10.0
 """More than any load: avoided workers come last."""
 COLD_COST = 0.3
@@ -32,6 +39,8 @@
     zone: str
     last_worker: str | None = None
     """The worker that served the line's last turn and may still hold its cache."""
+    program: str | None = None
+    """The program, where the call leaves a cache behind: all nodes prefer one worker for it."""
     excluded: Collection[str] = ()
     """Workers that this request has been offered to."""
 
@@ -48,10 +57,13 @@
         return None
     start = int(random_number * len(candidates))
     turned = candidates[start:] + candidates[:start]
-    best = min(turned, key=lambda worker: cost_of(worker, loads, wish, now))
-    load = loads.of(best.worker_id)
-    cost = cost_of(best, loads, wish, now)
-    return Choice(best, cost, len(candidates), load.in_flight)
+    costs = {worker.worker_id: cost_of(worker, loads, wish, now) for worker in turned}
+    if wish.program is not None:
+        preferred = preferred_worker(wish.program, wish.zone, turned)
+        costs[preferred.worker_id] -= PREFERRED_GAIN
+    best = min(turned, key=lambda worker: costs[worker.worker_id])
+    in_flight = loads.of(best.worker_id).in_flight
+    return Choice(best, costs[best.worker_id], len(candidates), in_flight)
 
 
 def cost_of(worker: Worker, loads: LoadTable, wish: Wish, now: float) -> float:
@@ -64,6 +76,7 @@
         cost -= LAST_WORKER_GAIN
     if worker.cold_seconds > 0:
         cost += COLD_COST
+    cost += WAIT_COST_PER_SECOND * max(0.0, load.expected_wait_seconds(now) - IDLE_WAIT_SECONDS)
     if load.avoided(now):
         cost += AVOIDED_COST
     return cost
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -143,7 +143,7 @@
     def _choose(self, attempts: Attempts, last_worker: str | None) -> Worker | None:
         now = self._clock.monotonic()
         directory = self._routing.directory
-        wish = Wish(self._zone, last_worker, attempts.offered)
+        wish = Wish(self._zone, last_worker, _caching_program(attempts.request), attempts.offered)
         for service in attempts.services:
             workers = directory.serving(service, now)
             choice = choose(workers, self.loads, wish, now, self._clock.uniform())
@@ -172,12 +172,16 @@
             attempts.last_event_id,
             urgency_of(attempts.route.priority, self._is_late(attempts.request)),
         )
+        began = self._clock.monotonic()
         with self.counted(worker):
             outcome = await self._answer_of(worker, call, self._patience(attempts, left))
+        now = self._clock.monotonic()
         if isinstance(outcome, CallRefused):
             self._note_refused(worker, outcome, attempts.request.request_id)
         elif isinstance(outcome, CallLost):
             self.failed(worker, outcome.failure, attempts.request.request_id)
+        else:
+            self.loads.began_to_answer(worker.worker_id, now - began, now)
         return outcome
 
     async def _answer_of(
@@ -219,6 +223,13 @@
         )
 
 
+def _caching_program(request: ServiceRequest) -> str | None:
+    """Return the program of a model call; other calls leave no cache behind."""
+    if request.program is None or request.model is None:
+        return None
+    return request.program.program_id
+
+
 def _out_of_time(attempts: Attempts) -> RejectedRequest:
     if attempts.ran_on:
         return RejectedRequest(Rejection.LATE, "time_over")
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from foxwinch.core.routing.affinity import preferred_worker
 from foxwinch.core.routing.configuration import (
     Route,
     RouteKind,
@@ -143,6 +144,63 @@
     assert not loads.of("w1").avoided(SHED_SECONDS)
 
 
+def zoned(count):
+    return [worker(number, zone=f"z{number % 3}") for number in range(count)]
+
+
+def test_nodes_that_know_nothing_of_a_program_choose_one_worker_for_it():
+    workers = [worker(number) for number in range(7)]
+    chosen = {}
+    for program in map(str, range(200)):
+        wish = Wish("z", program=program)
+        choices = {choose(workers, LoadTable(), wish, 0.0, draw / 9).worker for draw in range(9)}
+        (chosen[program],) = choices
+    shares = [list(chosen.values()).count(each) / 200 for each in workers]
+    assert max(shares) < 0.25
+
+
+def test_only_the_programs_of_a_worker_that_goes_move():
+    workers = zoned(7)
+    for program in map(str, range(200)):
+        before = preferred_worker(program, "z0", workers)
+        after = preferred_worker(program, "z0", [each for each in workers if each is not before])
+        assert after is not before
+        for gone in workers:
+            if gone is not before:
+                left = [each for each in workers if each is not gone]
+                assert preferred_worker(program, "z0", left) is before
+
+
+def test_most_programs_stay_in_their_zone_and_others_spread():
+    workers = zoned(6)
+    zones = [preferred_worker(str(number), "z0", workers).zone for number in range(600)]
+    assert zones.count("z0") > 400
+    assert zones.count("z1") > 30
+    assert zones.count("z2") > 30
+
+
+def test_a_busy_preferred_worker_is_passed_over():
+    workers = [worker(1), worker(2)]
+    loads = LoadTable()
+    preferred = preferred_worker("p", "z", workers)
+    for _ in range(2):
+        loads.began(preferred.worker_id)
+    assert choose(workers, loads, Wish("z", program="p"), 0.0, 0.0).worker is not preferred
+
+
+def test_a_worker_that_is_slow_to_begin_is_passed_over_for_a_while():
+    workers = [worker(1), worker(2)]
+    loads = LoadTable()
+    preferred = preferred_worker("p", "z", workers)
+    wish = Wish("z", program="p")
+    loads.began_to_answer(preferred.worker_id, 0.03, now=0.0)
+    assert choose(workers, loads, wish, 0.0, 0.0).worker is preferred
+    for _ in range(4):
+        loads.began_to_answer(preferred.worker_id, 0.5, now=0.0)
+    assert choose(workers, loads, wish, 0.0, 0.0).worker is not preferred
+    assert choose(workers, loads, wish, 5.0, 0.0).worker is preferred
+
+
 @given(st.lists(st.integers(1, 9), min_size=2, max_size=5), st.integers(50, 200))
 def test_shares_follow_weights_over_any_run(weights, requests):
     shares = ServiceShares()
