--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 TEST_WORKERS ?= 8
 
-.PHONY: demo test lint format types imports check generate lock clean
+.PHONY: demo test soak lint format types imports check generate lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,10 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(TEST_WORKERS)
 
+# Real nodes on the users' platform with faults from outside them, with fresh seeds.
+soak: $(STAMP)
+	cd tests && ../$(BIN)/python -m soak --seconds 60 --soaks 3
+
 lint: $(STAMP)
 	$(BIN)/ruff check .
 
