--- a/src/foxwinch/bench/fuzz/world.py
+++ b/src/foxwinch/bench/fuzz/world.py
@@ -17,6 +17,7 @@
     ProgramRequest,
     ToolCallRequest,
 )
+from foxwinch.core.membership.member import MemberState
 from foxwinch.core.program.call_events import (
     CallChunks,
     CallFinished,
@@ -27,7 +28,6 @@
 from foxwinch.core.program.history import canonical_json
 from foxwinch.emulator.virtual_cluster import VirtualCluster, VirtualNode
 from foxwinch.identifiers import ModelName, ProgramId, TenantName, ToolName
-from foxwinch.node.interfaces import MemberState
 from foxwinch.outcomes import Refused, RunState
 from foxwinch.settings.cluster import ClusterConfiguration
 
--- a/src/foxwinch/commands/adopt.py
+++ b/src/foxwinch/commands/adopt.py
@@ -13,7 +13,7 @@
 from foxwinch.core.membership.member import MemberState
 from foxwinch.identifiers import NodeId, ProgramId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import MembershipView
+from foxwinch.membership.ports import MembershipView
 from foxwinch.outcomes import Refused
 from foxwinch.records.partitions import PARTITIONS, partition_name
 
--- a/src/foxwinch/commands/apply_configuration.py
+++ b/src/foxwinch/commands/apply_configuration.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass
 
 from foxwinch.clock import Clock
+from foxwinch.configuration.store import (
+    SNAPSHOT_REVISIONS,
+    ConfigurationStore,
+    StoredHead,
+)
 from foxwinch.core.configuration.change import (
     Change,
     ChangeAccepted,
@@ -22,11 +27,6 @@
 from foxwinch.core.configuration.replica import HeldConfiguration
 from foxwinch.core.limits.backoff import Backoff
 from foxwinch.identifiers import Revision
-from foxwinch.node.configuration_store import (
-    SNAPSHOT_REVISIONS,
-    ConfigurationStore,
-    StoredHead,
-)
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
 from foxwinch.records.ports import Written
 from foxwinch.settings.cluster import ClusterConfiguration
--- a/src/foxwinch/commands/drain_worker.py
+++ b/src/foxwinch/commands/drain_worker.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.identifiers import WorkerId
-from foxwinch.node.interfaces import ConfigurationView, GossipView
-from foxwinch.node.worker_drains import drain_entry
+from foxwinch.membership.ports import GossipView
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.workers.worker_drains import drain_entry
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/commands/model_call.py
+++ b/src/foxwinch/commands/model_call.py
@@ -25,8 +25,9 @@
 from foxwinch.core.program.tool_calls import merge_tool_calls
 from foxwinch.core.prompt import PromptMessage, block_hashes, count_tokens, render_prompt
 from foxwinch.identifiers import ClassName, ModelName, WorkerId
-from foxwinch.node.interfaces import Admitted, Grant, GrantRequest, GrantUsage
+from foxwinch.limits.ports import Admitted
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
+from foxwinch.workers.ports import Grant, GrantRequest, GrantUsage
 
 MAXIMUM_ATTEMPTS = 3
 """Dispatches of one model call, the first included: a zone that returns must not meet a storm."""
--- a/src/foxwinch/commands/operator.py
+++ b/src/foxwinch/commands/operator.py
@@ -6,12 +6,13 @@
 
 from foxwinch.commands.apply_configuration import ApplyConfiguration
 from foxwinch.commands.ports import LocateFamily
+from foxwinch.configuration.local import LocalConfiguration
 from foxwinch.core.configuration.change import ChangeAccepted
+from foxwinch.core.membership.member import MemberState
 from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId, WorkerId, ZoneName
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import MembershipView, MemberState
-from foxwinch.node.local import LocalConfiguration
+from foxwinch.membership.ports import MembershipView
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerAddress, PeerContext, PeerPort, parse_address
 from foxwinch.queries.configuration import NodeRevision
--- a/src/foxwinch/commands/ports.py
+++ b/src/foxwinch/commands/ports.py
@@ -7,14 +7,12 @@
 from foxwinch.clock import Clock
 from foxwinch.commands.call_retries import CallRetries
 from foxwinch.commands.held_family import HeldFamily
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.identifiers import NodeId, ProgramId
-from foxwinch.node.interfaces import (
-    ConfigurationView,
-    GrantView,
-    LimitView,
-)
+from foxwinch.limits.ports import LimitView
 from foxwinch.outcomes import Refused
 from foxwinch.records.families import Families, ServedElsewhere
+from foxwinch.workers.ports import GrantView
 
 DEFAULT_HISTORY_BYTES = 4 * 1024 * 1024
 
--- a/src/foxwinch/commands/tool_call.py
+++ b/src/foxwinch/commands/tool_call.py
@@ -19,7 +19,7 @@
 from foxwinch.core.program.requests import CallIntent
 from foxwinch.core.program.state import CallState
 from foxwinch.identifiers import ClassName, ToolName, WorkerId
-from foxwinch.node.interfaces import Admitted
+from foxwinch.limits.ports import Admitted
 from foxwinch.outcomes import Reason, Refused, RunState, not_run
 
 MAXIMUM_ATTEMPTS = 3
--- /dev/null
+++ b/src/foxwinch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The cluster configuration at one node: stored, spread and changed."""
--- a/src/foxwinch/node/configuration_messages.py
+++ b/src/foxwinch/configuration/messages.py
@@ -2,8 +2,8 @@
 
 from foxwinch._generated.configuration_pb2 import ConfigurationChange
 from foxwinch.core.configuration.change import Change, encode
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
 from foxwinch.identifiers import Revision
-from foxwinch.node.interfaces import GossipEntry, GossipKind
 
 GOSSIP_SLOTS = 8
 """The newest differences stay in gossip, so that a quick row of changes needs no fetching."""
--- a/src/foxwinch/node/configuration_service.py
+++ b/src/foxwinch/configuration/service.py
@@ -20,29 +20,24 @@
     ApplyPorts,
     apply_configuration,
 )
+from foxwinch.configuration.messages import GOSSIP_SLOTS, ChangeEncoder, gossip_entry
+from foxwinch.configuration.metrics import ConfigurationMetrics
+from foxwinch.configuration.ports import ConfigurationSnapshot
+from foxwinch.configuration.store import (
+    SNAPSHOT_REVISIONS,
+    ConfigurationStore,
+    StoredHead,
+)
 from foxwinch.core.configuration.change import Change, ChangeAccepted, decode
 from foxwinch.core.configuration.document import Unreadable
 from foxwinch.core.configuration.pollers import Candidate, is_poller
 from foxwinch.core.configuration.replica import ConfigurationReplica, HeldConfiguration
 from foxwinch.core.limits.backoff import Backoff
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.identifiers import Revision
 from foxwinch.log import EventLog
-from foxwinch.node.configuration_messages import GOSSIP_SLOTS, ChangeEncoder, gossip_entry
-from foxwinch.node.configuration_metrics import ConfigurationMetrics
-from foxwinch.node.configuration_store import (
-    SNAPSHOT_REVISIONS,
-    ConfigurationStore,
-    StoredHead,
-)
-from foxwinch.node.interfaces import (
-    ConfigurationSnapshot,
-    GossipEntry,
-    GossipKind,
-    GossipView,
-    Member,
-    MembershipView,
-    MemberState,
-)
+from foxwinch.membership.ports import GossipView, MembershipView
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import PeerContext, PeerPort
 from foxwinch.queries.configuration import STATUS_METHOD, NodeRevision, revisions_at_nodes
@@ -74,7 +69,7 @@
 
 
 class ConfigurationService:
-    """See `foxwinch.node.interfaces.ConfigurationView`; started before anything is served."""
+    """See `foxwinch.configuration.ports.ConfigurationView`; started before anything is served."""
 
     def __init__(
         self,
--- a/src/foxwinch/emulator/clock.py
+++ b/src/foxwinch/emulator/clock.py
@@ -5,7 +5,7 @@
 
 
 class VirtualClock:
-    """Implements `foxwinch.node.interfaces.Clock` on the running loop's (virtual) time."""
+    """Implements `foxwinch.clock.Clock` on the running loop's (virtual) time."""
 
     def __init__(self, seed: int, wall_offset_seconds: float = 0.0) -> None:
         """Draw from `seed`; `wall_offset_seconds` skews only the wall clock."""
--- a/src/foxwinch/gateway/authentication.py
+++ b/src/foxwinch/gateway/authentication.py
@@ -3,8 +3,8 @@
 import hashlib
 from dataclasses import dataclass
 
+from foxwinch.configuration.ports import ConfigurationSnapshot, ConfigurationView
 from foxwinch.identifiers import Revision, TenantName
-from foxwinch.node.interfaces import ConfigurationSnapshot, ConfigurationView
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.settings.cluster import ClusterConfiguration
 
--- /dev/null
+++ b/src/foxwinch/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of tenants and classes, leased between nodes."""
--- a/src/foxwinch/node/limits_service.py
+++ b/src/foxwinch/limits/service.py
@@ -6,22 +6,16 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from foxwinch.clock import Clock
+from foxwinch.configuration.ports import ConfigurationSnapshot, ConfigurationView
 from foxwinch.core.limits.limiter import Limit, Limited, Limiter
 from foxwinch.core.limits.shares import ShareTable
 from foxwinch.core.limits.usage import DemandMeter, UsageDigest, decode, encode, key_hash
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.identifiers import ClassName, NodeId, TenantName
+from foxwinch.limits.ports import Admitted
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import (
-    Admitted,
-    ConfigurationSnapshot,
-    ConfigurationView,
-    GossipEntry,
-    GossipKind,
-    GossipView,
-    Member,
-    MembershipView,
-    MemberState,
-)
+from foxwinch.membership.ports import GossipView, MembershipView
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClassSettings, TenantSettings
@@ -60,7 +54,7 @@
 
 
 class LimitsService:
-    """See `foxwinch.node.interfaces.LimitView`."""
+    """See `foxwinch.limits.ports.LimitView`."""
 
     def __init__(self, ports: LimitsPorts, registry: CollectorRegistry) -> None:
         """Use `ports`; nothing is admitted before `start`."""
--- /dev/null
+++ b/src/foxwinch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there, and gossip between nodes."""
--- a/src/foxwinch/node/gossip_service.py
+++ b/src/foxwinch/membership/gossip.py
@@ -3,12 +3,12 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 
-from foxwinch.node.interfaces import GossipEntry, GossipKind
-from foxwinch.node.membership_service import MembershipService
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.membership.service import MembershipService
 
 
 class GossipService:
-    """Implements `foxwinch.node.interfaces.GossipView`; runs inside the membership's service."""
+    """Implements `foxwinch.membership.ports.GossipView`; runs inside the membership's service."""
 
     def __init__(self, membership: MembershipService) -> None:
         """Spread entries with the datagrams of `membership`."""
--- a/src/foxwinch/node/membership_metrics.py
+++ b/src/foxwinch/membership/metrics.py
@@ -7,7 +7,7 @@
 from prometheus_client.registry import Collector
 
 from foxwinch.core.membership.member import MemberState
-from foxwinch.node.membership_service import MembershipService
+from foxwinch.membership.service import MembershipService
 
 
 class MembershipCollector(Collector):
--- a/src/foxwinch/node/membership_service.py
+++ b/src/foxwinch/membership/service.py
@@ -12,11 +12,11 @@
     SendDatagram,
 )
 from foxwinch.core.membership.engine import MembershipEngine
+from foxwinch.core.membership.entry import GossipEntry
 from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import PeerAddress
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import GossipEntry
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort, parse_address
 from foxwinch.service_tasks import ServiceTasks
@@ -31,7 +31,7 @@
 
 
 class MembershipService:
-    """Implements `foxwinch.node.interfaces.MembershipView`; runs from start to stop."""
+    """Implements `foxwinch.membership.ports.MembershipView`; runs from start to stop."""
 
     def __init__(
         self,
--- a/src/foxwinch/node/http_ports.py
+++ b/src/foxwinch/node/http_ports.py
@@ -11,13 +11,13 @@
 from foxwinch.identifiers import NodeId
 from foxwinch.node.node import new_node_identity
 from foxwinch.node.ports import NO_PEER_ADDRESS, NodePorts
-from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.peer.ports import PeerAddress, parse_address
 from foxwinch.peer.service import PeerService
 from foxwinch.settings.process import NodeSettings, PlatformSettings
 from foxwinch.storage.machines_http import HttpMachines
 from foxwinch.storage.rate_limit import RateLimiter
 from foxwinch.storage.records_http import HttpRecords
+from foxwinch.workers.worker_directory import WorkerDirectory
 
 BURST_SECONDS = 2.0
 """Requests to the platform that may come at once, as seconds of its rate."""
--- a/src/foxwinch/node/local.py
+++ b/src/foxwinch/node/local.py
@@ -1,19 +1,15 @@
 """Single-process implementations of the node's interfaces, for one node without fellow nodes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from foxwinch._generated.journal_pb2 import JournalRecord
 from foxwinch.identifiers import (
     ClassName,
     NodeId,
     ProgramId,
-    Revision,
     TenantName,
 )
-from foxwinch.node.interfaces import (
-    Admitted,
-    ConfigurationSnapshot,
-)
+from foxwinch.limits.ports import Admitted
 from foxwinch.outcomes import Refused
 from foxwinch.records.families import (
     Applied,
@@ -22,24 +18,6 @@
     OpenedFamily,
     ServedElsewhere,
 )
-from foxwinch.settings.cluster import ClusterConfiguration
-
-
-class LocalConfiguration:
-    """A configuration that never changes."""
-
-    REVISION = Revision(1)
-
-    def __init__(self, document: ClusterConfiguration) -> None:
-        """Hold `document` as revision 1."""
-        self._snapshot = ConfigurationSnapshot(self.REVISION, document)
-
-    def current(self) -> ConfigurationSnapshot | Refused:
-        """Return the snapshot."""
-        return self._snapshot
-
-    def subscribe(self, listener: Callable[[ConfigurationSnapshot], None]) -> None:
-        """Accept a listener that will never be called."""
 
 
 class LocalJournal(FamilyJournal):
--- a/src/foxwinch/node/local_cluster.py
+++ b/src/foxwinch/node/local_cluster.py
@@ -3,10 +3,12 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.member import Member
 from foxwinch.identifiers import Epoch
-from foxwinch.node.interfaces import EpochClaim, GossipEntry, GossipKind, Member
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.peer.ports import DatagramHandler, PeerAddress, StreamHandler, UnaryHandler
+from foxwinch.workers.ports import EpochClaim
 
 
 class LocalMembership:
--- a/src/foxwinch/node/node.py
+++ b/src/foxwinch/node/node.py
@@ -9,11 +9,11 @@
 
 from foxwinch.backends.engine_http import HttpEngine
 from foxwinch.clock import Clock, SystemClock
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.gateway.typed_errors import typed_errors
 from foxwinch.identifiers import NodeId
 from foxwinch.log import EventLog
 from foxwinch.node.health import HealthHandlers
-from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart, build_configuration
 from foxwinch.node.parts.context import DrainingService, NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart, build_grants
@@ -22,9 +22,9 @@
 from foxwinch.node.parts.programs import ProgramsPart, build_programs
 from foxwinch.node.parts.records import RecordsPart, build_records
 from foxwinch.node.ports import NodePorts
-from foxwinch.node.worker_directory import WorkerDirectory
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
+from foxwinch.workers.worker_directory import WorkerDirectory
 
 IDENTITY_DIGITS = 12
 """Hexadecimal digits that tell the lives of one name apart."""
--- a/src/foxwinch/node/parts/configuration.py
+++ b/src/foxwinch/node/parts/configuration.py
@@ -3,11 +3,13 @@
 from dataclasses import dataclass
 
 from foxwinch.commands.operator import ConfigurationChanges, FixedConfiguration
+from foxwinch.configuration.local import LocalConfiguration
+from foxwinch.configuration.ports import ConfigurationView
+from foxwinch.configuration.service import ConfigurationService, ConfigurationServicePorts
 from foxwinch.identifiers import ZoneName
-from foxwinch.node.configuration_service import ConfigurationService, ConfigurationServicePorts
-from foxwinch.node.interfaces import ConfigurationView, LimitView
-from foxwinch.node.limits_service import LimitsPorts, LimitsService
-from foxwinch.node.local import LocalConfiguration, LocalLimits
+from foxwinch.limits.ports import LimitView
+from foxwinch.limits.service import LimitsPorts, LimitsService
+from foxwinch.node.local import LocalLimits
 from foxwinch.node.local_cluster import NoPeers
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.membership import MembershipPart
--- a/src/foxwinch/node/parts/grants.py
+++ b/src/foxwinch/node/parts/grants.py
@@ -5,18 +5,18 @@
 from foxwinch.commands.operator import FixedWorkers, WorkerDrains
 from foxwinch.core.orders.reconciler import OrderPolicy
 from foxwinch.identifiers import RegionName
-from foxwinch.node.grants_service import GrantsService
-from foxwinch.node.interfaces import GrantView
-from foxwinch.node.orders_service import OrdersService
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.membership import MembershipPart
 from foxwinch.node.parts.records import RecordsPart
-from foxwinch.node.steward_client import StewardClient
-from foxwinch.node.steward_directory import StewardDirectory
-from foxwinch.node.steward_facts import GossipedDrains, StewardFacts
-from foxwinch.node.steward_service import StewardPorts, StewardService
 from foxwinch.queries.facts import NoWorkers, WorkerFacts
+from foxwinch.workers.grants_service import GrantsService
+from foxwinch.workers.orders_service import OrdersService
+from foxwinch.workers.ports import GrantView
+from foxwinch.workers.steward_client import StewardClient
+from foxwinch.workers.steward_directory import StewardDirectory
+from foxwinch.workers.steward_facts import GossipedDrains, StewardFacts
+from foxwinch.workers.steward_service import StewardPorts, StewardService
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/node/parts/membership.py
+++ b/src/foxwinch/node/parts/membership.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass
 
 from foxwinch.core.membership.actions import RegionState
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.identifiers import RegionName, ZoneName
-from foxwinch.node.gossip_service import GossipService
-from foxwinch.node.interfaces import GossipView, Member, MembershipView, MemberState
+from foxwinch.membership.gossip import GossipService
+from foxwinch.membership.metrics import MembershipCollector
+from foxwinch.membership.ports import GossipView, MembershipView
+from foxwinch.membership.service import MembershipService
 from foxwinch.node.local_cluster import LocalGossip, LocalMembership
-from foxwinch.node.membership_metrics import MembershipCollector
-from foxwinch.node.membership_service import MembershipService
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.peer.ports import PeerPort, parse_address
 
--- a/src/foxwinch/node/parts/operator.py
+++ b/src/foxwinch/node/parts/operator.py
@@ -5,8 +5,8 @@
 
 from foxwinch._generated.operator_pb2 import NodeStatus
 from foxwinch.commands.operator import LocalCommands, OperatorCommands
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.core.membership.actions import RegionState
-from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext
 from foxwinch.node.parts.grants import GrantsPart
--- a/src/foxwinch/node/parts/programs.py
+++ b/src/foxwinch/node/parts/programs.py
@@ -20,7 +20,7 @@
 from foxwinch.gateway.authentication import Authenticator
 from foxwinch.gateway.chat import ChatHandlers, GatewayContext
 from foxwinch.gateway.programs import ProgramHandlers
-from foxwinch.node.interfaces import MembershipView
+from foxwinch.membership.ports import MembershipView
 from foxwinch.node.parts.configuration import ConfigurationPart
 from foxwinch.node.parts.context import NodeContext, NodeService
 from foxwinch.node.parts.grants import GrantsPart
--- a/src/foxwinch/node/parts/records.py
+++ b/src/foxwinch/node/parts/records.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from foxwinch.node.epochs import StoredEpochs
-from foxwinch.node.interfaces import EpochView
 from foxwinch.node.local import LocalFamilies
 from foxwinch.node.local_cluster import LocalEpochs
 from foxwinch.node.parts.context import NodeContext
 from foxwinch.records.families import Families
 from foxwinch.records.family_store import StoredFamilies
+from foxwinch.workers.epochs import StoredEpochs
+from foxwinch.workers.ports import EpochView
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/operator/handlers.py
+++ b/src/foxwinch/operator/handlers.py
@@ -10,8 +10,8 @@
 from foxwinch._generated.operator_grpc import OperatorBase
 from foxwinch.commands.apply_configuration import ApplyConfiguration
 from foxwinch.commands.operator import OperatorCommands
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.identifiers import NodeId, ProgramId, Revision, WorkerId
-from foxwinch.node.interfaces import ConfigurationView
 from foxwinch.operator.refusals import metadata_of, status_of
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.queries.cluster import ClusterQueries
--- a/src/foxwinch/queries/cluster.py
+++ b/src/foxwinch/queries/cluster.py
@@ -14,13 +14,10 @@
     ProgramDetail,
 )
 from foxwinch.commands.ports import LocateFamily
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.program.identity import root_of
 from foxwinch.identifiers import NodeId, ProgramId
-from foxwinch.node.interfaces import (
-    Member,
-    MembershipView,
-    MemberState,
-)
+from foxwinch.membership.ports import MembershipView
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerContext, PeerPort, parse_address
 from foxwinch.queries.facts import NodeFacts, ProgramFacts, WorkerFacts
--- a/src/foxwinch/queries/configuration.py
+++ b/src/foxwinch/queries/configuration.py
@@ -7,8 +7,9 @@
 from google.protobuf.message import DecodeError
 
 from foxwinch._generated.configuration_pb2 import ConfigurationStatus, ConfigurationStatusRequest
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.identifiers import NodeId, Revision, ZoneName
-from foxwinch.node.interfaces import Member, MembershipView, MemberState
+from foxwinch.membership.ports import MembershipView
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort
 
--- a/src/foxwinch/queries/configuration_difference.py
+++ b/src/foxwinch/queries/configuration_difference.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from foxwinch.node.interfaces import ConfigurationSnapshot
+from foxwinch.configuration.ports import ConfigurationSnapshot
 from foxwinch.settings.base import SettingsError, check
 from foxwinch.settings.cluster import ClusterConfiguration
 
--- /dev/null
+++ b/src/foxwinch/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Stewards of workers: grants, orders, drains, and the cache that they hold."""
--- a/src/foxwinch/node/cache_evacuation.py
+++ b/src/foxwinch/workers/cache_evacuation.py
@@ -8,7 +8,7 @@
 from foxwinch.core.steward.estimates import INITIAL_TRANSFER_BLOCK_SECONDS, PREFILL_TOKEN_SECONDS
 from foxwinch.identifiers import ProgramId, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.pool_driver import copy_cache
+from foxwinch.workers.pool_driver import copy_cache
 
 PROGRAMS_MOVED = 32
 """The programs that ran last; a worker that leaves seldom gives time for more."""
--- a/src/foxwinch/node/epochs.py
+++ b/src/foxwinch/workers/epochs.py
@@ -4,11 +4,11 @@
 from foxwinch.clock import Clock
 from foxwinch.identifiers import Epoch
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import EpochClaim
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.records.partitions import partition_of
 from foxwinch.records.ports import Conflict, RecordStore, RowCondition, RowKey, RowWrite, Written
 from foxwinch.records.repeat import repeat_until
+from foxwinch.workers.ports import EpochClaim
 
 EPOCHS_TABLE = "epochs"
 RAISE_SECONDS = 2.0
@@ -18,7 +18,7 @@
 
 
 class StoredEpochs:
-    """Implements `foxwinch.node.interfaces.EpochView`."""
+    """Implements `foxwinch.workers.ports.EpochView`."""
 
     def __init__(self, store: RecordStore, clock: Clock) -> None:
         """Keep the rows in `store`."""
--- a/src/foxwinch/node/grant_reports.py
+++ b/src/foxwinch/workers/grant_reports.py
@@ -19,8 +19,8 @@
     WithdrawnAsk,
 )
 from foxwinch.identifiers import CallId, NodeId, ProgramId, WorkerId
-from foxwinch.node.interfaces import Grant, GrantUsage
-from foxwinch.node.steward_messages import settled_message
+from foxwinch.workers.ports import Grant, GrantUsage
+from foxwinch.workers.steward_messages import settled_message
 
 ITEMS_PER_REPORT = 256
 """Bounds one message; the rest goes with the next."""
--- a/src/foxwinch/node/grants_service.py
+++ b/src/foxwinch/workers/grants_service.py
@@ -5,22 +5,18 @@
 
 from foxwinch._generated.steward_pb2 import GrantGiven
 from foxwinch.clock import Clock
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.identifiers import NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.grant_reports import GrantReports, Report
-from foxwinch.node.interfaces import (
-    ConfigurationView,
-    Grant,
-    GrantRequest,
-    GrantUsage,
-)
-from foxwinch.node.steward_choices import StewardChoices
-from foxwinch.node.steward_client import StewardClient
-from foxwinch.node.steward_directory import ServingSteward, StewardDirectory
-from foxwinch.node.steward_messages import ask_message, grant_of
-from foxwinch.node.waiting import wait_for_event
 from foxwinch.outcomes import Reason, Refused, not_run
 from foxwinch.service_tasks import ServiceTasks
+from foxwinch.workers.grant_reports import GrantReports, Report
+from foxwinch.workers.ports import Grant, GrantRequest, GrantUsage
+from foxwinch.workers.steward_choices import StewardChoices
+from foxwinch.workers.steward_client import StewardClient
+from foxwinch.workers.steward_directory import ServingSteward, StewardDirectory
+from foxwinch.workers.steward_messages import ask_message, grant_of
+from foxwinch.workers.waiting import wait_for_event
 
 REPORT_SECONDS = 2.0
 """Held grants are confirmed this often; their lease is a multiple of it."""
@@ -65,7 +61,7 @@
 
 
 class GrantsService:
-    """Implements `foxwinch.node.interfaces.GrantView` over all stewards of the region."""
+    """Implements `foxwinch.workers.ports.GrantView` over all stewards of the region."""
 
     def __init__(
         self,
--- a/src/foxwinch/node/orders_service.py
+++ b/src/foxwinch/workers/orders_service.py
@@ -9,18 +9,18 @@
 
 from foxwinch._generated.steward_pb2 import StewardedWorker, StewardedWorkers, WorkerOrder
 from foxwinch.clock import Clock
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.core.orders.model import ModelGoal, Order, OrderKind, WorkerActual
 from foxwinch.core.orders.reconciler import OrderPolicy, OrderReconciler
 from foxwinch.core.steward.assignment import Resource
 from foxwinch.identifiers import Epoch, ModelName, RegionName, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import ConfigurationView
-from foxwinch.node.steward_client import StewardClient
-from foxwinch.node.steward_directory import StewardDirectory
-from foxwinch.node.steward_service import StewardService
 from foxwinch.outcomes import Reason, Refused, RunState
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.workers.steward_client import StewardClient
+from foxwinch.workers.steward_directory import StewardDirectory
+from foxwinch.workers.steward_service import StewardService
 
 DECIDE_SECONDS = 2.0
 """Period of comparing: reports lag by a second, and loading takes tens of seconds."""
--- a/src/foxwinch/node/pool_driver.py
+++ b/src/foxwinch/workers/pool_driver.py
@@ -27,8 +27,8 @@
 from foxwinch.core.steward.policy import PolicySettings
 from foxwinch.core.steward.scheduler import PoolScheduler
 from foxwinch.identifiers import CallId, ModelName, ProgramId, WorkerId
-from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.workers.engine_retries import EngineRetries, RetriedKey, RetriedKind
 
 TRANSFER_SECONDS = 5.0
 """A transfer that takes longer costs the call more than computing its prefix again."""
--- a/src/foxwinch/node/steward_choices.py
+++ b/src/foxwinch/workers/steward_choices.py
@@ -5,7 +5,7 @@
 from foxwinch.clock import Clock
 from foxwinch.core.steward.assignment import Holder
 from foxwinch.identifiers import ModelName, NodeId, WorkerId
-from foxwinch.node.steward_directory import ServingSteward, StewardDirectory, worker_resource
+from foxwinch.workers.steward_directory import ServingSteward, StewardDirectory, worker_resource
 
 KEPT_SECONDS = 0.05
 """Far below the time that a digest takes to spread; a wrong choice is refused and made again."""
--- a/src/foxwinch/node/steward_client.py
+++ b/src/foxwinch/workers/steward_client.py
@@ -16,16 +16,16 @@
     WorkerOrder,
     WorkerOrderDone,
 )
+from foxwinch.core.membership.member import Member
 from foxwinch.identifiers import NodeId
-from foxwinch.node.interfaces import Member
-from foxwinch.node.steward_messages import (
+from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
+from foxwinch.peer.ports import PeerPort
+from foxwinch.workers.steward_messages import (
     ACQUIRE_METHOD,
     DESCRIBE_METHOD,
     ORDER_METHOD,
     REPORT_METHOD,
 )
-from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
-from foxwinch.peer.ports import PeerPort
 
 REPORT_DEADLINE_SECONDS = 2.0
 """A report is repeated anyway; waiting longer would only delay the repetition."""
--- a/src/foxwinch/node/steward_desk.py
+++ b/src/foxwinch/workers/steward_desk.py
@@ -19,24 +19,24 @@
 from foxwinch.core.steward.assignment import StewardState
 from foxwinch.core.steward.grant_ledger import GrantLedger
 from foxwinch.identifiers import CallId, ModelName, NodeId, ProgramId, WorkerId
-from foxwinch.node.engine_retries import EngineRetries
-from foxwinch.node.steward_grants import StewardGrants
-from foxwinch.node.steward_messages import (
+from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.peer.ports import PeerContext, PeerPort
+from foxwinch.workers.engine_retries import EngineRetries
+from foxwinch.workers.steward_grants import StewardGrants
+from foxwinch.workers.steward_messages import (
     ACQUIRE_METHOD,
     DESCRIBE_METHOD,
     ORDER_METHOD,
     REPORT_METHOD,
 )
-from foxwinch.node.steward_pools import StewardPools
-from foxwinch.node.steward_programs import StewardPrograms
-from foxwinch.outcomes import Reason, Refused, not_run
-from foxwinch.peer.ports import PeerContext, PeerPort
+from foxwinch.workers.steward_pools import StewardPools
+from foxwinch.workers.steward_programs import StewardPrograms
 
 UNREADABLE = not_run(Reason.INVALID_REQUEST, "the message cannot be read")
 
 
 class StewardDesk:
-    """Implements `foxwinch.node.steward_client.StewardEndpoint`."""
+    """Implements `foxwinch.workers.steward_client.StewardEndpoint`."""
 
     def __init__(
         self,
--- a/src/foxwinch/node/steward_directory.py
+++ b/src/foxwinch/workers/steward_directory.py
@@ -6,16 +6,11 @@
 from google.protobuf.message import DecodeError
 
 from foxwinch._generated.steward_pb2 import HeldResource, StewardDigest
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.steward.assignment import Candidate, Holder
 from foxwinch.identifiers import Epoch, ModelName, NodeId, WorkerId
-from foxwinch.node.interfaces import (
-    GossipEntry,
-    GossipKind,
-    GossipView,
-    Member,
-    MembershipView,
-    MemberState,
-)
+from foxwinch.membership.ports import GossipView, MembershipView
 
 WORKER_PREFIX = "worker/"
 """Prefix of the epoch resources of workers."""
--- a/src/foxwinch/node/steward_facts.py
+++ b/src/foxwinch/workers/steward_facts.py
@@ -5,11 +5,12 @@
 from foxwinch._generated.operator_pb2 import WorkerStatus
 from foxwinch.commands.drain_worker import DrainWorker, drain_worker
 from foxwinch.commands.operator import Accepted
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.identifiers import NodeId, WorkerId
-from foxwinch.node.interfaces import ConfigurationView, GossipView
-from foxwinch.node.steward_pools import HeldWorker
-from foxwinch.node.steward_service import StewardService
+from foxwinch.membership.ports import GossipView
 from foxwinch.outcomes import Refused
+from foxwinch.workers.steward_pools import HeldWorker
+from foxwinch.workers.steward_service import StewardService
 
 
 class StewardFacts:
--- a/src/foxwinch/node/steward_grants.py
+++ b/src/foxwinch/workers/steward_grants.py
@@ -8,6 +8,7 @@
 from foxwinch._generated.steward_pb2 import GrantAsk, GrantGiven, SettledCall
 from foxwinch.backends.ports import EnginePort
 from foxwinch.clock import Clock
+from foxwinch.configuration.ports import ConfigurationView
 from foxwinch.core.steward.actions import Dispatch
 from foxwinch.core.steward.admission import SHORTEST_RETRY_SECONDS
 from foxwinch.core.steward.calls import PoolCall
@@ -16,13 +17,12 @@
 from foxwinch.core.steward.hot_prefixes import HotPrefixes
 from foxwinch.identifiers import CallId, ClassName, Epoch, NodeId, ProgramId, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
-from foxwinch.node.interfaces import ConfigurationView
-from foxwinch.node.pool_driver import PoolDriver
-from foxwinch.node.steward_messages import request_of, usage_of
-from foxwinch.node.steward_pools import StewardPools
-from foxwinch.node.worker_drains import WorkerDrains
 from foxwinch.outcomes import Reason, Refused, not_run
+from foxwinch.workers.engine_retries import EngineRetries, RetriedKey, RetriedKind
+from foxwinch.workers.pool_driver import PoolDriver
+from foxwinch.workers.steward_messages import request_of, usage_of
+from foxwinch.workers.steward_pools import StewardPools
+from foxwinch.workers.worker_drains import WorkerDrains
 
 ASK_ELSEWHERE_SECONDS = 0.2
 """When to look for another steward."""
--- a/src/foxwinch/node/steward_messages.py
+++ b/src/foxwinch/workers/steward_messages.py
@@ -10,7 +10,7 @@
     TenantName,
     WorkerId,
 )
-from foxwinch.node.interfaces import Grant, GrantRequest, GrantUsage
+from foxwinch.workers.ports import Grant, GrantRequest, GrantUsage
 
 ACQUIRE_METHOD = "steward.acquire"
 REPORT_METHOD = "steward.report"
--- a/src/foxwinch/node/steward_metrics.py
+++ b/src/foxwinch/workers/steward_metrics.py
@@ -6,7 +6,7 @@
 
 from foxwinch.core.steward.grant_ledger import GrantLedger
 from foxwinch.identifiers import Epoch
-from foxwinch.node.steward_pools import StewardPools
+from foxwinch.workers.steward_pools import StewardPools
 
 
 class StewardMetrics:
--- a/src/foxwinch/node/steward_pools.py
+++ b/src/foxwinch/workers/steward_pools.py
@@ -12,11 +12,11 @@
 from foxwinch.core.steward.grant_ledger import GrantLedger
 from foxwinch.core.steward.policy import PolicySettings, policy_for
 from foxwinch.identifiers import Epoch, ModelName, WorkerId
-from foxwinch.node.engine_retries import EngineRetries
-from foxwinch.node.pool_driver import PoolDriver
-from foxwinch.node.worker_drains import WorkerDrains
-from foxwinch.node.worker_link import WorkerLink, WorkerLinkEvents
 from foxwinch.settings.cluster import ClusterConfiguration, WorkerSettings
+from foxwinch.workers.engine_retries import EngineRetries
+from foxwinch.workers.pool_driver import PoolDriver
+from foxwinch.workers.worker_drains import WorkerDrains
+from foxwinch.workers.worker_link import WorkerLink, WorkerLinkEvents
 
 SLOTS_PER_WORKER = 16
 """Calls dispatched to one engine at a time: the batch of the engines in use. More would wait
--- a/src/foxwinch/node/steward_programs.py
+++ b/src/foxwinch/workers/steward_programs.py
@@ -5,8 +5,8 @@
 from foxwinch._generated.steward_pb2 import FinishedProgram, PausedProgram
 from foxwinch.core.steward.events import ProgramEnded, ProgramPaused
 from foxwinch.identifiers import NodeId, ProgramId, ToolName, WorkerId
-from foxwinch.node.steward_grants import StewardGrants
-from foxwinch.node.steward_pools import StewardPools
+from foxwinch.workers.steward_grants import StewardGrants
+from foxwinch.workers.steward_pools import StewardPools
 
 PROGRAMS_REMEMBERED = 8_192
 """Programs whose last ask is known, and releases whose end is known. An older pause is taken as
--- a/src/foxwinch/node/steward_service.py
+++ b/src/foxwinch/workers/steward_service.py
@@ -9,6 +9,8 @@
 from foxwinch._generated.steward_pb2 import HeldResource, ModelQueue, StewardDigest
 from foxwinch.backends.ports import EnginePort
 from foxwinch.clock import Clock
+from foxwinch.configuration.ports import ConfigurationSnapshot, ConfigurationView
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
 from foxwinch.core.steward.assignment import (
     AssignmentAction,
     Claim,
@@ -22,28 +24,21 @@
 from foxwinch.core.steward.grant_ledger import GrantLedger
 from foxwinch.identifiers import Epoch, ModelName, NodeId, WorkerId, ZoneName
 from foxwinch.log import EventLog
-from foxwinch.node.cache_evacuation import CacheEvacuation
-from foxwinch.node.engine_retries import EngineRetries
-from foxwinch.node.interfaces import (
-    ConfigurationSnapshot,
-    ConfigurationView,
-    EpochView,
-    GossipEntry,
-    GossipKind,
-    GossipView,
-    MembershipView,
-)
-from foxwinch.node.steward_desk import StewardDesk
-from foxwinch.node.steward_directory import StewardDirectory, resource_worker, worker_resource
-from foxwinch.node.steward_grants import LOWEST_RANK, StewardGrants
-from foxwinch.node.steward_metrics import StewardMetrics
-from foxwinch.node.steward_pools import StewardPools
-from foxwinch.node.waiting import wait_for_event
-from foxwinch.node.worker_drains import WorkerDrains
+from foxwinch.membership.ports import GossipView, MembershipView
 from foxwinch.outcomes import Refused
 from foxwinch.peer.ports import PeerPort
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.storage.ports import MachinePort
+from foxwinch.workers.cache_evacuation import CacheEvacuation
+from foxwinch.workers.engine_retries import EngineRetries
+from foxwinch.workers.ports import EpochView
+from foxwinch.workers.steward_desk import StewardDesk
+from foxwinch.workers.steward_directory import StewardDirectory, resource_worker, worker_resource
+from foxwinch.workers.steward_grants import LOWEST_RANK, StewardGrants
+from foxwinch.workers.steward_metrics import StewardMetrics
+from foxwinch.workers.steward_pools import StewardPools
+from foxwinch.workers.waiting import wait_for_event
+from foxwinch.workers.worker_drains import WorkerDrains
 
 TICK_SECONDS = 0.25
 """Period of looking at members, leases and waiting calls when nothing wakes the service."""
--- a/src/foxwinch/node/worker_directory.py
+++ b/src/foxwinch/workers/worker_directory.py
@@ -1,7 +1,7 @@
 """Base URLs of the workers, as the configuration in force names them."""
 
+from foxwinch.configuration.ports import ConfigurationSnapshot, ConfigurationView
 from foxwinch.identifiers import ToolName, WorkerId
-from foxwinch.node.interfaces import ConfigurationSnapshot, ConfigurationView
 from foxwinch.outcomes import Refused
 
 
--- a/src/foxwinch/node/worker_drains.py
+++ b/src/foxwinch/workers/worker_drains.py
@@ -6,13 +6,14 @@
 
 from foxwinch._generated.steward_pb2 import WorkerDrain
 from foxwinch.clock import Clock
+from foxwinch.core.membership.entry import GossipEntry, GossipKind
 from foxwinch.identifiers import ProgramId, WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.interfaces import GossipEntry, GossipKind, GossipView
-from foxwinch.node.steward_directory import worker_resource
+from foxwinch.membership.ports import GossipView
 from foxwinch.outcomes import Refused
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.storage.ports import MachinePort
+from foxwinch.workers.steward_directory import worker_resource
 
 LIST_SECONDS = 1.0
 """Period of reading the machine list: a leaving worker gets no new work within 3 s of it."""
--- a/src/foxwinch/node/worker_link.py
+++ b/src/foxwinch/workers/worker_link.py
@@ -9,9 +9,9 @@
 from foxwinch.core.steward.events import BlockChange, CacheChanged
 from foxwinch.identifiers import WorkerId
 from foxwinch.log import EventLog
-from foxwinch.node.waiting import wait_for_event
 from foxwinch.outcomes import Reason, Refused, outcome_unknown
 from foxwinch.service_tasks import ServiceTasks
+from foxwinch.workers.waiting import wait_for_event
 
 POLL_SECONDS = 1.0
 """Period of reading load and cache events: an engine's report lags by about as much, and a
--- a/tests/configuration_cluster.py
+++ b/tests/configuration_cluster.py
@@ -8,11 +8,11 @@
 import looptime
 from prometheus_client import CollectorRegistry
 
+from foxwinch.configuration.service import ConfigurationService, ConfigurationServicePorts
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.emulator.faults import ServiceFaults
 from foxwinch.emulator.in_process import InProcessRecords
 from foxwinch.emulator.record_store import RecordStoreModel
-from foxwinch.node.configuration_service import ConfigurationService, ConfigurationServicePorts
-from foxwinch.node.interfaces import Member, MemberState
 from foxwinch.node.local_cluster import LocalGossip, NoPeers
 from foxwinch.outcomes import Reason, not_run
 from foxwinch.peer.ports import PeerAddress, PeerContext
--- a/tests/program_fakes.py
+++ b/tests/program_fakes.py
@@ -9,16 +9,17 @@
 from foxwinch.commands.program_owner import ProgramOwner
 from foxwinch.commands.requests import ModelCallRequest, ToolCallRequest
 from foxwinch.commands.router import ProgramRouter
+from foxwinch.configuration.local import LocalConfiguration
 from foxwinch.core.program.call_events import CallChunks
 from foxwinch.core.program.identity import scoped
 from foxwinch.emulator.clock import VirtualClock
 from foxwinch.identifiers import Epoch, ModelName, TenantName, ToolName, WorkerId
-from foxwinch.node.interfaces import Admitted, Grant
-from foxwinch.node.local import LocalConfiguration
+from foxwinch.limits.ports import Admitted
 from foxwinch.outcomes import Reason, Refused, RunState
 from foxwinch.records.families import Families, FamilyJournal, OpenedFamily
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
+from foxwinch.workers.ports import Grant
 from idle_engine import IdleEngine
 
 CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
--- a/tests/steward_cluster.py
+++ b/tests/steward_cluster.py
@@ -6,6 +6,8 @@
 from prometheus_client import CollectorRegistry
 
 from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message
+from foxwinch.configuration.local import LocalConfiguration
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.orders.reconciler import OrderPolicy
 from foxwinch.emulator.clock import VirtualClock
 from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
@@ -13,17 +15,16 @@
 from foxwinch.emulator.in_process_engine import InProcessEngine
 from foxwinch.emulator.machines import MachineModel
 from foxwinch.emulator.network import MemoryNetwork, addresses
-from foxwinch.node.grants_service import GrantsService
-from foxwinch.node.interfaces import GrantRequest, GrantUsage, Member, MemberState
-from foxwinch.node.local import LocalConfiguration
 from foxwinch.node.local_cluster import LocalEpochs, LocalGossip
-from foxwinch.node.orders_service import OrdersService
-from foxwinch.node.steward_client import StewardClient
-from foxwinch.node.steward_directory import StewardDirectory
-from foxwinch.node.steward_service import StewardPorts, StewardService
 from foxwinch.settings.base import check, read_toml
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.storage.ports import Machine
+from foxwinch.workers.grants_service import GrantsService
+from foxwinch.workers.orders_service import OrdersService
+from foxwinch.workers.ports import GrantRequest, GrantUsage
+from foxwinch.workers.steward_client import StewardClient
+from foxwinch.workers.steward_directory import StewardDirectory
+from foxwinch.workers.steward_service import StewardPorts, StewardService
 
 CLEDWYN = Path(__file__).parents[1] / "examples" / "cledwyn.toml"
 MODEL = "rail-chat"
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -5,9 +5,9 @@
 import pytest
 
 from foxwinch.commands.adopt import LOOK_SECONDS, FamilyAdoption
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.program.identity import scoped
 from foxwinch.identifiers import NodeId, PeerAddress
-from foxwinch.node.interfaces import Member, MemberState
 from foxwinch.records.partitions import partition_of
 from program_fakes import TENANT, Rig
 
--- a/tests/test_cache_evacuation.py
+++ b/tests/test_cache_evacuation.py
@@ -6,7 +6,7 @@
 
 from foxwinch.emulator.engine_worker import EngineWorker, EngineWorkerSettings
 from foxwinch.emulator.in_process_engine import InProcessEngine
-from foxwinch.node.cache_evacuation import CacheEvacuation
+from foxwinch.workers.cache_evacuation import CacheEvacuation
 from test_in_process_engine import LONG_TEXT, order
 from virtual_clock import VirtualClock
 
--- a/tests/test_call_retries.py
+++ b/tests/test_call_retries.py
@@ -10,8 +10,8 @@
 from foxwinch.core.limits.retry_budget import RETRY_BURST
 from foxwinch.core.program.call_events import CallFinished
 from foxwinch.identifiers import Epoch, WorkerId
-from foxwinch.node.interfaces import Grant
 from foxwinch.outcomes import Reason, RunState, not_run
+from foxwinch.workers.ports import Grant
 from program_fakes import BROKEN, TENANT, Rig, collect
 
 pytestmark = [pytest.mark.looptime]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,11 @@
 from configuration_cluster import DOCUMENT, FakeCluster, document_with
 from foxwinch._generated.configuration_pb2 import ConfigurationChange
 from foxwinch.commands.apply_configuration import ApplyConfiguration
+from foxwinch.configuration.store import ConfigurationStore
 from foxwinch.core.configuration.change import Change, ChangeAccepted
 from foxwinch.core.configuration.document import Delta, difference, entries_of, state_of
 from foxwinch.core.configuration.replica import ConfigurationReplica
 from foxwinch.emulator.faults import ServiceFaults
-from foxwinch.node.configuration_store import ConfigurationStore
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
 
 IN_FORCE_SECONDS = 5.0
--- a/tests/test_engine_retries.py
+++ b/tests/test_engine_retries.py
@@ -3,7 +3,7 @@
 import pytest
 
 from foxwinch.backends.ports import Done
-from foxwinch.node.engine_retries import EngineRetries, RetriedKey, RetriedKind
+from foxwinch.workers.engine_retries import EngineRetries, RetriedKey, RetriedKind
 from virtual_clock import VirtualClock
 
 pytestmark = [pytest.mark.looptime]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -18,8 +18,8 @@
 from foxwinch.emulator.clock import VirtualClock
 from foxwinch.emulator.network import LinkFaults, MemoryNetwork, addresses
 from foxwinch.identifiers import NodeId, RegionName, ZoneName
-from foxwinch.node.gossip_service import GossipService
-from foxwinch.node.membership_service import MembershipService
+from foxwinch.membership.gossip import GossipService
+from foxwinch.membership.service import MembershipService
 
 
 def fleet_of(nodes: int, seed: int = 1, loss: float = 0.0, regions: int = 1) -> Fleet:
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -5,10 +5,10 @@
 
 from foxwinch.bench.fault_proxy import FaultProxy
 from foxwinch.clock import SystemClock
+from foxwinch.core.membership.member import Member, MemberState
 from foxwinch.core.membership.parameters import MembershipParameters
 from foxwinch.identifiers import NodeId, RegionName, ZoneName
-from foxwinch.node.interfaces import Member, MemberState
-from foxwinch.node.membership_service import MembershipService
+from foxwinch.membership.service import MembershipService
 from foxwinch.peer.service import PeerService
 
 QUICK = MembershipParameters(
--- a/tests/test_steward_service.py
+++ b/tests/test_steward_service.py
@@ -6,9 +6,9 @@
 
 from foxwinch.backends.ports import GenerateFinished, GenerateOrder, Message
 from foxwinch.emulator.faults import EngineFaults
-from foxwinch.node.interfaces import Grant, GrantUsage
-from foxwinch.node.worker_drains import drain_entry
 from foxwinch.outcomes import Reason, Refused
+from foxwinch.workers.ports import Grant, GrantUsage
+from foxwinch.workers.worker_drains import drain_entry
 from steward_cluster import MODEL, StewardCluster, request, run_call, until
 
 pytestmark = [pytest.mark.looptime]
--- a/tests/test_virtual_cluster.py
+++ b/tests/test_virtual_cluster.py
@@ -8,10 +8,10 @@
 
 from foxwinch._generated.journal_pb2 import HistoryMessage
 from foxwinch.commands.requests import ModelCallRequest
+from foxwinch.core.membership.member import MemberState
 from foxwinch.core.program.call_events import CallFinished
 from foxwinch.emulator.virtual_cluster import VirtualCluster
 from foxwinch.identifiers import ModelName, ProgramId, TenantName
-from foxwinch.node.interfaces import MemberState
 from foxwinch.outcomes import Refused, RunState
 from foxwinch.settings.load import load_cluster_configuration
 
