Log what tells the incident's hypotheses apart: connection, age and version behind each decision

Cause: the lines of a request named the configuration at its end, not the one that routed it, and not the age of the workers' list; a failed call to the store did not say whether its connection was kept from an earlier call; whole reads did not tell the highest version seen before; a task that ended had no name. Change: log fields and a gauge of each watch's age, no logic.

--- a/src/foxwinch/log.py
+++ b/src/foxwinch/log.py
@@ -1,6 +1,7 @@
 """Logs: one line of key=value pairs for each event, on standard error."""
 
 import logging
+import math
 import sys
 
 from logfmter import Logfmter
@@ -23,6 +24,11 @@
     logging.getLogger(LOGGER_NAME).setLevel(level)
 
 
+def age_ms(seconds: float) -> int | None:
+    """Return an age in whole milliseconds for a log line; None for one that is not known."""
+    return int(1e3 * seconds) if math.isfinite(seconds) else None
+
+
 class EventLog:
     """Writes events of one subsystem; every event is a name and key=value pairs."""
 
--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from foxwinch.log import EventLog
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
 from foxwinch.records.ports import (
     Conflict,
@@ -34,6 +35,7 @@
 STATUS_LIMITED = 429
 STATUS_UNAVAILABLE = 503
 UNREADABLE = (ValueError, KeyError, TypeError)
+log = EventLog("store")
 
 
 class _Answer:
@@ -44,6 +46,14 @@
         self.document = document
 
 
+class _CallTrace:
+    """What one call learns of the connection that it went out on."""
+
+    def __init__(self) -> None:
+        self.connection = "none"
+        """`new`, `kept` (from the pool), or `none` before there was one."""
+
+
 class PlatformStore:
     """The platform's store; implements `foxwinch.records.ports.RecordStore`."""
 
@@ -55,6 +65,7 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+            trace_configs=[_connection_trace()],
         )
 
     async def close(self) -> None:
@@ -148,11 +159,23 @@
         timeout_seconds: float,
     ) -> _Answer | Refused:
         began = time.monotonic()
-        outcome = await self._exchange(method, path, query, body, timeout_seconds)
+        trace = _CallTrace()
+        outcome = await self._exchange(method, path, query, body, timeout_seconds, trace)
+        took = time.monotonic() - began
         operation = path.rpartition("/")[2]
         word = outcome.reason.value if isinstance(outcome, Refused) else str(outcome.status)
         self._metrics.store_calls.labels(operation, word).inc()
-        self._metrics.store_seconds.labels(operation).observe(time.monotonic() - began)
+        self._metrics.store_seconds.labels(operation).observe(took)
+        if isinstance(outcome, Refused):
+            log.info(
+                "store_call_failed",
+                operation=operation,
+                table=query.get("table") if query else None,
+                reason=outcome.reason.value,
+                detail=outcome.detail,
+                connection=trace.connection,
+                took_ms=int(1e3 * took),
+            )
         return outcome
 
     async def _exchange(
@@ -162,12 +185,18 @@
         query: dict[str, str] | None,
         body: dict[str, Any] | None,
         timeout_seconds: float,
+        trace: _CallTrace,
     ) -> _Answer | Refused:
         try:
             async with (
                 asyncio.timeout(timeout_seconds),
                 self._session.request(
-                    method, self._base + path, params=query, json=body, allow_redirects=False
+                    method,
+                    self._base + path,
+                    params=query,
+                    json=body,
+                    allow_redirects=False,
+                    trace_request_ctx=trace,
                 ) as response,
             ):
                 raw = await response.read()
@@ -181,6 +210,21 @@
             return outcome_unknown(Reason.STORE_UNAVAILABLE, f"the store broke off: {kind}")
 
 
+def _connection_trace() -> aiohttp.TraceConfig:
+    """Note for each call whether its connection is new or was kept from an earlier call."""
+
+    async def created(_: aiohttp.ClientSession, context: Any, __: Any) -> None:
+        context.trace_request_ctx.connection = "new"
+
+    async def reused(_: aiohttp.ClientSession, context: Any, __: Any) -> None:
+        context.trace_request_ctx.connection = "kept"
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(created)
+    trace.on_connection_reuseconn.append(reused)
+    return trace
+
+
 def _place(row: RowKey) -> dict[str, str]:
     return {"table": row.table, "part": row.partition, "tls_key": row.key}
 
@@ -205,7 +249,8 @@
             int(document["ver"]),
             int(document["now_ms"]),
         )
-    except UNREADABLE:
+    except UNREADABLE as error:
+        log.warning("store_answer_unreadable", error=type(error).__name__, detail=str(error))
         return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
 
 
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -8,7 +8,7 @@
 
 from foxwinch.clock import Clock
 from foxwinch.core.limits.backoff import Backoff
-from foxwinch.log import EventLog
+from foxwinch.log import EventLog, age_ms
 from foxwinch.outcomes import Refused
 from foxwinch.records.ports import HistoryLost, RecordStore, RowsRead
 
@@ -85,6 +85,12 @@
                 attempt += 1
                 await self._clock.sleep(wait)
             elif outcome.version < self._version:
+                log.info(
+                    "table_read_stale",
+                    table=self._table,
+                    version=outcome.version,
+                    highest=self._version,
+                )
                 await self._clock.sleep(STALE_SECONDS)
             else:
                 attempt = 0
@@ -98,6 +104,15 @@
         return await self._store.changes(self._table, self._version, self._wait_seconds)
 
     def _apply(self, read: RowsRead, whole: bool) -> None:
+        if whole:
+            log.info(
+                "table_read",
+                table=self._table,
+                rows=len(read.rows),
+                version=read.version,
+                highest=self._version,
+                age_ms=age_ms(self.age_seconds()),
+            )
         self._version = read.version
         self._confirmed_at = self._clock.monotonic()
         if self._lost_since is not None:
@@ -116,4 +131,5 @@
                 reason=refused.reason.value,
                 detail=refused.detail,
                 version=self._version,
+                age_ms=age_ms(self.age_seconds()),
             )
--- a/src/foxwinch/service_tasks.py
+++ b/src/foxwinch/service_tasks.py
@@ -37,7 +37,13 @@
             return
         error = task.exception()
         if error is not None:
-            log.error("task_failed", service=self._service, error=type(error).__name__)
+            log.error(
+                "task_failed",
+                service=self._service,
+                task=task.get_coro().__qualname__,  # type: ignore[union-attr]
+                error=type(error).__name__,
+                detail=str(error),
+            )
             task.get_loop().call_exception_handler(
                 {"message": f"a task of {self._service} failed", "exception": error, "task": task}
             )
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -12,7 +12,7 @@
 from foxwinch.core.routing.selection import Wish, choose
 from foxwinch.core.routing.shares import ServiceShares
 from foxwinch.core.routing.urgency import urgency_of
-from foxwinch.log import EventLog
+from foxwinch.log import EventLog, age_ms
 from foxwinch.serving.messages import (
     CallFailure,
     CallLost,
@@ -157,6 +157,7 @@
                     candidates=choice.candidates,
                     own_calls=choice.in_flight,
                     list_version=directory.version,
+                    list_age_ms=age_ms(self._routing.workers_age_seconds()),
                     left_ms=int(1e3 * (attempts.end_at - now)),
                 )
                 return choice.worker
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -1,13 +1,13 @@
 """The way of one request through a node: route, budget and history, worker, answer."""
 
 import asyncio
-import math
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from foxwinch.clock import Clock
 from foxwinch.core.records.account import Exhausted, Reserve
 from foxwinch.core.routing.configuration import Route, RouteKind, RoutingConfiguration
-from foxwinch.log import EventLog
+from foxwinch.log import EventLog, age_ms
 from foxwinch.outcomes import Refused
 from foxwinch.records.budgets import BudgetLedger, Reserved
 from foxwinch.records.turns import NoSuchTurn, TurnRecords
@@ -39,6 +39,15 @@
     """A stable word for logs and metrics."""
 
 
+class _Basis(NamedTuple):
+    """The state of knowledge by which a request was routed."""
+
+    configuration: int | None
+    """Version; None before the first configuration."""
+    configuration_age_ms: int | None
+    """Since that version was last known to be the newest."""
+
+
 class RequestHandler:
     """Serves requests of callers."""
 
@@ -63,11 +72,15 @@
     async def handle(self, request: ServiceRequest, caller: Caller) -> None:
         """Serve one request to its end."""
         configuration = self._routing.configuration
+        basis = _Basis(
+            configuration.version if configuration is not None else None,
+            age_ms(self._routing.configuration_age_seconds()),
+        )
         route = configuration.match(request.host, request.path) if configuration else None
         if configuration is None or route is None:
             rejected = self._no_route(configuration)
             await caller.reject(rejected)
-            self._ended(request, None, rejected.reason)
+            self._ended(request, None, rejected.reason, basis)
             return
         end_at = request.received_at + route.timeout_seconds
         if request.deadline_seconds is not None:
@@ -80,7 +93,7 @@
             outcome = await self._serve(attempts, configuration, caller)
         finally:
             self._metrics.running.dec()
-            self._ended(request, route, outcome)
+            self._ended(request, route, outcome, basis)
 
     async def _serve(
         self, attempts: Attempts, configuration: RoutingConfiguration, caller: Caller
@@ -197,16 +210,13 @@
             )
         return RejectedRequest(Rejection.NO_ROUTE, "no_route")
 
-    def _configuration_age_ms(self) -> int | None:
-        age = self._routing.configuration_age_seconds()
-        return int(1e3 * age) if math.isfinite(age) else None
-
-    def _ended(self, request: ServiceRequest, route: Route | None, outcome: str) -> None:
+    def _ended(
+        self, request: ServiceRequest, route: Route | None, outcome: str, basis: _Basis
+    ) -> None:
         took = self._clock.monotonic() - request.received_at
         kind = route.kind.value if route is not None else "none"
         self._metrics.requests.labels(kind, outcome).inc()
         self._metrics.whole_seconds.labels(kind).observe(took)
-        configuration = self._routing.configuration
         log.info(
             "request_ended",
             request=request.request_id,
@@ -214,8 +224,8 @@
             route=route.name if route else None,
             outcome=outcome,
             took_ms=int(1e3 * took),
-            configuration=configuration.version if configuration else None,
-            configuration_age_ms=self._configuration_age_ms(),
+            configuration=basis.configuration,
+            configuration_age_ms=basis.configuration_age_ms,
         )
 
 
--- a/src/foxwinch/serving/metrics.py
+++ b/src/foxwinch/serving/metrics.py
@@ -62,6 +62,12 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
+        self.watch_age_seconds = Gauge(
+            "foxwinch_watch_age_seconds",
+            "Since a watched table of the shared store was last known to be up to date.",
+            ["table"],
+            registry=self.registry,
+        )
         self.running = Gauge(
             "foxwinch_requests_running", "Requests under way.", registry=self.registry
         )
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -33,3 +33,7 @@
     def configuration_age_seconds(self) -> float:
         """Return how long ago the configuration was last confirmed to be the newest."""
         ...
+
+    def workers_age_seconds(self) -> float:
+        """Return how long ago the list of workers was last confirmed to be the newest."""
+        ...
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -46,6 +46,8 @@
         self.workers_watch = TableWatch(
             store, clock, workers_table, self._take_workers, wait_seconds
         )
+        for watch in (self.configuration_watch, self.workers_watch):
+            metrics.watch_age_seconds.labels(watch.table).set_function(watch.age_seconds)
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
@@ -61,6 +63,10 @@
         """Return how long ago the configuration was last confirmed to be the newest."""
         return self.configuration_watch.age_seconds()
 
+    def workers_age_seconds(self) -> float:
+        """Return how long ago the list of workers was last confirmed to be the newest."""
+        return self.workers_watch.age_seconds()
+
     @property
     def complete(self) -> bool:
         """Whether requests can be served: there are a configuration and workers."""
