--- a/src/foxwinch/bench/fault_proxy.py
+++ b/src/foxwinch/bench/fault_proxy.py
@@ -109,6 +109,11 @@
         for link in list(self._links):
             link.reset()
 
+    def silence(self) -> None:
+        """Let every open connection go silent for good, without a reset; new ones work."""
+        for link in list(self._links):
+            link.silence()
+
     def is_blocked(self, source: str, to_target: bool) -> bool:
         """Tell whether traffic of a client is blocked in one direction."""
         faults = self.faults
@@ -173,6 +178,7 @@
         self._writers = (client[1], target[1])
         self._source = str(client[1].get_extra_info("peername")[0])
         self._gates = (Gate(), Gate())
+        self._silent = False
         self.faults_changed()
         self._pumps = (
             Pump(client[0], target[1], self._gates[0], proxy.delay_seconds, self._rate),
@@ -191,7 +197,13 @@
     def faults_changed(self) -> None:
         """Open or shut the gates as the proxy is programmed."""
         for gate, to_target in zip(self._gates, (True, False), strict=True):
-            gate.set_open(not self._proxy.is_blocked(self._source, to_target))
+            blocked = self._silent or self._proxy.is_blocked(self._source, to_target)
+            gate.set_open(not blocked)
+
+    def silence(self) -> None:
+        """Carry nothing any more in either direction, not even an end."""
+        self._silent = True
+        self.faults_changed()
 
     def close(self) -> None:
         """End both sides in order."""
--- a/src/foxwinch/emulator/http_record_store.py
+++ b/src/foxwinch/emulator/http_record_store.py
@@ -29,6 +29,8 @@
     def __init__(self, model: RecordStoreModel) -> None:
         """Serve `model`."""
         self._model = model
+        self.foreign: dict[str, dict[str, Any]] = {}
+        """By key: fields of a row's document as another writer's row has them."""
 
     def application(self) -> web.Application:
         """Return the application."""
@@ -45,14 +47,14 @@
             RowWrite(_place(entry), base64.b64decode(entry["value"])) for entry in body["put"]
         ]
         writes += [RowWrite(_place(entry), None) for entry in body["remove"]]
-        return _answer(await self._model.transact(conditions, tuple(writes), CALL_SECONDS))
+        return self._answer(await self._model.transact(conditions, tuple(writes), CALL_SECONDS))
 
     async def _read(self, request: web.Request) -> web.Response:
         query = request.query
         partition = query.get("part", "")
         first = RowKey(query["table"], partition, query.get("from", ""))
         end_key = query.get("target_version", AFTER_ALL_KEYS)
-        return _answer(await self._model.read(first, end_key, CALL_SECONDS))
+        return self._answer(await self._model.read(first, end_key, CALL_SECONDS))
 
     async def _changes(self, request: web.Request) -> web.Response:
         query = request.query
@@ -60,26 +62,37 @@
         outcome = await self._model.changes(query["table"], int(query["after"]), wait_seconds)
         if isinstance(outcome, HistoryLost):
             return web.json_response({}, status=410)
-        return _answer(outcome)
-
-
-def _answer(outcome: Written | Conflict | RowsRead | Refused) -> web.Response:
-    match outcome:
-        case Written():
-            return web.json_response({"ver": outcome.version, "now_ms": outcome.now_ms})
-        case Conflict():
-            rows = [_document(row) for row in outcome.rows]
-            return web.json_response({"rows": rows, "now_ms": outcome.now_ms}, status=412)
-        case RowsRead():
-            document = {
-                "rows": [_document(row) for row in outcome.rows],
-                "more": outcome.more,
-                "ver": outcome.version,
-                "now_ms": outcome.now_ms,
-            }
-            return web.json_response(document)
-        case Refused():
-            return web.json_response({}, status=_status(outcome))
+        return self._answer(outcome)
+
+    def _answer(self, outcome: Written | Conflict | RowsRead | Refused) -> web.Response:
+        match outcome:
+            case Written():
+                return web.json_response({"ver": outcome.version, "now_ms": outcome.now_ms})
+            case Conflict():
+                rows = [self._document(row) for row in outcome.rows]
+                return web.json_response({"rows": rows, "now_ms": outcome.now_ms}, status=412)
+            case RowsRead():
+                document = {
+                    "rows": [self._document(row) for row in outcome.rows],
+                    "more": outcome.more,
+                    "ver": outcome.version,
+                    "now_ms": outcome.now_ms,
+                }
+                return web.json_response(document)
+            case Refused():
+                return web.json_response({}, status=_status(outcome))
+
+    def _document(self, row: StoredRow) -> dict[str, Any]:
+        document: dict[str, Any] = {
+            "table": row.row.table,
+            "part": row.row.partition,
+            "tls_key": row.row.key,
+            "ver": row.version,
+        }
+        if row.value is None:
+            return {**document, "gone": True}
+        value = base64.b64encode(row.value).decode()
+        return {**document, "value": value, **self.foreign.get(row.row.key, {})}
 
 
 def _status(refused: Refused) -> int:
@@ -90,15 +103,3 @@
 
 def _place(entry: dict[str, Any]) -> RowKey:
     return RowKey(entry["table"], entry.get("part", ""), entry["tls_key"])
-
-
-def _document(row: StoredRow) -> dict[str, Any]:
-    document: dict[str, Any] = {
-        "table": row.row.table,
-        "part": row.row.partition,
-        "tls_key": row.row.key,
-        "ver": row.version,
-    }
-    if row.value is None:
-        return {**document, "gone": True}
-    return {**document, "value": base64.b64encode(row.value).decode()}
