Decode the store's rows one by one, so that an undecodable one hides no other

Cause: a page of rows was decoded all or nothing. One row without a value or version of the store's encoding refused the page, and the same page came again with each read and each change: the node heard of no drain and no new worker for as long as the row stood. Class: one bad record stops a feed. The same fault in the pages of a whole read is held by twelve cases of test_a_row_that_cannot_be_decoded_hides_no_other. Why it works: each row is decoded for itself; what cannot be decoded is logged (row_unreadable), named to the reader, and takes a worker of that key out of use. A page without a key to go on from is refused.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -11,6 +11,8 @@
 LAST_RESORT_SECONDS = 1.0
 """For which a leaving worker may still be given work when a service has no other: well below the
 two seconds after which a leaving worker must get none."""
+NEVER_AGAIN = float("-inf")
+"""Since when a worker is leaving that must not even be a last resort."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,13 @@
             return
         self._known[worker_id] = replace(known, version=version, leaving_since=now)
 
+    def refuse(self, worker_id: str, version: int) -> None:
+        """Note that an entry names no worker: one that it named before is not used any more."""
+        self._version = max(self._version, version)
+        known = self._known.get(worker_id)
+        if known is not None and known.version <= version:
+            self._known[worker_id] = replace(known, version=version, leaving_since=NEVER_AGAIN)
+
     def _drop_former(self, worker: Worker) -> None:
         """Forget whoever had this address before."""
         for worker_id, known in list(self._known.items()):
--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -18,6 +18,7 @@
     RowsRead,
     RowWrite,
     StoredRow,
+    UnreadableRow,
     Written,
 )
 from foxwinch.serving.metrics import ServingMetrics
@@ -29,12 +30,14 @@
 READ_LIMIT = 500
 AFTER_KEY = "\x01"
 """Behind a key it makes the start of what follows that key."""
+ABSENT_VERSION = 0
+"""Of a row that is not there, in the answer to a condition."""
 STATUS_DONE = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
 STATUS_LIMITED = 429
 STATUS_UNAVAILABLE = 503
-UNREADABLE = (ValueError, KeyError, TypeError)
+UNREADABLE = (ValueError, KeyError, TypeError, OverflowError)
 log = EventLog("store")
 
 
@@ -121,19 +124,27 @@
         self, query: dict[str, str], timeout_seconds: float
     ) -> RowsRead | Refused:
         """Read page by page; the version is the first page's, so that no later change is missed."""
-        rows: list[StoredRow] = []
-        version: int | None = None
+        pages: list[RowsRead] = []
         query = {**query, "limit": str(READ_LIMIT)}
         while True:
             answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
             read = _rows_read(answer)
             if isinstance(read, Refused):
                 return read
-            rows += read.rows
-            version = read.version if version is None else version
-            if not read.more or not read.rows:
-                return RowsRead(tuple(rows), False, version, read.now_ms)
-            query["from"] = read.rows[-1].row.key + AFTER_KEY
+            pages.append(read)
+            if not read.more:
+                return RowsRead(
+                    tuple(row for page in pages for row in page.rows),
+                    False,
+                    pages[0].version,
+                    read.now_ms,
+                    tuple(row for page in pages for row in page.unreadable),
+                )
+            last_key = max((*(row.row.key for row in read.rows), *_keys(read)), default="")
+            if last_key < query["from"] or not last_key:
+                detail = "a page of the store names no key to go on from"
+                return outcome_unknown(Reason.STORE_UNAVAILABLE, detail)
+            query["from"] = last_key + AFTER_KEY
 
     async def changes(
         self, table: str, after_version: int, wait_seconds: float
@@ -231,9 +242,10 @@
 
 def _row(entry: dict[str, Any]) -> StoredRow:
     row = RowKey(entry["table"], entry.get("part", ""), entry["tls_key"])
-    value = entry.get("value")
-    known = None if entry.get("gone") or value is None else base64.b64decode(value)
-    return StoredRow(row, known, int(entry.get("ver", 0)))
+    version = int(entry.get("ver", 0))
+    if entry.get("gone") or version == ABSENT_VERSION:
+        return StoredRow(row, None, version)
+    return StoredRow(row, base64.b64decode(entry["value"], validate=True), version)
 
 
 def _rows_read(answer: _Answer | Refused) -> RowsRead | Refused:
@@ -243,15 +255,40 @@
         return _refusal(answer)
     try:
         document = answer.document
-        return RowsRead(
-            tuple(_row(entry) for entry in document["rows"]),
-            bool(document.get("more")),
-            int(document["ver"]),
-            int(document["now_ms"]),
-        )
+        version = int(document["ver"])
+        more, now_ms = bool(document.get("more")), int(document["now_ms"])
+        entries = list(document["rows"])
     except UNREADABLE as error:
         log.warning("store_answer_unreadable", error=type(error).__name__, detail=str(error))
         return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
+    rows: list[StoredRow] = []
+    unreadable: list[UnreadableRow] = []
+    for entry in entries:
+        row = _read_row(entry, version)
+        if isinstance(row, StoredRow):
+            rows.append(row)
+        else:
+            log.warning("row_unreadable", key=row.key, version=row.version, reason=row.reason)
+            unreadable.append(row)
+    return RowsRead(tuple(rows), more, version, now_ms, tuple(unreadable))
+
+
+def _read_row(entry: Any, page_version: int) -> StoredRow | UnreadableRow:
+    """Decode one row of a page; a row that tells no version is as new as its page."""
+    try:
+        return _row(entry)
+    except UNREADABLE as error:
+        told = entry if isinstance(entry, dict) else {}
+        key, version = told.get("tls_key"), told.get("ver")
+        return UnreadableRow(
+            key if isinstance(key, str) else "",
+            version if isinstance(version, int) else page_version,
+            f"{type(error).__name__}: {error}",
+        )
+
+
+def _keys(read: RowsRead) -> tuple[str, ...]:
+    return tuple(row.key for row in read.unreadable)
 
 
 def _refusal(answer: _Answer) -> Refused:
--- a/src/foxwinch/records/ports.py
+++ b/src/foxwinch/records/ports.py
@@ -30,6 +30,15 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableRow:
+    """A row of a table that holds no value of the store's own encoding."""
+
+    key: str
+    version: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RowCondition:
     """The row must have exactly this version; 0 means that it is absent."""
@@ -73,6 +82,8 @@
     more: bool
     version: int
     now_ms: int
+    unreadable: tuple[UnreadableRow, ...] = ()
+    """Rows that other writers spoiled; they hide none of the others."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -95,6 +95,8 @@
 
     def _take_workers(self, read: RowsRead, whole: bool) -> None:
         now = self._clock.monotonic()
+        for refused in read.unreadable:
+            self._directory.refuse(refused.key, refused.version)
         found: list[tuple[Worker, int]] = []
         for row in read.rows:
             if row.value is None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -20,6 +20,7 @@
         self.version = 10
         self.keys = ["a", "b", "b/1", "c", "d"]
         self.status = 200
+        self.spoiled = {}
 
     async def read(self, request):
         if self.status != 200:
@@ -28,6 +29,7 @@
         keys = [key for key in self.keys if key >= start and (end is None or key < end)]
         rows = [
             {"table": "t", "part": "", "tls_key": key, "value": _encoded(key), "ver": 1}
+            | self.spoiled.get(key, {})
             for key in keys[:PAGE]
         ]
         self.version += 1
@@ -93,3 +95,20 @@
     await store.close()
     assert isinstance(read, Refused)
     assert read.run_state is RunState.NOT_RUN
+
+
+# Guards against a table of which nothing was read because one row could not be decoded.
+@pytest.mark.parametrize("key", ["a", "b", "c", "d"])
+@pytest.mark.parametrize("spoiled", [{"value": "abc"}, {"value": None}, {"ver": 1e999}])
+async def test_a_row_that_cannot_be_decoded_hides_no_other(served, key, spoiled):
+    server, store = served
+    server.spoiled[key] = spoiled
+    read = await store.read_table("t", 5.0)
+    assert [row.row.key for row in read.rows] == [other for other in server.keys if other != key]
+    assert [row.key for row in read.unreadable] == [key]
+
+
+async def test_pages_without_a_key_to_go_on_from_are_refused(served):
+    server, store = served
+    server.spoiled = {key: {"tls_key": None, "value": None} for key in server.keys}
+    assert isinstance(await store.read_table("t", 5.0), Refused)
