Check the entries of workers strictly, and take a worker out of use whose entry is refused

Cause: entries were picked apart field by field. A state other than draining counted as ready; an entry that could not be read left the one before it in force, so its worker stayed in use; an entry of the wrong types was taken for a worker, or raised an error that nothing caught and ended the task of the watch, after which the node heard of no worker at all. Class: input of others trusted by default. Why it works: platform/documents.py says what a document holds, under the project's names, and checks it as a whole before anything is used; whatever is refused is logged with the fields that are wrong, and takes the worker of its key out of use, also as a last resort. The configuration is decoded by the same kind of types.

--- a/src/foxwinch/platform/names.py
+++ b/src/foxwinch/platform/names.py
@@ -22,7 +22,6 @@
 CONFIGURATION_TABLE: Final = "op"
 CONFIGURATION_KEY: Final = "config"
 WORKERS_TABLE: Final = "servers"
-STATE_DRAINING: Final = "draining"
 
 CONNECTION_HEADERS: Final = frozenset(
     {
--- a/src/foxwinch/platform/translation.py
+++ b/src/foxwinch/platform/translation.py
@@ -1,25 +1,37 @@
-"""The platform's documents, translated into the product's configuration and workers."""
+"""Turns the platform's documents into the product's configuration and workers."""
 
-import json
-from typing import Any
+from pydantic import ValidationError
 
 from foxwinch.core.routing.configuration import (
     CallerBounds,
     Route,
-    RouteKind,
     RoutingConfiguration,
     Service,
     WeightedService,
 )
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
-from foxwinch.platform.names import CONFIGURATION_KEY, STATE_DRAINING
+from foxwinch.platform.documents import (
+    BackendDocument,
+    ConfigurationDocument,
+    EngineDocument,
+    LimitsDocument,
+    RouteDocument,
+    ServiceDocument,
+    WorkerEntry,
+    WorkerState,
+)
+from foxwinch.platform.names import CONFIGURATION_KEY
 from foxwinch.records.ports import StoredRow
 
 ATTEMPTS_DEFAULT = 3
 """Where a route does not tell."""
-UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
-"""What reading a document of another shape raises."""
+TIMEOUT_DEFAULT_MS = 30_000.0
+"""Where a route does not tell; longer than any caller's deadline."""
+TARGET_DEFAULT_MS = 1_000.0
+"""Where a route does not tell."""
+PROBLEMS_MAXIMUM = 3
+"""Problems of one document in a log line."""
 log = EventLog("translation")
 
 
@@ -28,85 +40,93 @@
     if row.row.key != CONFIGURATION_KEY or row.value is None:
         return None
     try:
-        return _configuration(json.loads(row.value))
-    except UNREADABLE as error:
-        log.error("configuration_unreadable", version=row.version, error=type(error).__name__)
+        return _configuration(ConfigurationDocument.model_validate_json(row.value))
+    except ValidationError as error:
+        log.error("configuration_unreadable", version=row.version, reason=_problems(error))
         return None
 
 
 def worker_of(row: StoredRow) -> Worker | None:
-    """Read a worker's entry; None for an unreadable one."""
+    """Read a worker's entry; None for one that names no worker to use."""
     if row.value is None:
         return None
     try:
-        entry = json.loads(row.value)
-        return Worker(
-            worker_id=row.row.key,
-            service=entry["service"],
-            address=entry["address"],
-            zone=entry.get("zone", ""),
-            slots=int(entry.get("slots", 1)),
-            draining=entry.get("state") == STATE_DRAINING,
-            cold_seconds=float(entry.get("cold_left_ms", 0)) / 1e3,
-        )
-    except UNREADABLE as error:
-        log.error("worker_unreadable", worker=row.row.key, error=type(error).__name__)
+        entry = WorkerEntry.model_validate_json(row.value)
+    except ValidationError as error:
+        log.warning("worker_entry_refused", worker=row.row.key, reason=_problems(error))
         return None
+    return Worker(
+        worker_id=row.row.key,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.state is WorkerState.DRAINING,
+        cold_seconds=entry.cold_ms / 1e3,
+    )
 
 
-def _configuration(document: dict[str, Any]) -> RoutingConfiguration:
-    limits = document.get("limits") or {}
-    bounds = CallerBounds()
-    bounds = CallerBounds(
-        header_bytes=int(limits.get("max_header_bytes", bounds.header_bytes)),
-        body_bytes=int(limits.get("max_body_bytes", bounds.body_bytes)),
-        header_seconds=_seconds(limits.get("header_timeout_ms"), bounds.header_seconds),
-        idle_seconds=_seconds(limits.get("idle_timeout_ms"), bounds.idle_seconds),
-    )
-    services = [_service(entry) for entry in document.get("services", ())]
+def _problems(error: ValidationError) -> str:
+    """Name the fields that are wrong; never their values, which may be of any size."""
+    found = error.errors(include_url=False, include_input=False, include_context=False)
+    named = [
+        f"{'.'.join(str(part) for part in problem['loc']) or 'document'}: {problem['type']}"
+        for problem in found[:PROBLEMS_MAXIMUM]
+    ]
+    return "; ".join(named)
+
+
+def _configuration(document: ConfigurationDocument) -> RoutingConfiguration:
+    services = [_service(entry) for entry in document.services]
     return RoutingConfiguration(
-        version=int(document["version"]),
-        routes=tuple(_route(entry) for entry in document.get("routes", ())),
+        version=document.version,
+        routes=tuple(_route(entry) for entry in document.routes),
         services={service.name: service for service in services},
-        bounds=bounds,
+        bounds=_bounds(document.limits or LimitsDocument()),
     )
 
 
-def _route(entry: dict[str, Any]) -> Route:
-    shares = entry.get("backends")
-    if shares:
-        backends = tuple(
-            WeightedService(share["service"], float(share.get("weight", 1))) for share in shares
-        )
-    else:
-        backends = (WeightedService(entry["service"], 1.0),)
-    return Route(
-        name=entry["name"],
-        host=entry["host"],
-        path_prefix=entry["path_prefix"],
-        kind=RouteKind(entry["type"]),
-        timeout_seconds=_seconds(entry.get("timeout_ms"), 30.0),
-        target_seconds=_seconds(entry.get("target_ms"), 1.0),
-        attempts=int(entry.get("attempts") or ATTEMPTS_DEFAULT),
-        priority=int(entry.get("priority") or 0),
-        backends=backends,
-        resumable=bool(entry.get("resumable")),
-        retained=bool(entry.get("retain")),
-        retain_seconds=float(entry.get("retain_s") or 0),
-        event_gap_seconds=_seconds(entry.get("gap_aim_ms"), 0.0),
+def _bounds(limits: LimitsDocument) -> CallerBounds:
+    bounds = CallerBounds()
+    return CallerBounds(
+        header_bytes=limits.header_bytes or bounds.header_bytes,
+        body_bytes=limits.body_bytes or bounds.body_bytes,
+        header_seconds=(limits.header_ms or 1e3 * bounds.header_seconds) / 1e3,
+        idle_seconds=(limits.idle_ms or 1e3 * bounds.idle_seconds) / 1e3,
     )
 
 
-def _service(entry: dict[str, Any]) -> Service:
-    engine = entry.get("engine") or {}
-    return Service(
-        name=entry["name"],
-        health_path=entry.get("health_path") or "/",
-        connections_maximum=int(entry.get("max_conns") or 0),
-        tokens_per_event=int(engine.get("chunk_tokens") or 1),
-        slots=int(engine.get("slots") or 1),
+def _route(entry: RouteDocument) -> Route:
+    return Route(
+        name=entry.name,
+        host=entry.host,
+        path_prefix=entry.path_prefix,
+        kind=entry.kind,
+        timeout_seconds=(entry.timeout_ms or TIMEOUT_DEFAULT_MS) / 1e3,
+        target_seconds=(entry.target_ms or TARGET_DEFAULT_MS) / 1e3,
+        attempts=entry.workers_maximum or ATTEMPTS_DEFAULT,
+        priority=entry.priority or 0,
+        backends=_backends(entry),
+        resumable=bool(entry.resumable),
+        retained=bool(entry.retained),
+        retain_seconds=entry.retain_seconds or 0.0,
+        event_gap_seconds=(entry.event_gap_ms or 0.0) / 1e3,
     )
 
 
-def _seconds(milliseconds: Any, otherwise: float) -> float:
-    return float(milliseconds) / 1e3 if milliseconds else otherwise
+def _backends(entry: RouteDocument) -> tuple[WeightedService, ...]:
+    shares = entry.backends or ()
+    if not shares and entry.service is not None:
+        shares = (BackendDocument(service=entry.service),)
+    return tuple(WeightedService(share.service, share.weight) for share in shares)
+
+
+def _service(entry: ServiceDocument) -> Service:
+    engine = entry.engine or EngineDocument()
+    return Service(
+        name=entry.name,
+        health_path=entry.health_path or "/",
+        connections_maximum=entry.connections_maximum or 0,
+        tokens_per_event=engine.tokens_per_event or 1,
+        slots=engine.slots or 1,
+    )
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -30,7 +30,7 @@
         decode_worker: Callable[[StoredRow], Worker | None],
         wait_seconds: float = WAIT_SECONDS,
     ) -> None:
-        """Read rows by the given decoders; a row that they return None for is passed over.
+        """Read rows by the given decoders; None stands for a row that names nothing to use.
 
         The store holds each call of a watch open for `wait_seconds`.
         """
@@ -105,6 +105,7 @@
                 continue
             worker = self._decode_worker(row)
             if worker is None:
+                self._directory.refuse(row.row.key, row.version)
                 continue
             if whole:
                 found.append((worker, row.version))
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -114,9 +114,11 @@
             "service": "s",
             "address": self.workers[number].address,
             "zone": "z",
+            "version": "v1",
             "slots": 4,
             "state": "ready",
             "cold_left_ms": 0,
+            "seq": 1,
         }
         self.model.put("servers", f"w{number}", json.dumps({**entry, **changes}).encode())
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -87,9 +87,11 @@
             "service": "s",
             "address": workers[number].address,
             "zone": f"z{number % 2}",
+            "version": "v1",
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
+            "seq": 1,
         }
         model.put("servers", f"w{number}-{lives[number]}", json.dumps(entry).encode())
 
--- a/tests/test_watch_regressions.py
+++ b/tests/test_watch_regressions.py
@@ -68,8 +68,14 @@
     "nothing": b"",
     "no fields": b"{}",
     "slots as text": {"slots": "many"},
-    "slots beyond all numbers": b'{"service": "s", "address": "127.0.0.1:1", "slots": 1e999}',
+    "cold time beyond all numbers": {"cold_left_ms": float("inf")},
+    "slots beyond all numbers": {"slots": float("inf")},
+    "nested too deeply": b"[" * 100_000,
     "no slots": {"slots": None},
+    "no slots at all": {"slots": 0},
+    "slots as a truth value": {"slots": True},
+    "count of entries as text": {"seq": "1"},
+    "a start that is no whole number": {"born": 1.5},
     "service as an object": {"service": {"name": "s"}},
     "service as a list": {"service": ["s"]},
     "address as a number": {"address": 17},
@@ -89,12 +95,14 @@
         "service": "s",
         "address": site.workers[number].address,
         "zone": "z",
+        "version": "v1",
         "slots": 4,
         "state": "ready",
         "cold_left_ms": 0,
+        "seq": 1,
         "born": 1_790_000_000_000,
     }
-    return json.dumps({**entry, **changes}).encode()
+    return json.dumps({**entry, **changes}).replace("Infinity", "1e999").encode()
 
 
 async def statuses(site, node, count, first=0):
