Let an entry claim an address only for a service in force, and displace nobody for good

Callers of a service saw 503 while its worker was sound. Cause: whatever entry came last with an address made the node forget the worker that was listed there, until that worker's own entry changed; the entry could be another writer's, of a service that no configuration names. Evidence: test_an_entry_of_an_unknown_service_displaces_no_worker_at_its_address failed before. Why it works: the directory keeps both and decides when a worker is asked for: the newest entry of a service in force has the address. Ids by address are indexed; a whole list took time by its square before.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from typing import NamedTuple
 
 LAST_RESORT_SECONDS = 1.0
 """For which a leaving worker may still be given work when a service has no other: well below the
@@ -30,11 +31,13 @@
     """How much longer the worker stays slow after its start, when it was listed."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Known:
+class _Known(NamedTuple):
     worker: Worker
     version: int
+    """Of the entry, or of its removal."""
     leaving_since: float | None = None
+    listed: bool = True
+    """Whether there is an entry that names this worker."""
 
 
 class WorkerDirectory:
@@ -43,7 +46,9 @@
     def __init__(self) -> None:
         """Start with nobody known."""
         self._known: dict[str, _Known] = {}
-        self._removed: dict[str, int] = {}
+        self._at: dict[str, set[str]] = {}
+        """Ids by address."""
+        self._services: frozenset[str] | None = None
         self._version = 0
 
     @property
@@ -51,6 +56,10 @@
         """Return the highest version of the list that was applied."""
         return self._version
 
+    def name_services(self, services: Iterable[str]) -> None:
+        """Take the services in force: entries of others claim no address."""
+        self._services = frozenset(services)
+
     def replace_all(self, workers: Iterable[tuple[Worker, int]], version: int, now: float) -> bool:
         """Take a whole list as of `version`; False when it is older than what is known."""
         if version < self._version:
@@ -75,35 +84,28 @@
             leaving_since = now
             if known is not None and known.leaving_since is not None:
                 leaving_since = known.leaving_since
-        self._drop_former(worker)
+        self._forget(worker.worker_id)
         self._known[worker.worker_id] = _Known(worker, version, leaving_since)
+        self._at.setdefault(worker.address, set()).add(worker.worker_id)
 
     def remove(self, worker_id: str, version: int, now: float) -> None:
         """Note that an entry is gone."""
         self._version = max(self._version, version)
         known = self._known.get(worker_id)
-        if known is None or known.version > version or known.leaving_since is not None:
+        if known is None or known.version > version:
             return
-        self._known[worker_id] = replace(known, version=version, leaving_since=now)
+        leaving_since = now if known.leaving_since is None else min(now, known.leaving_since)
+        self._known[worker_id] = _Known(known.worker, version, leaving_since, listed=False)
 
     def refuse(self, worker_id: str, version: int) -> None:
         """Note that an entry names no worker: one that it named before is not used any more."""
-        self._version = max(self._version, version)
-        known = self._known.get(worker_id)
-        if known is not None and known.version <= version:
-            self._known[worker_id] = replace(known, version=version, leaving_since=NEVER_AGAIN)
-
-    def _drop_former(self, worker: Worker) -> None:
-        """Forget whoever had this address before."""
-        for worker_id, known in list(self._known.items()):
-            if known.worker.address == worker.address and worker_id != worker.worker_id:
-                del self._known[worker_id]
+        self.remove(worker_id, version, NEVER_AGAIN)
 
     def serving(self, service: str, now: float) -> list[Worker]:
         """Return the workers that new work may go to; leaving ones only when there is no other."""
         sound, leaving = [], []
         for known in self._known.values():
-            if known.worker.service != service:
+            if known.worker.service != service or self._displaced(known):
                 continue
             if known.leaving_since is None:
                 sound.append(known.worker)
@@ -123,5 +125,27 @@
             if known.leaving_since is not None and now - known.leaving_since > after_seconds
         ]
         for worker_id in gone:
-            del self._known[worker_id]
+            self._forget(worker_id)
         return gone
+
+    def _displaced(self, known: _Known) -> bool:
+        """Tell whether a newer entry of a service in force names the same address."""
+        others = self._at[known.worker.address]
+        if len(others) == 1:
+            return False
+        claims = (self._known[worker_id] for worker_id in others)
+        return any(
+            claim.listed
+            and claim.version > known.version
+            and (self._services is None or claim.worker.service in self._services)
+            for claim in claims
+        )
+
+    def _forget(self, worker_id: str) -> None:
+        known = self._known.pop(worker_id, None)
+        if known is None:
+            return
+        others = self._at[known.worker.address]
+        others.discard(worker_id)
+        if not others:
+            del self._at[known.worker.address]
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -78,6 +78,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._configuration = configuration
+        self._directory.name_services(configuration.services)
         self._metrics.configuration_version.set(configuration.version)
         log.info(
             "configuration_in_force",
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -83,6 +83,25 @@
     assert [found.worker_id for found in directory.serving("other", 0.0)] == ["w2"]
 
 
+def test_a_service_that_is_not_in_force_claims_no_address():
+    directory = WorkerDirectory()
+    directory.put(worker(1, address="10.0.0.9:80"), 1, now=0.0)
+    directory.put(worker(2, service="other", address="10.0.0.9:80"), 2, now=0.0)
+    directory.name_services(["s"])
+    assert [found.worker_id for found in directory.serving("s", 0.0)] == ["w1"]
+    directory.name_services(["s", "other"])
+    assert directory.serving("s", 0.0) == []
+
+
+def test_a_refused_worker_is_not_even_a_last_resort():
+    directory = WorkerDirectory()
+    directory.put(worker(1), 1, now=0.0)
+    directory.put(worker(2, draining=True), 2, now=0.0)
+    directory.refuse("w1", 3)
+    directory.refuse("w2", 4)
+    assert directory.serving("s", 0.1) == []
+
+
 def test_a_worker_that_comes_back_serves_again():
     directory = WorkerDirectory()
     directory.put(worker(1), 1, now=0.0)
--- a/tests/test_watch_regressions.py
+++ b/tests/test_watch_regressions.py
@@ -161,6 +161,20 @@
         assert site.workers[0].received == []
 
 
+# Guards against an entry of another writer that displaced the worker at the address it names.
+async def test_an_entry_of_an_unknown_service_displaces_no_worker_at_its_address():
+    async with sited(StandInWorker(Answer())) as site:
+        node = await site.start_node()
+        site.model.put("servers", "x", entry_of(site, 0, {"service": "nobody"}))
+        directory = node.node.routing.directory
+
+        async def listed():
+            return {worker.worker_id for worker in directory.all_workers()}
+
+        await until(listed, {"w0", "x"})
+        assert await statuses(site, node, 4) == [200] * 4
+
+
 # Guards against a change that was made while the watch was deaf, its history dropped, and that an
 # old read then hid for as long as reads were old.
 @pytest.mark.looptime
