Keep a draining worker in mind for as long as it is listed

A request could reach a worker that had announced its drain half a minute before. Cause: workers were forgotten 30 s after they began to leave, also while their entry stood; a whole read of the list then took them for workers that had begun to leave just now, which may serve for one more second where a service has no other. Evidence: test_a_worker_that_drains_for_long_is_no_last_resort_when_the_list_is_read_anew failed before. Why it works: only workers without an entry are forgotten.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -118,11 +118,17 @@
         return [known.worker for known in self._known.values() if known.leaving_since is None]
 
     def forget_gone(self, now: float, after_seconds: float) -> list[str]:
-        """Drop workers that left more than `after_seconds` ago; returns their ids."""
+        """Drop workers that left more than `after_seconds` ago; returns their ids.
+
+        One that drains is kept while it is listed: read anew, it would pass for one that has just
+        begun to leave.
+        """
         gone = [
             worker_id
             for worker_id, known in self._known.items()
-            if known.leaving_since is not None and now - known.leaving_since > after_seconds
+            if not known.listed
+            and known.leaving_since is not None
+            and now - known.leaving_since > after_seconds
         ]
         for worker_id in gone:
             self._forget(worker_id)
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -102,6 +102,15 @@
     assert directory.serving("s", 0.1) == []
 
 
+# Guards against work at a worker that drained so long that it was forgotten and then read anew.
+def test_a_worker_that_drains_for_long_is_no_last_resort_when_the_list_is_read_anew():
+    directory = WorkerDirectory()
+    directory.put(worker(1, draining=True), 1, now=0.0)
+    directory.forget_gone(now=100.0, after_seconds=30.0)
+    directory.replace_all([(worker(1, draining=True), 1)], 2, now=100.0)
+    assert directory.serving("s", 100.0) == []
+
+
 def test_a_worker_that_comes_back_serves_again():
     directory = WorkerDirectory()
     directory.put(worker(1), 1, now=0.0)
