Replace all kept connections to the store after a call without an answer; fit a lost call into its bound

Callers saw requests handled by an older configuration, and requests at workers that drain, later than the platform allows after open connections had gone silent. Cause, in two parts. A watch that gave a silent call up sent the next one on another connection of the pool, the longest idle first, that was silent as well; idle ones are kept for 10 s. And the sum of one lost call and one failed try (hold, slack, two waits, a connect, an answer) was 3.7 s where 3 s are allowed, and 4.7 s for 4 s. Class: a kept connection is trusted until it proves bad, one by one. Why it works: a call without an answer retires the pool it used; calls under way end there, all later ones open connections of their own. Calls are held open for the bound less 1.8 s (1.2 s and 2.2 s; 2 s and 3 s before).

--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -19,7 +19,7 @@
 from foxwinch.platform.translation import configuration_of, worker_of
 from foxwinch.platform.worker_client import HttpWorkers
 from foxwinch.records.store_state import ObservedStore
-from foxwinch.records.watch import wait_that_notices_within
+from foxwinch.records.watch import wait_that_recovers_within
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.node import ServingNode
 from foxwinch.serving.routing import RoutingTables
@@ -67,7 +67,7 @@
             workers_table=WORKERS_TABLE,
             decode_configuration=configuration_of,
             decode_worker=worker_of,
-            wait_seconds=wait_that_notices_within(settings.store.notice_ms / 1e3),
+            wait_seconds=wait_that_recovers_within(settings.store.notice_ms / 1e3),
         )
         self._node = ServingNode(
             name=settings.name,
--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -10,6 +10,7 @@
 
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
+from foxwinch.platform.connections import ConnectionPool
 from foxwinch.records.ports import (
     Conflict,
     HistoryLost,
@@ -21,11 +22,10 @@
     UnreadableRow,
     Written,
 )
+from foxwinch.records.watch import ANSWER_SECONDS
 from foxwinch.serving.metrics import ServingMetrics
 
 CONNECT_SECONDS = 0.5
-FEED_SLACK_SECONDS = 0.8
-"""For the answer of a call that the store holds open."""
 KEPT_SECONDS = 10.0
 READ_LIMIT = 500
 AFTER_KEY = "\x01"
@@ -64,16 +64,11 @@
         """Speak to `address` (`ip:port`); call on the running loop."""
         self._base = f"http://{address}"
         self._metrics = metrics
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-            trace_configs=[_connection_trace()],
-        )
+        self._pool = ConnectionPool(_open_session)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._pool.close()
 
     async def transact(
         self,
@@ -155,7 +150,7 @@
             "after": str(after_version),
             "wait_ms": str(int(1e3 * wait_seconds)),
         }
-        timeout_seconds = wait_seconds + FEED_SLACK_SECONDS
+        timeout_seconds = wait_seconds + ANSWER_SECONDS
         answer = await self._ask("GET", "/v1/rows-feed", query, None, timeout_seconds)
         if isinstance(answer, _Answer) and answer.status == STATUS_GONE:
             return HistoryLost()
@@ -198,27 +193,39 @@
         timeout_seconds: float,
         trace: _CallTrace,
     ) -> _Answer | Refused:
-        try:
-            async with (
-                asyncio.timeout(timeout_seconds),
-                self._session.request(
-                    method,
-                    self._base + path,
-                    params=query,
-                    json=body,
-                    allow_redirects=False,
-                    trace_request_ctx=trace,
-                ) as response,
-            ):
-                raw = await response.read()
-                return _Answer(response.status, json.loads(raw) if raw else {})
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return not_run(Reason.STORE_UNAVAILABLE, "the store cannot be reached")
-        except TimeoutError:
-            return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store did not answer in time")
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            kind = type(error).__name__
-            return outcome_unknown(Reason.STORE_UNAVAILABLE, f"the store broke off: {kind}")
+        async with self._pool.session() as session:
+            try:
+                async with (
+                    asyncio.timeout(timeout_seconds),
+                    session.request(
+                        method,
+                        self._base + path,
+                        params=query,
+                        json=body,
+                        allow_redirects=False,
+                        trace_request_ctx=trace,
+                    ) as response,
+                ):
+                    raw = await response.read()
+                    return _Answer(response.status, json.loads(raw) if raw else {})
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+                return not_run(Reason.STORE_UNAVAILABLE, "the store cannot be reached")
+            except TimeoutError:
+                if self._pool.retire(session):
+                    log.info("store_connections_retired", connection=trace.connection)
+                return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store did not answer in time")
+            except (aiohttp.ClientError, OSError, ValueError) as error:
+                kind = type(error).__name__
+                return outcome_unknown(Reason.STORE_UNAVAILABLE, f"the store broke off: {kind}")
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        trace_configs=[_connection_trace()],
+    )
 
 
 def _connection_trace() -> aiohttp.TraceConfig:
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -14,8 +14,11 @@
 
 WAIT_SECONDS = 2.0
 """For which the store holds a call open, where nothing else is said."""
-ANSWER_SECONDS = 1.0
-"""Until a call that was held open to its end is taken for lost, with some room."""
+ANSWER_SECONDS = 0.8
+"""After the end of a held call until its answer is taken for lost: as long as a store that is slow
+takes for other calls."""
+RECOVERY_SECONDS = 1.0
+"""After a lost call: two waits, a try that cannot connect within half a second, and an answer."""
 SHORTEST_WAIT_SECONDS = 0.5
 READ_SECONDS = 1.0
 RETRY_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=0.6)
@@ -24,9 +27,9 @@
 log = EventLog("watch")
 
 
-def wait_that_notices_within(seconds: float) -> float:
-    """Return how long calls may be held open for a lost answer to be noticed within `seconds`."""
-    return max(SHORTEST_WAIT_SECONDS, seconds - ANSWER_SECONDS)
+def wait_that_recovers_within(seconds: float) -> float:
+    """Return how long calls may be held open for a lost one to be made good within `seconds`."""
+    return max(SHORTEST_WAIT_SECONDS, seconds - ANSWER_SECONDS - RECOVERY_SECONDS)
 
 
 class TableWatch:
--- a/tests/test_record_watch.py
+++ b/tests/test_record_watch.py
@@ -6,11 +6,19 @@
 import pytest
 
 from foxwinch.emulator.record_store import Mood, RecordStoreModel
-from foxwinch.records.watch import TableWatch, wait_that_notices_within
+from foxwinch.platform.store_client import CONNECT_SECONDS
+from foxwinch.records.watch import (
+    ANSWER_SECONDS,
+    RETRY_BACKOFF,
+    TableWatch,
+    wait_that_recovers_within,
+)
 from foxwinch.service_tasks import ServiceTasks
 from virtual_clock import VirtualClock
 
 pytestmark = pytest.mark.looptime
+NEW_ANSWER_SECONDS = 0.1
+"""For a new connection and its first answer: some times what the platform's store takes."""
 
 
 class Seen:
@@ -110,6 +118,15 @@
         assert model.calls.feeds - before < 10.0 / 0.1
 
 
+# Guards against a configuration that was late because hold, slack, waits and connects of one lost
+# call and one failed try added up to more than the bound.
+@pytest.mark.parametrize("bound_seconds", [3.0, 4.0, 10.0])
+def test_the_longest_way_back_from_a_silent_connection_fits_the_bound(bound_seconds):
+    lost = wait_that_recovers_within(bound_seconds) + ANSWER_SECONDS
+    waits = sum(RETRY_BACKOFF.wait_seconds(attempt, 1.0) for attempt in range(2))
+    assert lost + waits + CONNECT_SECONDS + NEW_ANSWER_SECONDS <= bound_seconds
+
+
 @pytest.mark.parametrize("seconds", [2.0, 3.0, 4.0])
 async def test_a_lost_answer_of_a_watch_is_noticed_in_time(seconds):
     clock = VirtualClock()
@@ -121,7 +138,7 @@
         if b"2" in [row.value for row in read.rows]:
             heard.set()
 
-    wait_seconds = wait_that_notices_within(seconds)
+    wait_seconds = wait_that_recovers_within(seconds)
     watch = TableWatch(model, clock, "t", take, wait_seconds)
     following = asyncio.ensure_future(watch.run())
     await asyncio.sleep(0.5)
