Ask by a transaction how far a table is once its history is lost

Callers could see an older configuration, and requests reach draining workers, for as long as the store's reads were old after it had forgotten its history. Cause: after lost history a whole read counted as current when its version was not below the highest one seen. The watch may have been deaf before, so a change could lie between the two; the change was then gone from the feed, and each read and feed came back at once: 186 calls a second to the store for each watch. Class: absence of news taken for news of absence. Why it works: a transaction without writes is linearizable. It tells how the known rows stand and the version that a read must reach to be taken for the whole table; older reads only add rows. Retries back off, and the transaction is asked once a second at most. test_an_old_read_never_takes_the_table_back asserted that the change stays unheard until reads are new; it asserts now that the change is heard before, and that versions never fall.

--- a/src/foxwinch/emulator/http_platform.py
+++ b/src/foxwinch/emulator/http_platform.py
@@ -52,7 +52,9 @@
         outcome = gate.apply(lambda: self._stand_ins.store.apply(conditions, writes))
         if isinstance(outcome, Conflict):
             rows = [row_document(row) for row in outcome.rows]
-            conflict = ConflictDocument.model_construct(rows=rows, now_ms=outcome.now_ms)
+            conflict = ConflictDocument.model_construct(
+                rows=rows, version=outcome.version, now_ms=outcome.now_ms
+            )
             return await answer(request, gate, _json(conflict.model_dump_json(), 412))
         written = WrittenDocument(version=outcome.version, now_ms=outcome.now_ms)
         return await answer(request, gate, _json(written.model_dump_json()))
--- a/src/foxwinch/emulator/http_record_store.py
+++ b/src/foxwinch/emulator/http_record_store.py
@@ -70,7 +70,8 @@
                 return web.json_response({"ver": outcome.version, "now_ms": outcome.now_ms})
             case Conflict():
                 rows = [self._document(row) for row in outcome.rows]
-                return web.json_response({"rows": rows, "now_ms": outcome.now_ms}, status=412)
+                document = {"rows": rows, "ver": outcome.version, "now_ms": outcome.now_ms}
+                return web.json_response(document, status=412)
             case RowsRead():
                 document = {
                     "rows": [self._document(row) for row in outcome.rows],
--- a/src/foxwinch/emulator/record_store.py
+++ b/src/foxwinch/emulator/record_store.py
@@ -195,7 +195,7 @@
         """Apply a transaction at once."""
         if any(self._version_of(entry.row) != entry.version for entry in conditions):
             found = tuple(self._stored(entry.row) for entry in conditions)
-            return Conflict(found, self.now_ms())
+            return Conflict(found, self._state.version, self.now_ms())
         version = self._commit(writes) if writes else self._state.version
         return Written(version, self.now_ms())
 
--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -13,7 +13,7 @@
 from foxwinch.log import EventLog
 from foxwinch.log_sink import log_to_standard_output
 from foxwinch.platform.front_door import FrontDoor
-from foxwinch.platform.names import CONFIGURATION_TABLE, WORKERS_TABLE
+from foxwinch.platform.names import CONFIGURATION_KEY, CONFIGURATION_TABLE, WORKERS_TABLE
 from foxwinch.platform.settings import ServeSettings, load_serve_settings
 from foxwinch.platform.store_client import PlatformStore
 from foxwinch.platform.translation import configuration_of, worker_of
@@ -64,6 +64,7 @@
             clock,
             metrics,
             configuration_table=CONFIGURATION_TABLE,
+            configuration_key=CONFIGURATION_KEY,
             workers_table=WORKERS_TABLE,
             decode_configuration=configuration_of,
             decode_worker=worker_of,
--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -12,6 +12,7 @@
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
 from foxwinch.platform.connections import ConnectionPool
 from foxwinch.records.ports import (
+    ABSENT_VERSION,
     Conflict,
     HistoryLost,
     RowCondition,
@@ -30,8 +31,6 @@
 READ_LIMIT = 500
 AFTER_KEY = "\x01"
 """Behind a key it makes the start of what follows that key."""
-ABSENT_VERSION = 0
-"""Of a row that is not there, in the answer to a condition."""
 STATUS_DONE = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
@@ -93,8 +92,10 @@
             if answer.status == STATUS_DONE:
                 return Written(int(answer.document["ver"]), int(answer.document["now_ms"]))
             if answer.status == STATUS_CONFLICT:
-                rows = tuple(_row(entry) for entry in answer.document["rows"])
-                return Conflict(rows, int(answer.document["now_ms"]))
+                version = int(answer.document["ver"])
+                now_ms = int(answer.document["now_ms"])
+                rows, unreadable = _read_rows(answer.document["rows"], version)
+                return Conflict(rows, version, now_ms, unreadable)
         except UNREADABLE:
             return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
         return _refusal(answer)
@@ -264,24 +265,31 @@
         document = answer.document
         version = int(document["ver"])
         more, now_ms = bool(document.get("more")), int(document["now_ms"])
-        entries = list(document["rows"])
+        rows, unreadable = _read_rows(document["rows"], version)
     except UNREADABLE as error:
         log.warning("store_answer_unreadable", error=type(error).__name__, detail=str(error))
         return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
+    return RowsRead(rows, more, version, now_ms, unreadable)
+
+
+def _read_rows(
+    entries: list[Any], newest: int
+) -> tuple[tuple[StoredRow, ...], tuple[UnreadableRow, ...]]:
+    """Decode rows one by one; those that cannot be decoded hide none of the others."""
     rows: list[StoredRow] = []
     unreadable: list[UnreadableRow] = []
     for entry in entries:
-        row = _read_row(entry, version)
+        row = _read_row(entry, newest)
         if isinstance(row, StoredRow):
             rows.append(row)
         else:
             log.warning("row_unreadable", key=row.key, version=row.version, reason=row.reason)
             unreadable.append(row)
-    return RowsRead(tuple(rows), more, version, now_ms, tuple(unreadable))
+    return tuple(rows), tuple(unreadable)
 
 
-def _read_row(entry: Any, page_version: int) -> StoredRow | UnreadableRow:
-    """Decode one row of a page; a row that tells no version is as new as its page."""
+def _read_row(entry: Any, newest: int) -> StoredRow | UnreadableRow:
+    """Decode one row; one that tells no version counts as the store's newest."""
     try:
         return _row(entry)
     except UNREADABLE as error:
@@ -289,7 +297,7 @@
         key, version = told.get("tls_key"), told.get("ver")
         return UnreadableRow(
             key if isinstance(key, str) else "",
-            version if isinstance(version, int) else page_version,
+            version if isinstance(version, int) else newest,
             f"{type(error).__name__}: {error}",
         )
 
--- a/src/foxwinch/records/ports.py
+++ b/src/foxwinch/records/ports.py
@@ -10,6 +10,11 @@
 
 from foxwinch.outcomes import Refused
 
+ABSENT_VERSION = 0
+"""Of a row that is not there."""
+CONDITIONS_MAXIMUM = 100
+"""In one transaction, as the platform's store has it."""
+
 
 @dataclass(frozen=True, slots=True)
 class RowKey:
@@ -60,7 +65,7 @@
     """The transaction is in force."""
 
     version: int
-    """Version of every row that it put."""
+    """Version of every row that it put; of one that put none, the store's newest."""
     now_ms: int
     """The store's steady clock."""
 
@@ -71,7 +76,10 @@
 
     rows: tuple[StoredRow, ...]
     """The rows of the conditions as they stand; absent ones have version 0."""
+    version: int
+    """The store's newest."""
     now_ms: int
+    unreadable: tuple[UnreadableRow, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -1,16 +1,30 @@
 """Follows one table of the shared store: reads it whole, then hears its changes.
 
-A watch may hear nothing for a while, its history may be gone, and a read may be older than what was
-seen before. Answers older than the highest version that was seen change nothing.
+A watch may hear nothing for a while, its history may be gone, and a read may be old. What is older
+than a row that was seen changes nothing. Once history is lost, changes may lie between what was
+seen and what is read; a transaction, which is never old, then tells how the known rows stand and
+from which version on a read misses nothing.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from foxwinch.clock import Clock
 from foxwinch.core.limits.backoff import Backoff
 from foxwinch.log import EventLog, age_ms
 from foxwinch.outcomes import Refused
-from foxwinch.records.ports import HistoryLost, RecordStore, RowsRead
+from foxwinch.records.ports import (
+    ABSENT_VERSION,
+    CONDITIONS_MAXIMUM,
+    Conflict,
+    HistoryLost,
+    RecordStore,
+    RowCondition,
+    RowKey,
+    RowsRead,
+    StoredRow,
+    Written,
+)
 
 WAIT_SECONDS = 2.0
 """For which the store holds a call open, where nothing else is said."""
@@ -22,8 +36,11 @@
 SHORTEST_WAIT_SECONDS = 0.5
 READ_SECONDS = 1.0
 RETRY_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=0.6)
-STALE_SECONDS = 0.25
-"""Before a read that was too old is repeated."""
+ASK_SECONDS = 1.0
+"""Between transactions that ask for the newest version, half of the time within which a drain must
+be heard. All nodes lose history at once and ask one partition, so they ask seldom."""
+NO_KEY = "~"
+"""Of a row that no table has."""
 log = EventLog("watch")
 
 
@@ -32,6 +49,11 @@
     return max(SHORTEST_WAIT_SECONDS, seconds - ANSWER_SECONDS - RECOVERY_SECONDS)
 
 
+@dataclass(frozen=True, slots=True)
+class _StaleRead:
+    """An answer is older than what was seen, or changes after it are lost."""
+
+
 class TableWatch:
     """Keeps a reader up to date with one table."""
 
@@ -42,18 +64,28 @@
         table: str,
         take: Callable[[RowsRead, bool], None],
         wait_seconds: float = WAIT_SECONDS,
+        keys: tuple[str, ...] = (),
     ) -> None:
         """Give `take` the rows, and whether they are the whole table or changes.
 
         A call is held open for `wait_seconds`: the longer, the fewer calls, and the later a lost
-        answer is noticed.
+        answer is noticed. `keys` are asked for by name even where no read has told of them.
         """
         self._wait_seconds = wait_seconds
         self._store = store
         self._clock = clock
         self._table = table
         self._take = take
+        self._keys = keys
         self._version = 0
+        self._row_versions: dict[str, int] = {}
+        self._removed: dict[str, int] = {}
+        """Versions of removals that an old read may not show."""
+        self._lost_at: int | None = None
+        """The version after which history was lost, until changes are heard again."""
+        self._newest: int | None = None
+        """From which version on a whole read misses nothing, where history was lost."""
+        self._asked_at = float("-inf")
         self._confirmed_at: float | None = None
         self._lost_since: float | None = None
 
@@ -76,54 +108,133 @@
     async def run(self) -> None:
         """Follow the table for ever."""
         attempt = 0
-        whole = True
+        hearing = False
         while True:
-            outcome = await (self._read_whole() if whole else self._hear())
-            if isinstance(outcome, HistoryLost):
-                log.info("history_lost", table=self._table, version=self._version)
-                whole = True
-            elif isinstance(outcome, Refused):
+            outcome = await (self._hear() if hearing else self._read_whole())
+            if isinstance(outcome, RowsRead):
+                attempt = 0 if hearing else attempt
+                hearing = True
+                self._note_regained()
+                continue
+            if isinstance(outcome, Refused):
                 self._note_lost(outcome)
-                wait = RETRY_BACKOFF.wait_seconds(attempt, 0.3 + 0.7 * self._clock.uniform())
-                attempt += 1
-                await self._clock.sleep(wait)
-            elif outcome.version < self._version:
-                log.info(
-                    "table_read_stale",
-                    table=self._table,
-                    version=outcome.version,
-                    highest=self._version,
-                )
-                await self._clock.sleep(STALE_SECONDS)
             else:
-                attempt = 0
-                self._apply(outcome, whole)
-                whole = False
-
-    async def _read_whole(self) -> RowsRead | Refused:
-        return await self._store.read_table(self._table, READ_SECONDS)
-
-    async def _hear(self) -> RowsRead | HistoryLost | Refused:
-        return await self._store.changes(self._table, self._version, self._wait_seconds)
-
-    def _apply(self, read: RowsRead, whole: bool) -> None:
-        if whole:
-            log.info(
-                "table_read",
-                table=self._table,
-                rows=len(read.rows),
-                version=read.version,
-                highest=self._version,
-                age_ms=age_ms(self.age_seconds()),
-            )
+                hearing = False
+            wait = RETRY_BACKOFF.wait_seconds(attempt, 0.3 + 0.7 * self._clock.uniform())
+            attempt += 1
+            await self._clock.sleep(wait)
+
+    async def _hear(self) -> RowsRead | _StaleRead | HistoryLost | Refused:
+        """Wait for changes and take them."""
+        heard = await self._store.changes(self._table, self._version, self._wait_seconds)
+        if isinstance(heard, HistoryLost):
+            log.info("history_lost", table=self._table, version=self._version)
+            self._lost_at = self._version
+        elif isinstance(heard, RowsRead):
+            if heard.version < self._version:
+                return _StaleRead()
+            self._version = heard.version
+            self._confirmed_at = self._clock.monotonic()
+            self._lost_at = self._newest = None
+            self._take_changes(heard)
+            self._removed.clear()
+        return heard
+
+    async def _read_whole(self) -> RowsRead | _StaleRead | Refused:
+        """Read the whole table, after asking how far it is where history was lost."""
+        if self._lost_at is not None:
+            await self._ask_newest()
+        read = await self._store.read_table(self._table, READ_SECONDS)
+        if isinstance(read, Refused):
+            return read
+        log.info(
+            "table_read",
+            table=self._table,
+            rows=len(read.rows),
+            version=read.version,
+            newest=self._newest,
+            highest=self._version,
+            age_ms=age_ms(self.age_seconds()),
+        )
+        if read.version < self._version:
+            return _StaleRead()
+        if read.version < (self._newest or self._version):
+            # It lacks changes, but may tell of new rows.
+            self._take_changes(read)
+        else:
+            self._confirmed_at = self._clock.monotonic()
+            self._take_whole(read)
+        if self._lost_at is not None and read.version <= self._lost_at:
+            return _StaleRead()
         self._version = read.version
-        self._confirmed_at = self._clock.monotonic()
-        if self._lost_since is not None:
-            away = self._clock.monotonic() - self._lost_since
-            self._lost_since = None
-            log.info("store_regained", table=self._table, away_ms=int(1e3 * away))
-        if whole or read.rows:
-            self._take(read, whole)
+        return read
+
+    async def _ask_newest(self) -> None:
+        """Take the known rows that have changed, and the version that reads must reach."""
+        now = self._clock.monotonic()
+        if now - self._asked_at < ASK_SECONDS:
+            return
+        self._asked_at = now
+        keys = {**dict.fromkeys(self._keys, ABSENT_VERSION), **self._row_versions}
+        if not keys or len(keys) > CONDITIONS_MAXIMUM:
+            keys = {NO_KEY: ABSENT_VERSION}
+        conditions = tuple(
+            RowCondition(RowKey(self._table, "", key), version) for key, version in keys.items()
+        )
+        outcome = await self._store.transact(conditions, (), READ_SECONDS)
+        if isinstance(outcome, Refused):
+            log.info("newest_version_unknown", table=self._table, detail=outcome.detail)
+            return
+        self._newest = outcome.version
+        log.info(
+            "newest_version",
+            table=self._table,
+            version=outcome.version,
+            known_rows=len(conditions),
+            changed=isinstance(outcome, Conflict),
+        )
+        if isinstance(outcome, Written):
+            return
+        rows = tuple(
+            row if row.value is not None else replace(row, version=outcome.version)
+            for row in outcome.rows
+            if row.row.key != NO_KEY
+        )
+        self._take_changes(
+            RowsRead(rows, False, outcome.version, outcome.now_ms, outcome.unreadable)
+        )
+
+    def _take_whole(self, read: RowsRead) -> None:
+        self._row_versions = {row.row.key: row.version for row in read.rows}
+        self._removed.clear()
+        self._take(read, True)
+
+    def _take_changes(self, read: RowsRead) -> None:
+        """Take the rows that are newer than those that were seen."""
+        rows = tuple(row for row in read.rows if self._is_news(row))
+        for row in rows:
+            if row.value is None:
+                self._row_versions.pop(row.row.key, None)
+                self._removed[row.row.key] = row.version
+            else:
+                self._removed.pop(row.row.key, None)
+                self._row_versions[row.row.key] = row.version
+        for refused in read.unreadable:
+            self._row_versions.pop(refused.key, None)
+        if rows or read.unreadable:
+            self._take(replace(read, rows=rows), False)
+
+    def _is_news(self, row: StoredRow) -> bool:
+        key = row.row.key
+        seen = self._row_versions.get(key, self._removed.get(key, ABSENT_VERSION))
+        return row.version > seen
+
+    def _note_regained(self) -> None:
+        if self._lost_since is None:
+            return
+        away = self._clock.monotonic() - self._lost_since
+        self._lost_since = None
+        log.info("store_regained", table=self._table, away_ms=int(1e3 * away))
 
     def _note_lost(self, refused: Refused) -> None:
         if self._lost_since is None:
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -25,6 +25,7 @@
         metrics: ServingMetrics,
         *,
         configuration_table: str,
+        configuration_key: str,
         workers_table: str,
         decode_configuration: Callable[[StoredRow], RoutingConfiguration | None],
         decode_worker: Callable[[StoredRow], Worker | None],
@@ -41,7 +42,12 @@
         self._configuration: RoutingConfiguration | None = None
         self._directory = WorkerDirectory()
         self.configuration_watch = TableWatch(
-            store, clock, configuration_table, self._take_configuration, wait_seconds
+            store,
+            clock,
+            configuration_table,
+            self._take_configuration,
+            wait_seconds,
+            (configuration_key,),
         )
         self.workers_watch = TableWatch(
             store, clock, workers_table, self._take_workers, wait_seconds
--- a/src/foxwinch/storage/records_http.py
+++ b/src/foxwinch/storage/records_http.py
@@ -88,6 +88,7 @@
     """The rows of the conditions as they stand."""
 
     rows: list[RowDocument]
+    version: int
     now_ms: int
 
 
@@ -129,7 +130,7 @@
             conflict = _parse(ConflictDocument, answer)
             if isinstance(conflict, Refused):
                 return conflict
-            return Conflict(tuple(map(_row, conflict.rows)), conflict.now_ms)
+            return Conflict(tuple(map(_row, conflict.rows)), conflict.version, conflict.now_ms)
         if answer.status != STATUS_DONE:
             return refusal(SERVICE, answer)
         written = _parse(WrittenDocument, answer)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,7 +7,7 @@
 
 from foxwinch.outcomes import Refused, RunState
 from foxwinch.platform.store_client import PlatformStore
-from foxwinch.records.ports import HistoryLost, RowKey
+from foxwinch.records.ports import HistoryLost, RowCondition, RowKey
 from foxwinch.serving.metrics import ServingMetrics
 
 PAGE = 2
@@ -36,6 +36,16 @@
         document = {"rows": rows, "more": len(keys) > PAGE, "ver": self.version, "now_ms": 5}
         return web.json_response(document)
 
+    async def refuse(self, request):
+        """Answer a transaction with the rows of its conditions as they stand."""
+        body = await request.json()
+        rows = [
+            {"table": "t", "part": "", "tls_key": key, "value": _encoded(key), "ver": 7}
+            | self.spoiled.get(key, {})
+            for key in (entry["tls_key"] for entry in body["if_rev"])
+        ]
+        return web.json_response({"rows": rows, "ver": 9, "now_ms": 5}, status=412)
+
 
 def _encoded(key):
     return base64.b64encode(key.encode()).decode()
@@ -47,6 +57,7 @@
     application = web.Application()
     application.router.add_get("/v1/rows-get", server.read)
     application.router.add_get("/v1/rows-feed", server.read)
+    application.router.add_post("/v1/rows-tx", server.refuse)
     runner = web.AppRunner(application)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -112,3 +123,12 @@
     server, store = served
     server.spoiled = {key: {"tls_key": None, "value": None} for key in server.keys}
     assert isinstance(await store.read_table("t", 5.0), Refused)
+
+
+async def test_a_conflict_tells_the_rows_that_can_be_decoded(served):
+    server, store = served
+    server.spoiled["a"] = {"value": 7}
+    conditions = tuple(RowCondition(RowKey("t", "", key), 1) for key in ("a", "b"))
+    conflict = await store.transact(conditions, (), 5.0)
+    assert (conflict.version, [row.row.key for row in conflict.rows]) == (9, ["b"])
+    assert [row.key for row in conflict.unreadable] == ["a"]
--- a/tests/test_record_watch.py
+++ b/tests/test_record_watch.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
 from foxwinch.emulator.record_store import Mood, RecordStoreModel
 from foxwinch.platform.store_client import CONNECT_SECONDS
+from foxwinch.records.ports import CONDITIONS_MAXIMUM
 from foxwinch.records.watch import (
     ANSWER_SECONDS,
     RETRY_BACKOFF,
@@ -24,10 +26,10 @@
 class Seen:
     """A watch and what it told."""
 
-    def __init__(self, model):
+    def __init__(self, model, keys=()):
         self.values = {}
         self.versions = []
-        self.watch = TableWatch(model, VirtualClock(), "t", self.take)
+        self.watch = TableWatch(model, VirtualClock(), "t", self.take, keys=keys)
         self.tasks = ServiceTasks("watch")
         self.tasks.keep(self.watch.run())
 
@@ -48,10 +50,10 @@
 
 
 @asynccontextmanager
-async def watching(model):
+async def watching(model, keys=()):
     """Watch within a test: fixtures are set up outside its virtual time."""
     model.put("t", "a", b"1")
-    watched = Seen(model)
+    watched = Seen(model, keys)
     await asyncio.sleep(0.1)
     yield watched
     await watched.tasks.stop()
@@ -88,13 +90,92 @@
         model.put("t", "a", b"3")
         model.forget_history()
         await asyncio.sleep(2.0)
-        assert seen.values == {"a": b"2"}
+        assert seen.values == {"a": b"3"}
         model.moods.stale_reads = False
         await asyncio.sleep(2.0)
         assert seen.values == {"a": b"3"}
         assert seen.versions == sorted(seen.versions)
 
 
+@asynccontextmanager
+async def deaf_while_reads_are_old(model):
+    """Within, the store changes unheard; then its history is gone and its reads stay old."""
+    await asyncio.sleep(0.5)
+    model.moods.delay_seconds = 0.004
+    model.hold_reads()
+    model.moods.mood = Mood.SILENT
+    yield
+    model.forget_history()
+    await asyncio.sleep(1.0)
+    model.moods.mood = Mood.WELL
+
+
+async def test_a_removal_of_a_deaf_moment_is_heard_while_reads_are_old(model):
+    async with watching(model) as seen:
+        async with deaf_while_reads_are_old(model):
+            model.remove("t", "a")
+        await asyncio.sleep(4.0)
+        assert seen.values == {}
+
+
+async def test_a_row_that_is_asked_for_by_name_is_heard_while_reads_are_old(model):
+    async with watching(model, keys=("b",)) as seen:
+        async with deaf_while_reads_are_old(model):
+            model.put("t", "b", b"2")
+        await asyncio.sleep(4.0)
+        assert seen.values == {"a": b"1", "b": b"2"}
+
+
+async def test_a_new_row_of_a_deaf_moment_is_heard_once_reads_are_new(model):
+    async with watching(model) as seen:
+        async with deaf_while_reads_are_old(model):
+            model.put("t", "b", b"2")
+        await asyncio.sleep(4.0)
+        assert seen.watch.age_seconds() > 4.0
+        model.moods.stale_reads = False
+        await asyncio.sleep(2.0)
+        assert seen.values == {"a": b"1", "b": b"2"}
+        assert seen.watch.age_seconds() < 2.5
+
+
+async def test_a_table_of_more_rows_than_a_transaction_takes_is_read_until_it_is_new(model):
+    for number in range(CONDITIONS_MAXIMUM):
+        model.put("t", f"k{number}", b"1")
+    async with watching(model) as seen:
+        async with deaf_while_reads_are_old(model):
+            model.put("t", "a", b"2")
+        await asyncio.sleep(4.0)
+        assert seen.values["a"] == b"1"
+        model.moods.stale_reads = False
+        await asyncio.sleep(2.0)
+        assert seen.values["a"] == b"2"
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+async def test_while_reads_are_old_the_store_is_asked_seldom(model, nodes):
+    async with watching(model):
+        others = [Seen(model) for _ in range(nodes - 1)]
+        async with deaf_while_reads_are_old(model):
+            model.put("t", "b", b"2")
+        await asyncio.sleep(3.0)
+        before = replace(model.calls)
+        await asyncio.sleep(10.0)
+        assert model.calls.writes - before.writes <= 10 * nodes
+        assert model.calls.reads - before.reads <= 60 * nodes
+        assert model.calls.feeds == before.feeds
+        for other in others:
+            await other.tasks.stop()
+
+
+async def test_a_transaction_that_is_refused_does_not_keep_a_new_read_away(model):
+    async with watching(model) as seen:
+        model.moods.partitions = frozenset([""])
+        model.put("t", "a", b"2")
+        model.forget_history()
+        await asyncio.sleep(1.0)
+        assert seen.values == {"a": b"2"}
+
+
 @pytest.mark.parametrize("mood", [Mood.BUSY, Mood.LIMITED, Mood.SILENT])
 async def test_its_age_tells_how_long_the_store_is_gone(model, mood):
     async with watching(model) as seen:
