End the process when a task fails that must not, after a planned stop

Callers were served for ever by the configuration and workers that a node had known when the task of one of its watches ended: it stayed ready, and nothing but a line in its log said so. Cause: tasks of services were kept, and a failure was logged, but nobody stopped the process. Class: a part that is dead behind a whole that looks well. The same held for each service of foxwinch node. Why it works: both processes ask the loop to be told of failed tasks of services. They stop as planned, so that no request is cut, and end with the error and exit code 1, after which the platform starts them again.

--- a/src/foxwinch/node/process.py
+++ b/src/foxwinch/node/process.py
@@ -13,6 +13,7 @@
 from foxwinch.node.node import Node, build_node
 from foxwinch.node.tls import server_context
 from foxwinch.operator.server import OperatorServer
+from foxwinch.service_tasks import TaskFailedError, stop_on_failure
 from foxwinch.settings.cluster import ClusterConfiguration
 from foxwinch.settings.process import NodeSettings
 
@@ -97,16 +98,29 @@
             log.warning("not_ready", cause=not_ready_because())
 
     async def run(self) -> bool:
-        """Wait for a signal or an operator's drain, then drain; False when work was cut."""
+        """Wait for a signal or an operator's drain, then drain; False when work was cut.
+
+        Raises TaskFailedError after a drain that a failed task has asked for.
+        """
         assert self._node is not None
         assert self._operators is not None
         stop_requested = self._node.context.stop_requested
         loop = asyncio.get_running_loop()
+        failures: list[TaskFailedError] = []
+
+        def stop_after(failure: TaskFailedError) -> None:
+            failures.append(failure)
+            stop_requested.set()
+
+        stop_on_failure(loop, stop_after)
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, stop_requested.set)
         await stop_requested.wait()
         self._operators.set_serving(False)
-        return await self._node.drain()
+        whole = await self._node.drain()
+        if failures:
+            raise failures[0]
+        return whole
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening, stop the node, close the ports."""
--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -20,6 +20,7 @@
 from foxwinch.platform.worker_client import HttpWorkers
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.watch import wait_that_recovers_within
+from foxwinch.service_tasks import TaskFailedError, stop_on_failure
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.node import ServingNode
 from foxwinch.serving.routing import RoutingTables
@@ -52,10 +53,12 @@
         self._node: ServingNode | None = None
         self._addresses: dict[str, str] = {}
         self._stop_requested = asyncio.Event()
+        self._failure: TaskFailedError | None = None
 
     async def start(self) -> None:
         """Start the node, then its listening sides."""
         settings = self._settings
+        stop_on_failure(asyncio.get_running_loop(), self._stop_after)
         clock = SystemClock()
         metrics = ServingMetrics()
         self._store = PlatformStore(settings.store.address, metrics)
@@ -110,10 +113,20 @@
         return self._addresses[side]
 
     async def run(self) -> None:
-        """Wait for the signal to stop, then stop as planned."""
+        """Wait for the signal to stop, then stop as planned.
+
+        Raises TaskFailedError after a stop that a failed task has asked for.
+        """
         await self._stop_requested.wait()
         assert self._node is not None
         await self._node.stop(self.stop_listening)
+        if self._failure is not None:
+            raise self._failure
+
+    def _stop_after(self, failure: TaskFailedError) -> None:
+        """Stop: a node without one of its tasks would go on by what it once knew."""
+        self._failure = failure
+        self._stop_requested.set()
 
     async def stop_listening(self) -> None:
         """Take no new connections; open ones stay."""
--- a/src/foxwinch/service_tasks.py
+++ b/src/foxwinch/service_tasks.py
@@ -1,14 +1,35 @@
 """The background tasks of one service: none dies silently, all end with the service."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from foxwinch.log import EventLog
 
+FAILED_SERVICE = "failed_service"
+"""Key of the loop's exception context that names the service of a failed task."""
 log = EventLog("tasks")
 
 
+class TaskFailedError(Exception):
+    """A task that must not fail has failed: the process cannot go on."""
+
+
+def stop_on_failure(
+    loop: asyncio.AbstractEventLoop, stop: Callable[[TaskFailedError], None]
+) -> None:
+    """Call `stop` when a task of a service fails; the loop's other exceptions go on as they do."""
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        loop.default_exception_handler(context)
+        if FAILED_SERVICE in context:
+            failure = TaskFailedError(context["message"])
+            failure.__cause__ = context["exception"]
+            stop(failure)
+
+    loop.set_exception_handler(handle)
+
+
 class ServiceTasks:
     """Keeps tasks; one that fails is a broken invariant and is given to the loop's handler."""
 
@@ -45,5 +66,10 @@
                 detail=str(error),
             )
             task.get_loop().call_exception_handler(
-                {"message": f"a task of {self._service} failed", "exception": error, "task": task}
+                {
+                    "message": f"a task of {self._service} failed",
+                    "exception": error,
+                    "task": task,
+                    FAILED_SERVICE: self._service,
+                }
             )
--- a/tests/test_watch_regressions.py
+++ b/tests/test_watch_regressions.py
@@ -7,6 +7,7 @@
 
 from foxwinch.emulator.record_store import Mood, RecordStoreModel
 from foxwinch.records.watch import TableWatch
+from foxwinch.service_tasks import TaskFailedError
 from platform_site import SAFE, PlatformSite, configuration, until
 from stand_in_worker import Answer, StandInWorker, events
 from virtual_clock import VirtualClock
@@ -202,3 +203,20 @@
     following.cancel()
     assert values == {"a": b"2"}
     assert model.calls.reads + model.calls.feeds - calls_before < 40, "asked without a pause"
+
+
+# Guards against a node that went on for ever by what it knew, after the task of a watch had ended.
+async def test_a_watch_that_fails_ends_the_process():
+    async with sited(StandInWorker(Answer())) as site:
+        node = await site.start_node()
+        running = asyncio.ensure_future(node.run())
+        routing = node.node.routing
+
+        def fail(row):
+            raise RuntimeError("a broken invariant")
+
+        routing._decode_worker = fail
+        site.list_worker(0, slots=5)
+        await until(lambda: site.ready(node), 503)
+        with pytest.raises(TaskFailedError, match="serving"):
+            await running
