Let the system give up connections whose peer acknowledges nothing

A call that may not be repeated waited for its whole deadline on a connection to a worker that had gone silent for good, and its program with it. Cause: connections had no probes and no bound on unacknowledged bytes; only the product's own waiting times ended such calls, and only where the request may run elsewhere. Class as before: a kept connection is trusted until it proves bad. Change: both clients open their sockets in platform/connections.py, with probes after one second of rest and at most one second of unacknowledged bytes. Acknowledgements come from the peer's system, so that a busy worker is not given up. The workers' connects may take 0.5 s, as the store's, in place of 0.4 s.

--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -10,7 +10,7 @@
 
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
-from foxwinch.platform.connections import ConnectionPool
+from foxwinch.platform.connections import ConnectionPool, open_session
 from foxwinch.records.ports import (
     ABSENT_VERSION,
     Conflict,
@@ -26,7 +26,6 @@
 from foxwinch.records.watch import ANSWER_SECONDS
 from foxwinch.serving.metrics import ServingMetrics
 
-CONNECT_SECONDS = 0.5
 KEPT_SECONDS = 10.0
 READ_LIMIT = 500
 AFTER_KEY = "\x01"
@@ -221,12 +220,7 @@
 
 
 def _open_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-        trace_configs=[_connection_trace()],
-    )
+    return open_session(KEPT_SECONDS, trace_configs=[_connection_trace()])
 
 
 def _connection_trace() -> aiohttp.TraceConfig:
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -15,6 +15,7 @@
 from yarl import URL
 
 from foxwinch.core.routing.directory import Worker
+from foxwinch.platform.connections import open_session
 from foxwinch.platform.names import (
     CONNECTION_HEADERS,
     DEADLINE_MS,
@@ -34,7 +35,6 @@
     OutgoingCall,
 )
 
-CONNECT_SECONDS = 0.4
 KEPT_SECONDS = 3.0
 """An idle connection is used again within it; workers close theirs later than that."""
 STATUS_WRONG_WORKER = 421
@@ -138,10 +138,8 @@
 
     def __init__(self) -> None:
         """Open a pool of connections; call on the running loop."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        self._session = open_session(
+            KEPT_SECONDS,
             response_class=_MatchedResponse,
             auto_decompress=False,
             skip_auto_headers=NEVER_SENT,
--- a/tests/test_record_watch.py
+++ b/tests/test_record_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from foxwinch.emulator.record_store import Mood, RecordStoreModel
-from foxwinch.platform.store_client import CONNECT_SECONDS
+from foxwinch.platform.connections import CONNECT_SECONDS
 from foxwinch.records.ports import CONDITIONS_MAXIMUM
 from foxwinch.records.watch import (
     ANSWER_SECONDS,
