Tell the lives of a worker apart that starts again under its id

A worker may now start again under the id that it had. What a node keeps by id would then be carried over to a process that knows nothing of it: failures and the time of avoidance, calls under way, the time to begin an answer, the line's last worker (its cache is gone), and the last second of a drain. Change: Worker.started_ms is what the entry's start says (born on the wire), and Worker.incarnation, of id and start, is the key of loads and of last workers. The id stays the key of the list, of offers of one request, and of the preferred worker, which all nodes must name alike. An entry that tells no start is one life, as before. Evidence: test_a_worker_that_starts_again_under_its_id_begins_anew and test_a_worker_that_starts_again_under_its_id_serves_at_once. That loads were carried over before is by reading: the tests need fields that did not exist.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Worker:
-    """One incarnation of a worker."""
+    """One life of a worker."""
 
     worker_id: str
     service: str
@@ -30,6 +30,15 @@
     draining: bool = False
     cold_seconds: float = 0.0
     """How much longer the worker stays slow after its start, when it was listed."""
+    started_ms: int | None = None
+    """Unix time of its start, where it tells; a worker may start again under its id."""
+
+    @property
+    def incarnation(self) -> str:
+        """Return a key of this life of the worker: of its id and its start."""
+        if self.started_ms is None:
+            return self.worker_id
+        return f"{self.worker_id}/{self.started_ms}"
 
 
 class LastResort(NamedTuple):
@@ -103,7 +112,8 @@
             return
         until = None
         if worker.draining:
-            until = _earlier(last_resort.draining_until, known)
+            same_life = known is not None and known.worker.incarnation == worker.incarnation
+            until = _earlier(last_resort.draining_until, known if same_life else None)
         self._forget(worker.worker_id)
         self._known[worker.worker_id] = _Known(worker, version, until)
         self._at.setdefault(worker.address, set()).add(worker.worker_id)
--- a/src/foxwinch/core/routing/load.py
+++ b/src/foxwinch/core/routing/load.py
@@ -1,6 +1,7 @@
 """What this node knows of each worker's load: its own calls under way, and how calls ended.
 
-A worker that sheds, cannot be reached or breaks off is avoided for a while that grows with each
+Loads are kept by incarnation: a worker that starts again has no call under way and no failure. One
+that sheds, cannot be reached or breaks off is avoided for a while that grows with each
 failure in a row. Avoided workers are still chosen when there is no other.
 """
 
@@ -46,52 +47,52 @@
 
 
 class LoadTable:
-    """Loads by worker id."""
+    """Loads by the incarnation of a worker."""
 
     def __init__(self) -> None:
         """Start with nothing under way."""
         self._loads: dict[str, WorkerLoad] = {}
 
-    def of(self, worker_id: str) -> WorkerLoad:
+    def of(self, incarnation: str) -> WorkerLoad:
         """Return the load of a worker, empty for one that is new."""
-        load = self._loads.get(worker_id)
+        load = self._loads.get(incarnation)
         if load is None:
             if len(self._loads) >= LOADS_MAXIMUM:
                 self._loads = {key: held for key, held in self._loads.items() if held.in_flight}
-            load = self._loads[worker_id] = WorkerLoad()
+            load = self._loads[incarnation] = WorkerLoad()
         return load
 
-    def began(self, worker_id: str) -> None:
+    def began(self, incarnation: str) -> None:
         """Count a call that is sent."""
-        self.of(worker_id).in_flight += 1
+        self.of(incarnation).in_flight += 1
 
-    def ended(self, worker_id: str) -> None:
+    def ended(self, incarnation: str) -> None:
         """Count a call out, however it ended."""
-        self.of(worker_id).in_flight -= 1
+        self.of(incarnation).in_flight -= 1
 
-    def began_to_answer(self, worker_id: str, seconds: float, now: float) -> None:
+    def began_to_answer(self, incarnation: str, seconds: float, now: float) -> None:
         """Take the time that a worker took to begin an answer.
 
         It tells of the calls of other nodes, which this one does not see.
         """
-        load = self.of(worker_id)
+        load = self.of(incarnation)
         expected = load.expected_wait_seconds(now)
         load.wait_seconds = expected + WAIT_GAIN * (seconds - expected)
         load.wait_at = now
 
-    def answered(self, worker_id: str) -> None:
+    def answered(self, incarnation: str) -> None:
         """Note that a worker gave a sound answer."""
-        load = self.of(worker_id)
+        load = self.of(incarnation)
         load.failures = 0
 
-    def shed(self, worker_id: str, now: float) -> None:
+    def shed(self, incarnation: str, now: float) -> None:
         """Note that a worker was full."""
-        load = self.of(worker_id)
+        load = self.of(incarnation)
         load.avoid_until = max(load.avoid_until, now + SHED_SECONDS)
 
-    def failed(self, worker_id: str, now: float) -> None:
+    def failed(self, incarnation: str, now: float) -> None:
         """Note that a worker could not be reached, broke off or answered wrong."""
-        load = self.of(worker_id)
+        load = self.of(incarnation)
         wait = FAILURE_SECONDS * 2.0 ** min(load.failures, FAILURE_DOUBLINGS)
         load.failures += 1
         load.avoid_until = max(load.avoid_until, now + min(wait, FAILURE_SECONDS_MAXIMUM))
--- a/src/foxwinch/core/routing/selection.py
+++ b/src/foxwinch/core/routing/selection.py
@@ -38,7 +38,7 @@
 
     zone: str
     last_worker: str | None = None
-    """The worker that served the line's last turn and may still hold its cache."""
+    """Incarnation of the worker that served the line's last turn and may still hold its cache."""
     program: str | None = None
     """The program, where the call leaves a cache behind: all nodes prefer one worker for it."""
     excluded: Collection[str] = ()
@@ -62,17 +62,17 @@
         preferred = preferred_worker(wish.program, wish.zone, turned)
         costs[preferred.worker_id] -= PREFERRED_GAIN
     best = min(turned, key=lambda worker: costs[worker.worker_id])
-    in_flight = loads.of(best.worker_id).in_flight
+    in_flight = loads.of(best.incarnation).in_flight
     return Choice(best, costs[best.worker_id], len(candidates), in_flight)
 
 
 def cost_of(worker: Worker, loads: LoadTable, wish: Wish, now: float) -> float:
     """Return the cost of a worker, in parts of its slots."""
-    load = loads.of(worker.worker_id)
+    load = loads.of(worker.incarnation)
     cost = load.in_flight / max(1, worker.slots)
     if worker.zone != wish.zone:
         cost += OTHER_ZONE_COST
-    if worker.worker_id == wish.last_worker:
+    if worker.incarnation == wish.last_worker:
         cost -= LAST_WORKER_GAIN
     if worker.cold_seconds > 0:
         cost += COLD_COST
--- a/src/foxwinch/platform/translation.py
+++ b/src/foxwinch/platform/translation.py
@@ -63,6 +63,7 @@
         slots=entry.slots,
         draining=entry.state is WorkerState.DRAINING,
         cold_seconds=entry.cold_ms / 1e3,
+        started_ms=entry.started_ms,
     )
 
 
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -122,15 +122,15 @@
     @contextmanager
     def counted(self, worker: Worker) -> Iterator[None]:
         """Count a call as under way at a worker."""
-        self.loads.began(worker.worker_id)
+        self.loads.began(worker.incarnation)
         try:
             yield
         finally:
-            self.loads.ended(worker.worker_id)
+            self.loads.ended(worker.incarnation)
 
     def failed(self, worker: Worker, failure: CallFailure, request_id: str) -> None:
         """Take note that a worker broke off or answered wrong."""
-        self.loads.failed(worker.worker_id, self._clock.monotonic())
+        self.loads.failed(worker.incarnation, self._clock.monotonic())
         self._metrics.worker_failures.labels(failure.value).inc()
         log.info(
             "worker_failed", request=request_id, worker=worker.worker_id, failure=failure.value
@@ -138,7 +138,7 @@
 
     def answered(self, worker: Worker) -> None:
         """Take note of a sound answer."""
-        self.loads.answered(worker.worker_id)
+        self.loads.answered(worker.incarnation)
 
     def _choose(self, attempts: Attempts, last_worker: str | None) -> Worker | None:
         now = self._clock.monotonic()
@@ -182,7 +182,7 @@
         elif isinstance(outcome, CallLost):
             self.failed(worker, outcome.failure, attempts.request.request_id)
         else:
-            self.loads.began_to_answer(worker.worker_id, now - began, now)
+            self.loads.began_to_answer(worker.incarnation, now - began, now)
         return outcome
 
     async def _answer_of(
@@ -211,9 +211,9 @@
     def _note_refused(self, worker: Worker, refused: CallRefused, request_id: str) -> None:
         now = self._clock.monotonic()
         if refused.failure is CallFailure.SHED:
-            self.loads.shed(worker.worker_id, now)
+            self.loads.shed(worker.incarnation, now)
         else:
-            self.loads.failed(worker.worker_id, now)
+            self.loads.failed(worker.incarnation, now)
         self._metrics.worker_failures.labels(refused.failure.value).inc()
         log.info(
             "worker_refused",
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -149,5 +149,6 @@
             worker=worker.worker_id,
             service=worker.service,
             draining=worker.draining,
+            started_ms=worker.started_ms,
             list_version=version,
         )
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -72,6 +72,7 @@
         self._clock = clock
         self._metrics = metrics
         self._last_workers: dict[str, str] = {}
+        """Incarnations by line of turns."""
 
     async def serve(
         self, attempts: Attempts, prompt: Prompt, caller: Caller, summary: StreamSummary
@@ -224,4 +225,4 @@
         while len(self._last_workers) >= LINES_MAXIMUM:
             self._last_workers.pop(next(iter(self._last_workers)))
         self._last_workers.pop(program.line_id, None)
-        self._last_workers[program.line_id] = taken.worker.worker_id
+        self._last_workers[program.line_id] = taken.worker.incarnation
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -481,3 +481,23 @@
             assert status in (200, 500, 502, 503)
             assert headers.get("Connection", "keep-alive").lower() != "close"
         writer.close()
+
+
+# Guards against work kept away from, or led to, a worker by what it was before it started again.
+async def test_a_worker_that_starts_again_under_its_id_serves_at_once():
+    async with site_of(StandInWorker(Answer(drop=True), Answer())) as site:
+        node = await site.start_node()
+        site.list_worker(0, born=1, state="draining")
+        await until(lambda: site.ready(node), 503)
+        site.list_worker(0, born=2)
+
+        async def sound():
+            return [worker.incarnation for worker in node.node.routing.directory.all_workers()]
+
+        await until(sound, ["w0/2"])
+        assert (await site.ask(node, UNSAFE, "r2")).status == 502
+        site.list_worker(0, born=3)
+        await until(sound, ["w0/3"])
+        assert (await site.ask(node, UNSAFE, "r3")).status == 200
+        assert node.node.dispatcher.loads.of("w0/3").failures == 0
+        assert node.node.dispatcher.loads.of("w0/2").failures == 1
--- a/tests/test_routing_core.py
+++ b/tests/test_routing_core.py
@@ -1,5 +1,7 @@
 """The pure decisions of routing: routes, workers, loads, shares, events of streams."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -25,7 +27,7 @@
     SHED_SECONDS,
     LoadTable,
 )
-from foxwinch.core.routing.selection import Wish, choose
+from foxwinch.core.routing.selection import Wish, choose, cost_of
 from foxwinch.core.routing.shares import ServiceShares
 from foxwinch.core.routing.urgency import LEAST_URGENT, MOST_URGENT, urgency_of
 from foxwinch.core.streams import EventFramer
@@ -147,6 +149,23 @@
     assert [found.worker_id for found in directory.serving("s", 9.0)] == ["w1"]
 
 
+# Guards against failures, calls under way, drains and caches of a life that is over.
+def test_a_worker_that_starts_again_under_its_id_begins_anew():
+    former, reborn = worker(1, started_ms=1), worker(1, started_ms=2)
+    directory, loads = WorkerDirectory(), LoadTable()
+    directory.put(replace(former, draining=True), 1, last_resort_from(0.0))
+    directory.put(reborn, 2, last_resort_from(0.5))
+    assert directory.serving("s", 9.0) == [reborn]
+    loads.began(former.incarnation)
+    loads.failed(former.incarnation, 0.0)
+    wish = Wish("z", last_worker=former.incarnation)
+    assert cost_of(reborn, loads, wish, 0.1) == 0.0
+    loads.ended(former.incarnation)
+    assert loads.of(reborn.incarnation).in_flight == 0
+    directory.put(replace(reborn, draining=True), 3, last_resort_from(20.0))
+    assert directory.serving("s", 20.5) == [replace(reborn, draining=True)]
+
+
 def test_failures_in_a_row_are_avoided_longer_up_to_a_bound():
     loads = LoadTable()
     waits = []
