--- a/tests/test_serve_command.py
+++ b/tests/test_serve_command.py
@@ -13,10 +13,11 @@
 from foxwinch.cli.settings import SettingsSchemaCommand
 from foxwinch.platform.settings import load_serve_settings
 from foxwinch.settings.base import SettingsError
-from platform_site import SAFE, PlatformSite, configuration
+from platform_site import SAFE, PlatformSite, configuration, until
 from stand_in_worker import Answer, StandInWorker
 
 ROOT = Path(__file__).parents[1]
+START = ROOT / "deploy" / "start.py"
 GIVEN = {
     "node_name": "front-1",
     "ip": "10.1.0.38",
@@ -155,3 +156,36 @@
     loaded = subprocess.run(asked, capture_output=True, text=True, check=True).stdout.split()
     assert "foxwinch.platform.process" in loaded
     assert not {"cappa", "foxwinch.cli", "foxwinch.settings.cluster", "foxwinch.node"} & set(loaded)
+
+
+# Guards against nodes that a change of settings ended before they had begun to listen.
+@pytest.mark.parametrize(
+    "entry", [["-m", "foxwinch", "serve"], [str(ROOT / "deploy" / "start.py")]]
+)
+async def test_a_hangup_does_not_end_a_node_that_starts(tmp_path, entry):
+    async with PlatformSite([StandInWorker(Answer())]) as site:
+        store = site.store_proxy.address
+        path = tmp_path / "node.toml"
+        text = (ROOT / "examples" / "serve.toml").read_text()
+        text = re.sub(r"127\.0\.0\.1:71\d\d", "127.0.0.1:0", text)
+        path.write_text(
+            text.replace('address = "127.0.0.1:0"', f'address = "{store.host}:{store.port}"')
+        )
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, *entry),
+            stdout=asyncio.subprocess.PIPE,
+            env={"PATH": "/usr/bin:/bin", "FOXWINCH_CONFIG": str(path)},
+        )
+        maps = Path(f"/proc/{process.pid}/maps")
+
+        async def is_importing():
+            return "uvloop" in maps.read_text()
+
+        await until(is_importing, True)
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+        await read_until(process.stdout, "event=started")
+        process.send_signal(signal.SIGTERM)
+        await process.communicate()
+        assert process.returncode == 0
