Name the store's words once, and split the decoding of its answers from its client

Cause: the words of the platform's store stood in its client as bare texts, some of them misleading (a row's key is called tls_key, the end of a read target_version); the client held two jobs in 300 lines. Change: platform/names.py names them, with a line where the word misleads; platform/store_answers.py decodes answers and writes down transactions; the client sends. A row whose key is no text is refused like any other.

--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, behind the product's port."""
 
 import asyncio
-import base64
 import json
 import time
 from typing import Any
@@ -9,18 +8,34 @@
 import aiohttp
 
 from foxwinch.log import EventLog
-from foxwinch.outcomes import Reason, Refused, RunState, not_run, outcome_unknown
+from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
 from foxwinch.platform.connections import ConnectionPool, open_session
+from foxwinch.platform.names import (
+    AFTER_VERSION,
+    END_KEY,
+    FIRST_KEY,
+    HELD_MS,
+    PAGE_ROWS,
+    ROW_PARTITION,
+    ROW_TABLE,
+    STORE_CHANGES,
+    STORE_READ,
+    STORE_TRANSACT,
+)
+from foxwinch.platform.store_answers import (
+    STATUS_GONE,
+    Answer,
+    rows_read,
+    transacted,
+    transaction_document,
+)
 from foxwinch.records.ports import (
-    ABSENT_VERSION,
     Conflict,
     HistoryLost,
     RowCondition,
     RowKey,
     RowsRead,
     RowWrite,
-    StoredRow,
-    UnreadableRow,
     Written,
 )
 from foxwinch.records.watch import ANSWER_SECONDS
@@ -30,23 +45,9 @@
 READ_LIMIT = 500
 AFTER_KEY = "\x01"
 """Behind a key it makes the start of what follows that key."""
-STATUS_DONE = 200
-STATUS_GONE = 410
-STATUS_CONFLICT = 412
-STATUS_LIMITED = 429
-STATUS_UNAVAILABLE = 503
-UNREADABLE = (ValueError, KeyError, TypeError, OverflowError)
 log = EventLog("store")
 
 
-class _Answer:
-    """Status and document of a whole answer."""
-
-    def __init__(self, status: int, document: Any) -> None:
-        self.status = status
-        self.document = document
-
-
 class _CallTrace:
     """What one call learns of the connection that it went out on."""
 
@@ -75,55 +76,37 @@
         timeout_seconds: float,
     ) -> Written | Conflict | Refused:
         """Apply a transaction."""
-        body = {
-            "if_rev": [{**_place(entry.row), "ver": entry.version} for entry in conditions],
-            "put": [
-                {**_place(write.row), "value": base64.b64encode(write.value).decode()}
-                for write in writes
-                if write.value is not None
-            ],
-            "remove": [_place(write.row) for write in writes if write.value is None],
-        }
-        answer = await self._ask("POST", "/v1/rows-tx", None, body, timeout_seconds)
-        if isinstance(answer, Refused):
-            return answer
-        try:
-            if answer.status == STATUS_DONE:
-                return Written(int(answer.document["ver"]), int(answer.document["now_ms"]))
-            if answer.status == STATUS_CONFLICT:
-                version = int(answer.document["ver"])
-                now_ms = int(answer.document["now_ms"])
-                rows, unreadable = _read_rows(answer.document["rows"], version)
-                return Conflict(rows, version, now_ms, unreadable)
-        except UNREADABLE:
-            return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
-        return _refusal(answer)
+        body = transaction_document(conditions, writes)
+        answer = await self._ask("POST", STORE_TRANSACT, None, body, timeout_seconds)
+        return answer if isinstance(answer, Refused) else transacted(answer)
 
     async def read(self, first: RowKey, end_key: str, timeout_seconds: float) -> RowsRead | Refused:
         """Read the rows of a partition from `first` up to `end_key`."""
         return await self._read_pages(
             {
-                "table": first.table,
-                "part": first.partition,
-                "from": first.key,
-                "target_version": end_key,
+                ROW_TABLE: first.table,
+                ROW_PARTITION: first.partition,
+                FIRST_KEY: first.key,
+                END_KEY: end_key,
             },
             timeout_seconds,
         )
 
     async def read_table(self, table: str, timeout_seconds: float) -> RowsRead | Refused:
         """Read all rows of a table whose partition is empty."""
-        return await self._read_pages({"table": table, "part": "", "from": ""}, timeout_seconds)
+        return await self._read_pages(
+            {ROW_TABLE: table, ROW_PARTITION: "", FIRST_KEY: ""}, timeout_seconds
+        )
 
     async def _read_pages(
         self, query: dict[str, str], timeout_seconds: float
     ) -> RowsRead | Refused:
         """Read page by page; the version is the first page's, so that no later change is missed."""
         pages: list[RowsRead] = []
-        query = {**query, "limit": str(READ_LIMIT)}
+        query = {**query, PAGE_ROWS: str(READ_LIMIT)}
         while True:
-            answer = await self._ask("GET", "/v1/rows-get", query, None, timeout_seconds)
-            read = _rows_read(answer)
+            answer = await self._ask("GET", STORE_READ, query, None, timeout_seconds)
+            read = answer if isinstance(answer, Refused) else rows_read(answer)
             if isinstance(read, Refused):
                 return read
             pages.append(read)
@@ -136,25 +119,25 @@
                     tuple(row for page in pages for row in page.unreadable),
                 )
             last_key = max((*(row.row.key for row in read.rows), *_keys(read)), default="")
-            if last_key < query["from"] or not last_key:
+            if last_key < query[FIRST_KEY] or not last_key:
                 detail = "a page of the store names no key to go on from"
                 return outcome_unknown(Reason.STORE_UNAVAILABLE, detail)
-            query["from"] = last_key + AFTER_KEY
+            query[FIRST_KEY] = last_key + AFTER_KEY
 
     async def changes(
         self, table: str, after_version: int, wait_seconds: float
     ) -> RowsRead | HistoryLost | Refused:
         """Wait for changes of a table after a version."""
         query = {
-            "table": table,
-            "after": str(after_version),
-            "wait_ms": str(int(1e3 * wait_seconds)),
+            ROW_TABLE: table,
+            AFTER_VERSION: str(after_version),
+            HELD_MS: str(int(1e3 * wait_seconds)),
         }
         timeout_seconds = wait_seconds + ANSWER_SECONDS
-        answer = await self._ask("GET", "/v1/rows-feed", query, None, timeout_seconds)
-        if isinstance(answer, _Answer) and answer.status == STATUS_GONE:
-            return HistoryLost()
-        return _rows_read(answer)
+        answer = await self._ask("GET", STORE_CHANGES, query, None, timeout_seconds)
+        if isinstance(answer, Refused):
+            return answer
+        return HistoryLost() if answer.status == STATUS_GONE else rows_read(answer)
 
     async def _ask(
         self,
@@ -163,7 +146,7 @@
         query: dict[str, str] | None,
         body: dict[str, Any] | None,
         timeout_seconds: float,
-    ) -> _Answer | Refused:
+    ) -> Answer | Refused:
         began = time.monotonic()
         trace = _CallTrace()
         outcome = await self._exchange(method, path, query, body, timeout_seconds, trace)
@@ -176,7 +159,7 @@
             log.info(
                 "store_call_failed",
                 operation=operation,
-                table=query.get("table") if query else None,
+                table=query.get(ROW_TABLE) if query else None,
                 reason=outcome.reason.value,
                 detail=outcome.detail,
                 connection=trace.connection,
@@ -192,7 +175,7 @@
         body: dict[str, Any] | None,
         timeout_seconds: float,
         trace: _CallTrace,
-    ) -> _Answer | Refused:
+    ) -> Answer | Refused:
         async with self._pool.session() as session:
             try:
                 async with (
@@ -207,7 +190,7 @@
                     ) as response,
                 ):
                     raw = await response.read()
-                    return _Answer(response.status, json.loads(raw) if raw else {})
+                    return Answer(response.status, json.loads(raw) if raw else {})
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 return not_run(Reason.STORE_UNAVAILABLE, "the store cannot be reached")
             except TimeoutError:
@@ -238,72 +221,5 @@
     return trace
 
 
-def _place(row: RowKey) -> dict[str, str]:
-    return {"table": row.table, "part": row.partition, "tls_key": row.key}
-
-
-def _row(entry: dict[str, Any]) -> StoredRow:
-    row = RowKey(entry["table"], entry.get("part", ""), entry["tls_key"])
-    version = int(entry.get("ver", 0))
-    if entry.get("gone") or version == ABSENT_VERSION:
-        return StoredRow(row, None, version)
-    return StoredRow(row, base64.b64decode(entry["value"], validate=True), version)
-
-
-def _rows_read(answer: _Answer | Refused) -> RowsRead | Refused:
-    if isinstance(answer, Refused):
-        return answer
-    if answer.status != STATUS_DONE:
-        return _refusal(answer)
-    try:
-        document = answer.document
-        version = int(document["ver"])
-        more, now_ms = bool(document.get("more")), int(document["now_ms"])
-        rows, unreadable = _read_rows(document["rows"], version)
-    except UNREADABLE as error:
-        log.warning("store_answer_unreadable", error=type(error).__name__, detail=str(error))
-        return outcome_unknown(Reason.STORE_UNAVAILABLE, "the store's answer is unreadable")
-    return RowsRead(rows, more, version, now_ms, unreadable)
-
-
-def _read_rows(
-    entries: list[Any], newest: int
-) -> tuple[tuple[StoredRow, ...], tuple[UnreadableRow, ...]]:
-    """Decode rows one by one; those that cannot be decoded hide none of the others."""
-    rows: list[StoredRow] = []
-    unreadable: list[UnreadableRow] = []
-    for entry in entries:
-        row = _read_row(entry, newest)
-        if isinstance(row, StoredRow):
-            rows.append(row)
-        else:
-            log.warning("row_unreadable", key=row.key, version=row.version, reason=row.reason)
-            unreadable.append(row)
-    return tuple(rows), tuple(unreadable)
-
-
-def _read_row(entry: Any, newest: int) -> StoredRow | UnreadableRow:
-    """Decode one row; one that tells no version counts as the store's newest."""
-    try:
-        return _row(entry)
-    except UNREADABLE as error:
-        told = entry if isinstance(entry, dict) else {}
-        key, version = told.get("tls_key"), told.get("ver")
-        return UnreadableRow(
-            key if isinstance(key, str) else "",
-            version if isinstance(version, int) else newest,
-            f"{type(error).__name__}: {error}",
-        )
-
-
 def _keys(read: RowsRead) -> tuple[str, ...]:
     return tuple(row.key for row in read.unreadable)
-
-
-def _refusal(answer: _Answer) -> Refused:
-    detail = f"the store answered {answer.status}"
-    if answer.status == STATUS_LIMITED:
-        return not_run(Reason.RATE_LIMITED, detail)
-    if answer.status == STATUS_UNAVAILABLE:
-        return not_run(Reason.STORE_UNAVAILABLE, detail)
-    return Refused(Reason.STORE_UNAVAILABLE, RunState.UNKNOWN, detail)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -121,8 +121,9 @@
 
 async def test_pages_without_a_key_to_go_on_from_are_refused(served):
     server, store = served
-    server.spoiled = {key: {"tls_key": None, "value": None} for key in server.keys}
-    assert isinstance(await store.read_table("t", 5.0), Refused)
+    for no_key in (None, 7, ["a"]):
+        server.spoiled = {key: {"tls_key": no_key} for key in server.keys}
+        assert isinstance(await store.read_table("t", 5.0), Refused)
 
 
 async def test_a_conflict_tells_the_rows_that_can_be_decoded(served):
