Check the entries of a configuration one by one, so that a wrong one hides no other

Callers would be served by an older configuration for good. Cause: the operator's configuration was taken or refused as a whole, and one route of a kind that is not known here, or one wrong field, refused all of it and each version after it. Why it works: routes, services and limits are checked one by one; what is refused is logged with the fields that are wrong (configuration_entry_refused). A kind that is not known runs at most once, which no kind forbids.

--- a/src/foxwinch/platform/documents.py
+++ b/src/foxwinch/platform/documents.py
@@ -1,13 +1,14 @@
 """The platform's documents, checked and decoded once into types with the project's names.
 
-A document that lacks a field, or holds one of another type, is refused as a whole. Fields that are
-not named here are passed over.
+A document that lacks a field, or holds one of another type, is refused as a whole; each route and
+service of the operator's configuration is such a document. Fields that are not named here are
+passed over.
 """
 
 from enum import StrEnum
-from typing import Annotated, Self
+from typing import Annotated, Any, Self
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
 
 from foxwinch.core.routing.configuration import RouteKind
 from foxwinch.settings.addresses import IpAndPort
@@ -16,6 +17,11 @@
 Name = Annotated[str, Field(min_length=1)]
 
 
+def _known_kind(value: object) -> object:
+    """Return a kind that may run once in place of one that is not known: it allows the least."""
+    return value if value in tuple(RouteKind) else RouteKind.UNSAFE
+
+
 class _Document(BaseModel):
     """Base of documents; fields have the project's names, their aliases are the platform's."""
 
@@ -64,7 +70,7 @@
     name: Name
     host: Name
     path_prefix: str
-    kind: RouteKind = Field(alias="type")
+    kind: Annotated[RouteKind, BeforeValidator(_known_kind)] = Field(alias="type")
     service: Name | None = None
     """The only service; None where `backends` shares the requests out."""
     backends: tuple[BackendDocument, ...] | None = None
@@ -112,9 +118,12 @@
 
 
 class ConfigurationDocument(_Document):
-    """The operator's whole configuration."""
+    """The operator's whole configuration; its entries are checked one by one."""
 
     version: int
-    routes: tuple[RouteDocument, ...] = ()
-    services: tuple[ServiceDocument, ...] = ()
-    limits: LimitsDocument | None = None
+    routes: tuple[Any, ...] = ()
+    """Of `RouteDocument`."""
+    services: tuple[Any, ...] = ()
+    """Of `ServiceDocument`."""
+    limits: Any = None
+    """Of `LimitsDocument`; None where there are none."""
--- a/src/foxwinch/platform/translation.py
+++ b/src/foxwinch/platform/translation.py
@@ -1,6 +1,9 @@
 """Turns the platform's documents into the product's configuration and workers."""
 
-from pydantic import ValidationError
+from collections.abc import Iterable
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
 
 from foxwinch.core.routing.configuration import (
     CallerBounds,
@@ -32,6 +35,7 @@
 """Where a route does not tell."""
 PROBLEMS_MAXIMUM = 3
 """Problems of one document in a log line."""
+Document = TypeVar("Document", bound=BaseModel)
 log = EventLog("translation")
 
 
@@ -78,15 +82,36 @@
 
 
 def _configuration(document: ConfigurationDocument) -> RoutingConfiguration:
-    services = [_service(entry) for entry in document.services]
+    routes = _checked(RouteDocument, document.routes, document.version)
+    services = [
+        _service(entry) for entry in _checked(ServiceDocument, document.services, document.version)
+    ]
+    limits = _checked(LimitsDocument, (document.limits or {},), document.version)
     return RoutingConfiguration(
         version=document.version,
-        routes=tuple(_route(entry) for entry in document.routes),
+        routes=tuple(_route(entry) for entry in routes),
         services={service.name: service for service in services},
-        bounds=_bounds(document.limits or LimitsDocument()),
+        bounds=_bounds(limits[0] if limits else LimitsDocument()),
     )
 
 
+def _checked(kind: type[Document], entries: Iterable[object], version: int) -> list[Document]:
+    """Check entries of a configuration one by one: one that is wrong hides none of the others."""
+    checked: list[Document] = []
+    for number, entry in enumerate(entries):
+        try:
+            checked.append(kind.model_validate(entry))
+        except ValidationError as error:
+            log.error(
+                "configuration_entry_refused",
+                version=version,
+                kind=kind.__name__,
+                number=number,
+                reason=_problems(error),
+            )
+    return checked
+
+
 def _bounds(limits: LimitsDocument) -> CallerBounds:
     bounds = CallerBounds()
     return CallerBounds(
