Do not hold the first call of a watch after a failed one

After an outage in which the store took calls and said nothing, nodes could serve by an older configuration for some 2.7 s of the 3 s that the platform allows: a call that was sent just before the store's return is given up after its hold and its slack, and only the next one is answered. Why it works: a call that is not held is answered at once or given up after its slack of 0.8 s.

--- a/src/foxwinch/emulator/record_store.py
+++ b/src/foxwinch/emulator/record_store.py
@@ -24,6 +24,8 @@
     Written,
 )
 
+PATIENCE_SECONDS = 0.8
+"""For which clients wait for the answer of a held call, after the time that it is held."""
 EMPTY: SortedDict = SortedDict()
 
 
@@ -226,7 +228,7 @@
         self.calls.feeds += 1
         end_at = self._clock.monotonic() + wait_seconds
         while True:
-            refused = await self._enter(self.moods.of(""), wait_seconds)
+            refused = await self._enter(self.moods.of(""), wait_seconds + PATIENCE_SECONDS)
             if refused is not None:
                 return refused
             if after_version < self._history_from:
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -139,8 +139,12 @@
             await self._clock.sleep(wait)
 
     async def _hear(self) -> RowsRead | _StaleRead | HistoryLost | Refused:
-        """Wait for changes and take them."""
-        heard = await self._store.changes(self._table, self._version, self._wait_seconds)
+        """Wait for changes and take them; after a failed call without waiting.
+
+        A call that is not held open tells soon whether the store is back.
+        """
+        wait_seconds = 0.0 if self._interrupted else self._wait_seconds
+        heard = await self._store.changes(self._table, self._version, wait_seconds)
         if isinstance(heard, HistoryLost):
             log.info("history_lost", table=self._table, version=self._version)
             self._lost_at = self._version
--- a/tests/test_record_watch.py
+++ b/tests/test_record_watch.py
@@ -12,6 +12,7 @@
 from foxwinch.records.watch import (
     ANSWER_SECONDS,
     RETRY_BACKOFF,
+    WAIT_SECONDS,
     TableWatch,
     wait_that_recovers_within,
 )
@@ -210,6 +211,19 @@
         assert seen.values == {"a": b"9"}
 
 
+# Guards against changes that are heard late after an outage, by the time for which calls are held.
+@pytest.mark.parametrize("away_seconds", [1.9, 4.0, 4.5, 7.3])
+async def test_a_store_that_was_silent_is_heard_soon_after_its_return(model, away_seconds):
+    async with watching(model) as seen:
+        await asyncio.sleep(3.0)
+        model.moods.mood = Mood.SILENT
+        await asyncio.sleep(away_seconds + 2 * WAIT_SECONDS)
+        model.moods.mood = Mood.WELL
+        model.put("t", "a", b"2")
+        await asyncio.sleep(ANSWER_SECONDS + RETRY_BACKOFF.cap_seconds + NEW_ANSWER_SECONDS)
+        assert seen.values == {"a": b"2"}
+
+
 async def test_a_store_that_is_down_is_asked_seldom(model):
     async with watching(model):
         model.moods.mood = Mood.BUSY
