--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -108,8 +108,8 @@
         await self.store_proxy.stop()
         await self._store.cleanup()
 
-    def list_worker(self, number, **changes):
-        """Put a worker into the store's list."""
+    def entry_of(self, number, **changes):
+        """Return a worker's entry in the store's list."""
         entry = {
             "service": "s",
             "address": self.workers[number].address,
@@ -120,7 +120,11 @@
             "cold_left_ms": 0,
             "seq": 1,
         }
-        self.model.put("servers", f"w{number}", json.dumps({**entry, **changes}).encode())
+        return json.dumps({**entry, **changes}).replace("Infinity", "1e999").encode()
+
+    def list_worker(self, number, **changes):
+        """Put a worker into the store's list."""
+        self.model.put("servers", f"w{number}", self.entry_of(number, **changes))
 
     async def start_node(self, wait=True, notice_ms=3_000):
         """Start a node; returns it once it is ready."""
--- a/tests/test_watch_regressions.py
+++ b/tests/test_watch_regressions.py
@@ -1,7 +1,6 @@
 """Regressions: what a node knows of configuration and workers must never stay behind the store."""
 
 import asyncio
-import json
 
 import pytest
 
@@ -90,20 +89,17 @@
 
 
 def entry_of(site, number, changes):
-    if isinstance(changes, bytes):
-        return changes
-    entry = {
-        "service": "s",
-        "address": site.workers[number].address,
-        "zone": "z",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 1,
-        "born": 1_790_000_000_000,
-    }
-    return json.dumps({**entry, **changes}).replace("Infinity", "1e999").encode()
+    return changes if isinstance(changes, bytes) else site.entry_of(number, **changes)
+
+
+async def until_listed(node, slots):
+    """Wait until just these workers are listed, by id with their slots."""
+    directory = node.node.routing.directory
+
+    async def heard():
+        return {worker.worker_id: worker.slots for worker in directory.all_workers()}
+
+    await until(heard, slots)
 
 
 async def statuses(site, node, count, first=0):
@@ -121,12 +117,7 @@
         node = await site.start_node()
         site.model.put("servers", "x", b"{}")
         site.list_worker(0, state="draining")
-        workers = node.node.routing.directory
-
-        async def serving():
-            return [worker.worker_id for worker in workers.all_workers()]
-
-        await until(serving, ["w1"])
+        await until_listed(node, {"w1": 4})
 
 
 # Guards against entries of other writers that ended the watch, or were taken for workers in use.
@@ -136,12 +127,7 @@
         node = await site.start_node()
         site.model.put("servers", "x", entry_of(site, 0, entry))
         site.list_worker(1, slots=5)
-
-        async def heard():
-            return {worker.worker_id: worker.slots for worker in directory.all_workers()}
-
-        directory = node.node.routing.directory
-        await until(heard, {"w0": 4, "w1": 5})
+        await until_listed(node, {"w0": 4, "w1": 5})
         assert await statuses(site, node, 4) == [200] * 4
 
 
@@ -152,12 +138,7 @@
         node = await site.start_node()
         site.model.put("servers", "w0", entry_of(site, 0, entry))
         site.list_worker(1, slots=5)
-
-        async def heard():
-            return {worker.worker_id: worker.slots for worker in directory.all_workers()}
-
-        directory = node.node.routing.directory
-        await until(heard, {"w1": 5})
+        await until_listed(node, {"w1": 5})
         assert await statuses(site, node, 4) == [200] * 4
         assert site.workers[0].received == []
 
@@ -167,12 +148,7 @@
     async with sited(StandInWorker(Answer())) as site:
         node = await site.start_node()
         site.model.put("servers", "x", entry_of(site, 0, {"service": "nobody"}))
-        directory = node.node.routing.directory
-
-        async def listed():
-            return {worker.worker_id for worker in directory.all_workers()}
-
-        await until(listed, {"w0", "x"})
+        await until_listed(node, {"w0": 4, "x": 4})
         assert await statuses(site, node, 4) == [200] * 4
 
 
