--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,6 +16,8 @@
 """One of them is killed: a share of 0.14; the site file's `node_kill` has `share = 0.16`."""
 DOWN_SECONDS = 0.5
 CONTACT_SECONDS = 3.0
+LEASE_END_SECONDS = 16.0
+"""Time after the kill when the killed node's lease has ended; only for the record."""
 TOKENS_PER_EVENT = 23
 EVENTS = 25
 TURN_TOKENS = TOKENS_PER_EVENT * EVENTS
@@ -118,6 +120,13 @@
         self._record.write(f"program {program.name} gives turn {number} up")
         return None
 
+    async def ask_again(self, program: Program) -> None:
+        """Send the turn that was given up once more."""
+        number = max(program.tries)
+        connection = await self._connect(program.tries[number])
+        await self._send(program, number, connection, self._record.now() + DEADLINE_SECONDS)
+        connection[1].close()
+
     async def _connect(self, earlier: list[Try]) -> tuple[Node, Connection]:
         """Open a connection to a node that was not tried last, as the platform does."""
         last = earlier[-1].node if earlier else None
@@ -266,7 +275,12 @@
         controls.append(asyncio.ensure_future(clients.run_program(program, 1, node)))
         await asyncio.sleep(FIRST_TURN_INTERVAL_SECONDS)
     await asyncio.gather(*running, *controls)
-    return Judge(deployment, calm_at).check(programs, first_turns)
+    broken = Judge(deployment, calm_at).check(programs, first_turns)
+    if broken:
+        await asyncio.sleep(calm_at + LEASE_END_SECONDS - CONTACT_SECONDS - record.now())
+        record.write("the killed node's lease has ended; the program asks once more")
+        await clients.ask_again(programs[0])
+    return broken
 
 
 async def _kill_one(deployment: Deployment, clients: Clients, program: Program) -> float:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -13,6 +13,7 @@
 TRANSACTION_SECONDS = 0.005
 """`tx_ms` of the pages' example settings."""
 READ_SECONDS = 0.004
+MAX_PAGE_BYTES = 1_000_000
 REASONS = {200: "OK", 410: "Gone", 412: "Precondition Failed", 404: "Not Found"}
 RowAddress = tuple[str, str, str]
 
@@ -136,8 +137,15 @@
             and key >= first
             and (end is None or key < end)
         )
-        rows = [self._document((table, part, key)) for key in keys[:limit]]
-        return {"rows": rows, "more": len(keys) > limit, **self._stamp()}
+        rows: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[:limit]:
+            row = self._document((table, part, key))
+            size += len(row["value"])
+            if rows and size > MAX_PAGE_BYTES:
+                break
+            rows.append(row)
+        return {"rows": rows, "more": len(keys) > len(rows), **self._stamp()}
 
     async def _feed(self, query: dict[str, str]) -> dict[str, Any]:
         after, table = int(query["after"]), query["table"]
