Let the review scripts end their nodes and tell errors from broken rules

A script that is ended from outside now stops its nodes, and an unforeseen error gives status 2 in place of 1.

--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -79,12 +80,15 @@
 
 def run_case(path: Path, case: Callable[[Deployment], Awaitable[list[str]]]) -> None:
     """Run a case, which returns how the rule was broken, and exit with the script's status."""
+    # An end from outside runs the clean-up too, so that no node is left.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     record = Record(path.parent / "record.txt")
     record.write(f"disruption: {'yes' if trouble() else 'no'}")
     status = NOT_RUN
     try:
         status = asyncio.run(_run(record, case))
-    except (CaseError, OSError, TimeoutError):
+    except Exception:
+        # An unforeseen error must not look like a broken rule, whose status is 1.
         record.write(f"the case could not run: {traceback.format_exc()}")
     record.write(f"exit status {status}")
     record.close()
