--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,6 +26,8 @@
 """`Token-Budget` in the example of the pages: eight turns at their most."""
 TURNS = 8
 PROGRAMS = 14
+INPUT_TOKENS = 400
+"""Tokens of the new input of one turn."""
 PAUSE_SECONDS = 0.25
 """Time for the tools between two turns."""
 EVENT_SECONDS = 0.03
@@ -147,7 +149,7 @@
         request_id = new_request_id()
         now = self._record.now()
         left = deadline_at - now
-        headers = self._headers(program, request_id, left)
+        headers = self._headers(program, number, request_id, left)
         busy = sum(worker.running for worker in self._deployment.workers)
         busy_share = busy / (SLOTS_PER_WORKER * len(self._deployment.workers))
         self._record.write(f"{program.name} turn {number}: {request_id} to {node.name}")
@@ -166,8 +168,15 @@
             program.previous = request_id
         return answer
 
-    def _headers(self, program: Program, request_id: str, left: float) -> dict[str, str]:
+    def _headers(
+        self, program: Program, number: int, request_id: str, left: float
+    ) -> dict[str, str]:
         to_aim = program.started_at + AIM_SECONDS - self._record.now()
+        part_tokens = [INPUT_TOKENS + TURN_TOKENS] * (number - 1) + [INPUT_TOKENS]
+        parts = [
+            f"{program.name.encode().hex()}{part:02x}:{tokens}"
+            for part, tokens in enumerate(part_tokens)
+        ]
         headers = {
             "Host": HOST,
             "Request-Id": request_id,
@@ -175,7 +184,8 @@
             "Session": f"{program.name}s",
             "Finish-Ms": str(max(0, int(1e3 * to_aim))),
             "Token-Budget": str(BUDGET),
-            "Token-Count": f"400,{TURN_TOKENS}",
+            "Token-Count": f"{sum(part_tokens)},{TURN_TOKENS}",
+            "Prompt-Prefix": ",".join(parts),
             "Model": "m",
             "Deadline-Ms": str(int(1e3 * left)),
         }
@@ -246,6 +256,7 @@
         "timeout_ms": 3_000,
         "target_ms": 200,
         "priority": 0,
+        "sticky": True,
         "resumable": False,
         "retain": True,
         "retain_s": 60,
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -139,7 +139,11 @@
 
     async def respond(self, received: Received, writer: asyncio.StreamWriter) -> None:
         """Send the events one after another, beginning after `Last-Event-Id`."""
-        headers = {**self.stamped_headers(received), "Content-Type": "text/event-stream"}
+        headers = {
+            **self.stamped_headers(received),
+            "Content-Type": "text/event-stream",
+            "Weight-Versions": "1",
+        }
         writer.write(encode_head("HTTP/1.1 200 OK", {**headers, "Transfer-Encoding": "chunked"}))
         first = int(received.head.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
