--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -33,6 +33,7 @@
     """Remaining warm-up time at the time of the listing."""
     started_ms: int | None = None
     """Unix time of its start if reported; a worker may restart under the same id."""
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/src/foxwinch/platform/documents.py
+++ b/src/foxwinch/platform/documents.py
@@ -45,7 +45,9 @@
     service: Name
     address: IpAndPort
     zone: str
-    software_version: str | int = Field(alias="version")
+    software_version: str | int | Annotated[float, Field(allow_inf_nan=False)] = Field(
+        alias="version"
+    )
     slots: Annotated[int, Field(ge=1)]
     state: WorkerState
     cold_ms: Milliseconds = Field(alias="cold_left_ms")
--- a/src/foxwinch/platform/ingress.py
+++ b/src/foxwinch/platform/ingress.py
@@ -18,6 +18,7 @@
     PROGRAM,
     PROMPT_PARTS,
     REQUEST_ID,
+    RESUMES,
     RETRY_AFTER,
     TOKEN_BUDGET,
     TOKEN_COUNT,
@@ -111,6 +112,7 @@
                 budget_tokens=_parse_int(headers.get(TOKEN_BUDGET)),
                 previous_turn=headers.get(PREVIOUS_TURN) or None,
                 last_event_id=_parse_int(headers.get(LAST_EVENT_ID)),
+                resumed_request=headers.get(RESUMES) or None,
             )
         except ValueError:
             return None
--- a/src/foxwinch/platform/translation.py
+++ b/src/foxwinch/platform/translation.py
@@ -68,6 +68,7 @@
         draining=entry.state is WorkerState.DRAINING,
         warmup_seconds=entry.cold_ms / 1e3,
         started_ms=entry.started_ms,
+        software_version=str(entry.software_version),
     )
 
 
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -229,6 +229,8 @@
             route=route.name if route else None,
             outcome=outcome,
             took_ms=int(1e3 * elapsed_seconds),
+            resumes=request.resumed_request,
+            last_event=request.last_event_id,
             configuration=basis.configuration,
             configuration_age_ms=basis.configuration_age_ms,
         )
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -50,6 +50,9 @@
     budget_tokens: int | None = None
     previous_turn: str | None = None
     last_event_id: int | None = None
+    """Id of the last event that the caller received in earlier requests for the same stream."""
+    resumed_request: str | None = None
+    """Id of the request that delivered the first event of the stream, if this one resumes it."""
 
 
 class CallFailure(StrEnum):
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -1,6 +1,7 @@
 """Current configuration and workers of a node, updated by watches of the shared store."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 
 from foxwinch.clock import Clock
 from foxwinch.core.routing.configuration import RoutingConfiguration
@@ -18,6 +19,8 @@
 
 EVICT_WORKERS_SECONDS = 30.0
 """Time after which a removed worker is evicted from the directory."""
+MAX_LOGGED_VERSIONS = 8
+"""Maximum number of software versions in one log line."""
 EXPIRY_SECONDS = 3.6
 """Default time to live of a worker's entry: three heartbeat intervals."""
 log = EventLog("routing")
@@ -131,7 +134,12 @@
                 self._put_worker(worker, row.version, last_resort)
         if is_full:
             self._directory.replace_all(listed, read.version, last_resort)
-            log.info("workers_listed", count=len(listed), list_version=read.version)
+            log.info(
+                "workers_listed",
+                count=len(listed),
+                software=_count_software_versions([worker for worker, _ in listed]),
+                list_version=read.version,
+            )
         self._directory.evict_removed(self._clock.monotonic(), EVICT_WORKERS_SECONDS)
 
     def _last_resort_deadlines(self) -> LastResortDeadlines:
@@ -148,7 +156,17 @@
             "worker_listed",
             worker=worker.worker_id,
             service=worker.service,
+            software=worker.software_version,
             draining=worker.draining,
             started_ms=worker.started_ms,
             list_version=version,
         )
+
+
+def _count_software_versions(workers: Iterable[Worker]) -> str:
+    """Return the number of workers of each service and software version, most workers first."""
+    counts = Counter((worker.service, worker.software_version) for worker in workers)
+    return ",".join(
+        f"{service}/{software}:{count}"
+        for (service, software), count in counts.most_common(MAX_LOGGED_VERSIONS)
+    )
