Let the soak play several software versions, rollouts and resumed streams

Workers restart with other versions, some or all of them, under the same id or a new one; workers abort responses while nodes are undisrupted; half of the nodes are killed at once; callers resume interrupted streams at any node and name the first attempt. The checker holds streams to one version and resumed streams to half the success of new ones; both checks have a test.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,7 +16,7 @@
 from soak.disruptions import HARNESS, SETTLING_SECONDS, STOP, STORE, WORKERS, DisruptionLog
 from soak.invariants import TOKENS_PER_EVENT, Attempt, InvariantChecker
 from soak.nodes import SoakNode
-from soak.workers import EVENTS
+from soak.workers import EVENTS, SoakWorker
 
 MAX_TURN_TOKENS = 2 * EVENTS * TOKENS_PER_EVENT
 """Token limit of one turn; the workers generate half of it."""
@@ -28,6 +28,10 @@
 TURN_NOT_FOUND_STATUS = 404
 CLOSE_PROBABILITY = 0.1
 """Probability that a caller closes its persistent connection after a response."""
+RESUME_PROBABILITY = 0.8
+"""Probability that a caller resumes an interrupted stream rather than repeats the turn."""
+MIN_WORKERS_OF_VERSION = 2
+"""Ready workers of a stream's version from which on a resumption is expected to succeed."""
 
 
 @dataclass
@@ -90,11 +94,13 @@
     def __init__(
         self,
         nodes: list[SoakNode],
+        workers: list[SoakWorker],
         checker: InvariantChecker,
         disruptions: DisruptionLog,
         rng: random.Random,
     ) -> None:
         self._nodes = nodes
+        self._workers = workers
         self._checker = checker
         self._disruptions = disruptions
         self._rng = rng
@@ -151,25 +157,50 @@
         }
         if program.previous is not None:
             headers["Previous-Turn"] = program.previous
+        received: list[Attempt] = []
+        """Interrupted attempts of the stream that is to be resumed, with their events."""
         for _ in range(MAX_ATTEMPTS):
+            if received and self._rng.random() >= RESUME_PROBABILITY:
+                received.clear()
             attempt = self._new_attempt(program, program.kind, program.history + new_input)
+            resuming = self._resume(attempt, received)
             opened = await connection.open()
             response = None
             if opened is not None:
-                response = await self._send(attempt, body, headers, *opened)
+                response = await self._send(attempt, body, headers | resuming, *opened)
             await connection.release(response)
             if attempt.status == TURN_NOT_FOUND_STATUS and program.previous is not None:
                 self._checker.report_turn_not_found(attempt, program.previous)
             if attempt.status in (BUDGET_EXHAUSTED_STATUS, TURN_NOT_FOUND_STATUS):
                 return False
             if attempt.status == 200 and attempt.is_complete:
-                output = b"".join(text.encode() + b"\n" for text in attempt.data)
+                data = [text for each in (*received, attempt) for text in each.data]
+                output = b"".join(text.encode() + b"\n" for text in data)
                 program.history += new_input + output
                 program.previous = attempt.request_id if program.kind == "kept" else None
                 return True
+            if program.kind == "stream" and attempt.event_ids:
+                received.append(attempt)
             await asyncio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
         return False
 
+    def _resume(self, attempt: Attempt, received: list[Attempt]) -> dict[str, str]:
+        """Let an attempt resume the stream of earlier ones; return the headers for it."""
+        if not received:
+            return {}
+        attempt.origin = received[0].request_id
+        attempt.last_event_id = received[-1].event_ids[-1]
+        return {"Resumes": attempt.origin, "Last-Event-Id": str(attempt.last_event_id)}
+
+    def _is_resumption_expected(self, attempt: Attempt) -> bool:
+        """Return whether the node is held to serve a new or resumed stream now."""
+        if not self._disruptions.is_undisrupted(attempt.node):
+            return False
+        version = self._checker.version_of_stream(attempt.origin)
+        ready = [worker for worker in self._workers if worker.is_ready]
+        matching = [worker for worker in ready if version in (None, worker.software_version)]
+        return len(matching) >= MIN_WORKERS_OF_VERSION
+
     async def _call_tool(self, program: Program, kind: str) -> None:
         """Call a tool; an unsafe call is retried only if the status says that it did not run."""
         for _ in range(MAX_ATTEMPTS):
@@ -210,6 +241,7 @@
         }
         url = URL(f"http://{node.address}{PATHS[attempt.kind]}")
         attempt.node, attempt.sent_at = node.name, self._disruptions.now()
+        attempt.is_checked = self._is_resumption_expected(attempt)
         completed = None
         try:
             async with asyncio.timeout(DEADLINE_SECONDS + 0.5):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,7 @@
     b'{"service": "s", "address": "127.0.0.1:1", "zone": "z0", "version": "v", "slots": 8, '
     b'"state": "asleep", "cold_left_ms": 0, "seq": 1}',
 )
+SOFTWARE_VERSIONS = ("v1", "v1.1", "2")
 OUTAGE_SECONDS = 0.5
 """Time between the kill of all nodes and their restart."""
 
@@ -41,6 +42,8 @@
     workers: list[SoakWorker]
     disruptions: DisruptionLog
     rng: random.Random
+    last_rollout: str = "v1"
+    """Software version of the newest rollout."""
 
 
 async def kill_and_start(context: FaultContext, node: SoakNode, seconds: float) -> None:
@@ -203,6 +206,35 @@
         context.rng.choice(context.workers).start_incarnation(same_id=True)
 
 
+async def roll_out(context: FaultContext, seconds: float) -> None:
+    """Restart some or all workers one after another with another software version."""
+    others = [version for version in SOFTWARE_VERSIONS if version != context.last_rollout]
+    context.last_rollout = context.rng.choice(others)
+    count = context.rng.randint(1, len(context.workers))
+    for worker in context.rng.sample(context.workers, count):
+        with context.disruptions.span(WORKERS, "upgrade"):
+            await worker.upgrade(context.last_rollout, same_id=context.rng.random() < 0.5)
+        await asyncio.sleep(seconds / count)
+
+
+async def abort_streams(context: FaultContext, seconds: float) -> None:
+    """Make all workers abort some of their responses."""
+    with context.disruptions.span(WORKERS, "fails"):
+        for worker in context.workers:
+            worker.faults = WorkerFaults(disconnect=0.25)
+        await asyncio.sleep(seconds)
+        for worker in context.workers:
+            worker.faults = WorkerFaults()
+
+
+async def kill_some_nodes(context: FaultContext, seconds: float) -> None:
+    """Kill half of the nodes at once and start them again."""
+    killed = context.rng.sample(context.nodes, max(1, len(context.nodes) // 2))
+    await asyncio.gather(*(node.kill() for node in killed))
+    await asyncio.sleep(OUTAGE_SECONDS)
+    await asyncio.gather(*(node.start() for node in killed))
+
+
 async def kill_all_nodes(context: FaultContext, seconds: float) -> None:
     """Kill every node at once and start them all again."""
     await asyncio.gather(*(node.kill() for node in context.nodes))
@@ -230,11 +262,22 @@
     disrupt_worker_connections,
     drain_worker,
     restart_worker,
+    roll_out,
+    kill_some_nodes,
 )
 RARE_FAULTS = (kill_all_nodes,)
 RARE_FAULT_PROBABILITY = 0.03
-BENIGN_FAULTS = (stop_and_start, reload, write_foreign_entries, drain_worker, restart_worker)
-"""Planned operations and foreign writes; none of them exempts a node from its time bounds."""
+BENIGN_FAULTS = (
+    stop_and_start,
+    reload,
+    write_foreign_entries,
+    drain_worker,
+    restart_worker,
+    roll_out,
+    abort_streams,
+)
+"""Planned operations, foreign writes and faults of workers; none of them exempts a node from its
+time bounds."""
 Fault = Callable[..., Awaitable[None]]
 
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -9,6 +9,12 @@
 """Program name of requests that belong to no program."""
 LOSS_SLACK_SECONDS = 0.2
 """Time after a request is sent before a connection that ends counts as interrupted."""
+MAX_MIXED_STREAMS = 2
+"""Number of streams with events of two software versions above which the rule is broken."""
+MIN_RESUMPTIONS = 12
+"""Number of streams resumed at undisrupted nodes from which on their success is checked."""
+MIN_RESUMED_SHARE = 0.5
+"""Smallest success of resumed streams, as a share of the success of new streams."""
 NOT_RUN_STATUSES = frozenset({BUDGET_EXHAUSTED_STATUS, 408, 421, 429, 503})
 
 
@@ -28,6 +34,12 @@
     event_ids: list[int] = field(default_factory=list)
     data: list[str] = field(default_factory=list)
     stamp: str | None = None
+    origin: str = ""
+    """Id of the attempt that delivered the stream's first event; empty for a new stream."""
+    last_event_id: int = 0
+    """Id of the last event that the caller received in earlier attempts."""
+    is_checked: bool = False
+    """Whether the node was undisrupted and two workers of the stream's version were ready."""
     node: str = ""
     """Name of the node to which the request was sent."""
     sent_at: float = 0.0
@@ -50,6 +62,13 @@
         self.runs: list[Run] = []
         self.violations: list[str] = []
         self.outcomes: Counter[str] = Counter()
+        self._stream_versions: dict[str, set[str]] = {}
+        """Software versions of the received events by the id of a stream's first attempt."""
+
+    def version_of_stream(self, origin: str) -> str | None:
+        """Return the software version that a stream began with; None without an event."""
+        versions = self._stream_versions.get(origin)
+        return min(versions) if versions else None
 
     def record_sent(self, attempt: Attempt) -> None:
         """Record a request before it is sent."""
@@ -78,11 +97,15 @@
         for text in attempt.data:
             if not text.startswith(attempt.request_id):
                 self._add_violation("MIXED", attempt.request_id, f"data {text!r}")
-        if attempt.event_ids != list(range(1, len(attempt.event_ids) + 1)):
+        first_id = attempt.last_event_id + 1
+        if attempt.event_ids != list(range(first_id, first_id + len(attempt.event_ids))):
             self._add_violation("ORDER", attempt.request_id, f"events {attempt.event_ids}")
         streamed = attempt.kind in ("stream", "kept") and attempt.status == 200
         if streamed and attempt.is_complete and attempt.event_ids[-1:] != [end_id]:
             self._add_violation("ORDER", attempt.request_id, f"complete after {attempt.event_ids}")
+        if attempt.kind in ("stream", "kept") and attempt.data:
+            versions = self._stream_versions.setdefault(attempt.origin or attempt.request_id, set())
+            versions.update(text.rpartition(" ")[2] for text in attempt.data)
 
     def report_loss_during_stop(self, attempt: Attempt, waited_seconds: float) -> None:
         """Report a connection that ended without a response while only a planned stop was going on.
@@ -127,6 +150,8 @@
                 self._add_violation("TWICE", attempt.request_id, f"ran {count} times")
             if count and attempt.status in NOT_RUN_STATUSES:
                 self._add_violation("REFUSED", attempt.request_id, f"{attempt.status}, and it ran")
+        self._check_stream_versions()
+        self._check_resumptions()
         self._count_early_refusals(budgets, set(runs))
         spent: Counter[str] = Counter()
         for attempt in self.attempts.values():
@@ -135,6 +160,35 @@
             if spent[program] > budget + max_turn_tokens:
                 self._add_violation("BUDGET", program, f"{spent[program]} of {budget}")
 
+    def _check_stream_versions(self) -> None:
+        mixed = {
+            origin: versions
+            for origin, versions in self._stream_versions.items()
+            if len(versions) > 1
+        }
+        self.outcomes["streams of two versions"] = len(mixed)
+        if len(mixed) > MAX_MIXED_STREAMS:
+            sample = dict(list(mixed.items())[:3])
+            self._add_violation("ORDER", "versions", f"{len(mixed)} streams mixed, as {sample}")
+
+    def _check_resumptions(self) -> None:
+        """Check that resumed streams succeed at least half as often as new ones."""
+        checked = [
+            attempt
+            for attempt in self.attempts.values()
+            if attempt.kind == "stream" and attempt.is_checked
+        ]
+        resumed = [bool(attempt.event_ids) for attempt in checked if attempt.origin]
+        begun = [bool(attempt.event_ids) for attempt in checked if not attempt.origin]
+        self.outcomes["streams resumed by callers"] = len(resumed)
+        if len(resumed) < MIN_RESUMPTIONS or not begun:
+            return
+        share, expected = sum(resumed) / len(resumed), sum(begun) / len(begun)
+        if share < MIN_RESUMED_SHARE * expected:
+            self._add_violation(
+                "LOST", "resumptions", f"{share:.2f} of {len(resumed)}, new {expected:.2f}"
+            )
+
     def _count_early_refusals(self, budgets: dict[str, tuple[int, int]], ran: set[str]) -> None:
         """Count refusals for an exhausted budget although one more turn would fit.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,7 @@
 from soak.operator import Operator
 from soak.workers import SoakWorker
 
-WORKER_COUNT = 3
+WORKER_COUNT = 5
 CALLER_COUNT = 10
 FAULT_INTERVAL_SECONDS = (0.1, 1.2)
 """Range of the time between the starts of two faults."""
@@ -109,7 +109,11 @@
             random.Random(f"{plan.seed} operator"),
         )
         self.callers = Callers(
-            self.nodes, self.checker, self.disruptions, random.Random(f"{plan.seed} callers")
+            self.nodes,
+            self.workers,
+            self.checker,
+            self.disruptions,
+            random.Random(f"{plan.seed} callers"),
         )
 
     async def start(self) -> None:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -14,11 +14,14 @@
 from soak.disruptions import DisruptionLog
 from soak.invariants import InvariantChecker, Run
 
-EVENTS = 5
+EVENTS = 8
 """Number of events in a complete stream, and the id of the last one."""
+MAX_EVENT_PAUSE_SECONDS = 0.04
 DRAIN_SECONDS = 2.0
 """Bound from storing a drain until undisrupted nodes send no more requests: `drain_ms`."""
 TABLE = "servers"
+UPGRADE_SECONDS = 0.3
+"""Time from the entry of an upgraded worker until it accepts connections."""
 
 
 @dataclass
@@ -51,10 +54,17 @@
         self._rng = rng
         self._runner: web.AppRunner | None = None
         self._worker_id = f"w{number}"
+        self.software_version = "v1"
         self._incarnation = 0
         self._entry_sequence = 0
         self._draining_at: float | None = None
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the worker is listed as ready and reachable."""
+        assert self.proxy is not None
+        return self._draining_at is None and not self.proxy.faults.refuse
+
     async def start(self) -> None:
         """Listen on a free port and register in the worker list."""
         application = web.Application(client_max_size=1 << 24)
@@ -73,6 +83,15 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def upgrade(self, software_version: str, same_id: bool) -> None:
+        """Restart with another software version; it is reachable once its entry is known."""
+        assert self.proxy is not None
+        self.proxy.set_faults(refuse=True)
+        self.software_version = software_version
+        self.start_incarnation(same_id)
+        await asyncio.sleep(UPGRADE_SECONDS)
+        self.proxy.set_faults(refuse=False)
+
     def start_incarnation(self, same_id: bool) -> None:
         """Restart without any state, under the same id or a new one."""
         if self.proxy is not None:
@@ -97,7 +116,7 @@
             "service": "s",
             "address": f"{self.proxy.address.host}:{self.proxy.address.port}",
             "zone": f"z{self._number % 2}",
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
@@ -116,13 +135,14 @@
         if self._rng.random() < self.faults.shed:
             return web.Response(status=503, headers={**headers, "Not-Run": "1"})
         first_event = int(request.headers.get("Last-Event-Id", 0)) + 1
+        software_version = self.software_version
         self._checker.record_run(Run(request_id, body, first_event))
         if self._rng.random() < self.faults.unresponsive:
             await asyncio.sleep(30)
         await asyncio.sleep(self._rng.random() * 0.02 + self.faults.delay_seconds)
         headers["Response-Stamp"] = f"stamp-{request_id}"
         if request.path.startswith(("/plan/", "/kept/")):
-            return await self._stream(request, request_id, first_event, headers)
+            return await self._stream(request, first_event, headers, software_version)
         if self._disconnects(request):
             return web.Response()
         return web.Response(body=f"{request_id} done".encode(), headers=headers)
@@ -140,18 +160,23 @@
             self._checker.report_request_after_drain(request_id, attempt.node, seconds)
 
     async def _stream(
-        self, request: web.Request, request_id: str, first_event: int, headers: dict[str, str]
+        self,
+        request: web.Request,
+        first_event: int,
+        headers: dict[str, str],
+        software_version: str,
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         response.enable_chunked_encoding()
         await response.prepare(request)
         with suppress(ConnectionError):
             for number in range(first_event, EVENTS + 1):
-                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                data = f"{headers['Request-Id']} {number} {software_version}"
+                event = f"id: {number}\ndata: {data}\n\n".encode()
                 if self._disconnects(request, response, event):
                     return response
                 await response.write(event)
-                await asyncio.sleep(self._rng.random() * 0.02)
+                await asyncio.sleep(self._rng.random() * MAX_EVENT_PAUSE_SECONDS)
             await response.write_eof()
         return response
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,38 @@
     assert violated_rules(attempt(kind="stream", **complete), runs=[ran], budget=25) == ["BUDGET"]
 
 
+def test_streams_of_two_software_versions_are_reported():
+    checker = InvariantChecker()
+    for number in range(4):
+        begun = attempt(f"a{number}", "stream", event_ids=[1], data=[f"a{number} 1 v1"])
+        resumed = attempt(f"b{number}", "stream", event_ids=[2, 3], last_event_id=1)
+        resumed.origin = f"a{number}"
+        version = "v2" if number < 3 else "v1"
+        resumed.data = [f"b{number} 2 {version}", f"b{number} 3 {version}"]
+        begun.is_complete = False
+        for each in (begun, resumed):
+            checker.record_sent(each)
+            checker.check_response(each, end_id=3)
+    checker.check_totals({"p1": (1_000, 25)})
+    assert [line.split()[0] for line in checker.violations] == ["ORDER"]
+    assert checker.outcomes["streams of two versions"] == 3
+
+
+def test_streams_that_callers_cannot_resume_are_reported():
+    checker = InvariantChecker()
+    for number in range(12):
+        begun = attempt(f"a{number}", "stream", event_ids=[1], data=[f"a{number} 1 v1"])
+        begun.is_complete = False
+        resumed = attempt(f"b{number}", "stream", status=503, last_event_id=1)
+        resumed.origin = f"a{number}"
+        for each in (begun, resumed):
+            each.is_checked = True
+            checker.record_sent(each)
+            checker.check_response(each, end_id=3)
+    checker.check_totals({"p1": (1_000, 25)})
+    assert [line.split()[0] for line in checker.violations] == ["LOST"]
+
+
 async def test_an_unexpected_process_exit_is_reported(tmp_path):
     checker = InvariantChecker()
     proxy = FaultProxy(PeerAddress("127.0.0.1", 9))
