Continue an aborted stream only at its service and software version

Cause: the software version of a worker's entry was decoded and dropped, and an aborted stream went on at any worker of the route. Change: a request keeps the origin of its first event (service and version), and only workers that match it are chosen. As those may all be full while others are free, a begun stream tries them again for up to a second; without any it ends at once, so that the caller can resume it elsewhere. A stream does not change its service either: that was the same cause.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -130,12 +130,19 @@
         """Reject an entry that describes no valid worker; its former worker gets no more work."""
         self._mark_leaving(worker_id, version, NEVER)
 
-    def eligible_workers(self, service: str, now: float) -> list[Worker]:
-        """Return the workers eligible for new work; leaving ones only if there is no other."""
+    def eligible_workers(
+        self, service: str, now: float, software_version: str | None = None
+    ) -> list[Worker]:
+        """Return the workers eligible for new work; leaving ones only if there is no other.
+
+        With `software_version`, only workers of that version count.
+        """
         healthy, leaving = [], []
         for entry in self._entries.values():
             if entry.worker.service != service or self._is_displaced(entry):
                 continue
+            if software_version not in (None, entry.worker.software_version):
+                continue
             if entry.last_resort_until is None:
                 healthy.append(entry.worker)
             elif now < entry.last_resort_until:
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -11,6 +11,7 @@
 from foxwinch.core.routing.load import LoadTable
 from foxwinch.core.routing.round_robin import WeightedRoundRobin
 from foxwinch.core.routing.selection import SelectionCriteria, choose_worker
+from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.core.routing.urgency import urgency_of
 from foxwinch.log import EventLog, age_ms
 from foxwinch.serving.messages import (
@@ -37,6 +38,10 @@
 request may run at another worker."""
 MIN_RESPONSE_TIMEOUT_SECONDS = 0.3
 """Minimum of that timeout; an overloaded worker sheds the call within it."""
+RESUME_WAIT_SECONDS = 1.0
+"""Time for which a begun stream waits for capacity at the workers that may continue it. Callers
+give a stream up after a pause of two seconds or more."""
+RESUME_POLL_SECONDS = 0.1
 log = EventLog("attempts")
 
 
@@ -56,6 +61,10 @@
     possibly_ran_on: set[str] = field(default_factory=set)
     """Ids of the workers that may have run the request."""
     last_event_id: int | None = None
+    origin: StreamOrigin | None = None
+    """Origin of the stream once an event was generated; other workers may not continue it."""
+    full_workers: set[str] = field(default_factory=set)
+    """Ids of the tried workers that had no capacity and may have some later."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +104,7 @@
     ) -> AcceptedCall | RejectedRequest:
         """Send a request to workers until one responds; the calling code enforces the deadline."""
         dispatches = 0
+        wait_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
         last_refusal: CallRefused | None = None
         while True:
             remaining_seconds = attempts.deadline_at - self._clock.monotonic()
@@ -102,12 +112,17 @@
                 return _deadline_exceeded(attempts)
             worker = self._choose_worker(attempts, last_worker)
             if worker is None or dispatches >= MAX_DISPATCHES:
-                return _not_dispatched(attempts, last_refusal)
+                if not await self._wait_for_capacity(attempts, wait_until):
+                    return _not_dispatched(attempts, last_refusal)
+                dispatches = 0
+                continue
             dispatches += 1
             attempts.tried_workers.add(worker.worker_id)
             outcome = await self._call(worker, attempts, remaining_seconds)
             if isinstance(outcome, CallRefused):
                 last_refusal = outcome
+                if outcome.failure is CallFailure.SHED:
+                    attempts.full_workers.add(worker.worker_id)
             elif isinstance(outcome, CallInterrupted):
                 attempts.possibly_ran_on.add(worker.worker_id)
                 if not self.may_retry(attempts):
@@ -116,6 +131,26 @@
                 attempts.possibly_ran_on.add(worker.worker_id)
                 return AcceptedCall(worker, outcome)
 
+    async def _wait_for_capacity(self, attempts: Attempts, wait_until: float) -> bool:
+        """Let a begun stream try full workers again after a pause, as no others may continue it.
+
+        Return False if it has to end.
+        """
+        next_try_at = self._clock.monotonic() + RESUME_POLL_SECONDS
+        if attempts.origin is None or not attempts.full_workers or next_try_at > wait_until:
+            return False
+        log.info(
+            "waiting_for_capacity",
+            request=attempts.request.request_id,
+            service=attempts.origin.service,
+            software=attempts.origin.software_version,
+            full=len(attempts.full_workers),
+        )
+        attempts.tried_workers -= attempts.full_workers
+        attempts.full_workers.clear()
+        await self._clock.sleep(RESUME_POLL_SECONDS)
+        return True
+
     def may_retry(self, attempts: Attempts) -> bool:
         """Return whether a request that may have run may be sent to another worker."""
         route = attempts.route
@@ -148,8 +183,12 @@
         criteria = SelectionCriteria(
             self._zone, last_worker, _caching_program(attempts.request), attempts.tried_workers
         )
-        for service in attempts.services:
-            workers = directory.eligible_workers(service, now)
+        services, software_version = attempts.services, None
+        if attempts.origin is not None:
+            services = [service for service in services if service == attempts.origin.service]
+            software_version = attempts.origin.software_version
+        for service in services:
+            workers = directory.eligible_workers(service, now, software_version)
             choice = choose_worker(workers, self.loads, criteria, now, self._clock.uniform())
             if choice is not None:
                 log.info(
@@ -257,6 +296,10 @@
 def _not_dispatched(attempts: Attempts, last_refusal: CallRefused | None) -> RejectedRequest:
     if attempts.possibly_ran_on:
         return RejectedRequest(Rejection.FAILED, "no_worker_left")
+    if last_refusal is None and attempts.origin is not None:
+        return RejectedRequest(
+            Rejection.NOT_RUN, "no_worker_of_version", NO_WORKER_RETRY_AFTER_SECONDS
+        )
     if last_refusal is None:
         return RejectedRequest(Rejection.NOT_RUN, "no_worker", NO_WORKER_RETRY_AFTER_SECONDS)
     retry_after = last_refusal.retry_after_seconds or SHED_RETRY_AFTER_SECONDS
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -1,8 +1,9 @@
 """Serving of requests with an event stream as the response.
 
 Only complete events are forwarded to the caller. When a worker aborts a stream and the route is
-resumable, the stream resumes at another worker after the last complete event, under the head of the
-first worker's response. A retained turn is stored before the end of its response is sent.
+resumable, the stream resumes at another worker of the same software version after the last complete
+event, under the head of the first worker's response. A retained turn is stored before the end of
+its response is sent.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 from foxwinch.clock import Clock
 from foxwinch.core.records.turn import Turn, join_output
+from foxwinch.core.routing.stream_origin import origin_of
 from foxwinch.core.streams import EventFramer, StreamEvent
 from foxwinch.log import EventLog
 from foxwinch.records.turns import TurnRecords
@@ -143,6 +145,8 @@
             events = framer.feed(chunk)
             if not events:
                 continue
+            if attempts.origin is None:
+                attempts.origin = origin_of(accepted.worker)
             if not summary.has_started:
                 summary.has_started = True
                 await caller.begin(head)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -82,3 +82,30 @@
             assert (resumed.is_complete, resumed.body) == (True, b"".join(ALL_EVENTS[2:]))
             one, other = platform.versions_of(f"a{number}", f"b{number}")
             assert one == other
+
+
+# Guards against an aborted stream when the workers of its version are full for a moment only.
+async def test_a_begun_stream_waits_for_capacity_at_the_workers_of_its_version():
+    async with VersionedPlatform("v1", "v1", "v2") as platform:
+        node = await platform.start_node()
+        full = FakeResponse(status=503, headers={"Not-Run": "1"}, signed=False)
+        one, other, of_another_version = platform.workers
+        one.responses = other.responses = [ABORTED, full, full, REST]
+        of_another_version.responses = [full]
+        reply = await platform.request_turn(node, "r1")
+        assert (reply.is_complete, reply.body) == (True, b"".join(ALL_EVENTS))
+
+
+# Guards against continuing a stream at another service, whose output does not fit either.
+async def test_an_aborted_stream_is_not_resumed_at_another_service():
+    async with VersionedPlatform("v1", "v1") as platform:
+        backends = [{"service": "s", "weight": 1}, {"service": "t", "weight": 1}]
+        split = [{**route, "service": None, "backends": backends} for route in routes()]
+        services = [{"name": "s"}, {"name": "t"}]
+        platform.model.put("op", "config", configuration(2, routes=split, services=services))
+        platform.list_worker(1, service="t")
+        node = await platform.start_node()
+        platform.set_responses(ABORTED, REST)
+        reply = await platform.request_turn(node, "r1")
+        assert not reply.is_complete
+        assert len(platform.versions_of("r1")) == 1
