Resume a stream at another node only at the version that began it

What callers saw: a caller whose connection broke resumed its stream at another node and got events of another software version (ORDER). Cause: a node read Last-Event-Id and sent the request to any worker; nothing outside the first node's memory told how the stream had begun. A stream of unknown origin is refused at once with a time to come back, never guessed. A slow store delays a first event by a fifth of the route's target time at most.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -149,6 +149,10 @@
                 leaving.append(entry.worker)
         return healthy or leaving
 
+    def known_workers(self) -> list[Worker]:
+        """Return all workers in the directory, also those that are leaving or were removed."""
+        return [entry.worker for entry in self._entries.values()]
+
     def all_workers(self) -> list[Worker]:
         """Return all workers that are not leaving."""
         return [entry.worker for entry in self._entries.values() if entry.last_resort_until is None]
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -18,6 +18,7 @@
 from foxwinch.serving.ports import RoutingView
 from foxwinch.serving.prompt import Prompt, load_prompt
 from foxwinch.serving.stream import StreamServer, StreamSummary
+from foxwinch.serving.stream_origins import StreamOrigins
 
 STORE_TIMEOUT_SECONDS = 0.9
 """Maximum time that a turn waits for the store before it is rejected with a retry time."""
@@ -58,6 +59,7 @@
         dispatcher: Dispatcher,
         budgets: BudgetLedger,
         turns: TurnRecords,
+        origins: StreamOrigins,
         clock: Clock,
         metrics: ServingMetrics,
     ) -> None:
@@ -68,7 +70,8 @@
         self._turns = turns
         self._clock = clock
         self._metrics = metrics
-        self._streams = StreamServer(dispatcher, turns, clock, metrics)
+        self._origins = origins
+        self._streams = StreamServer(dispatcher, turns, origins, clock, metrics)
 
     async def handle(self, request: ServiceRequest, caller: Caller) -> None:
         """Handle one request until it is answered or rejected."""
@@ -101,6 +104,14 @@
     ) -> str:
         if attempts.route.kind is not RouteKind.STREAM:
             return await serve_plain(self._dispatcher, attempts, caller, self._clock)
+        if attempts.request.resumes_stream:
+            origin = await self._origins.resolve(
+                attempts.request, attempts.services, self._store_deadline_at(attempts)
+            )
+            if isinstance(origin, RejectedRequest):
+                await caller.reject(origin)
+                return origin.reason
+            attempts.origin = origin
         prepared = await self._prepare(attempts)
         if isinstance(prepared, RejectedRequest):
             await caller.reject(prepared)
@@ -113,10 +124,7 @@
 
     async def _prepare(self, attempts: Attempts) -> Prompt | RejectedRequest:
         """Reserve the budget and read the history concurrently."""
-        now = self._clock.monotonic()
-        store_deadline_at = now + min(
-            STORE_TIMEOUT_SECONDS, STORE_TIME_FRACTION * (attempts.deadline_at - now)
-        )
+        store_deadline_at = self._store_deadline_at(attempts)
         reservation = asyncio.ensure_future(self._reserve(attempts, store_deadline_at))
         try:
             prompt = await load_prompt(self._turns, attempts, store_deadline_at)
@@ -134,6 +142,11 @@
         self._log_refusal("history_refused", attempts.request, prompt)
         return _reject_store_refusal(prompt)
 
+    def _store_deadline_at(self, attempts: Attempts) -> float:
+        """Return the time until which a request may wait for the store from now on."""
+        now = self._clock.monotonic()
+        return now + min(STORE_TIMEOUT_SECONDS, STORE_TIME_FRACTION * (attempts.deadline_at - now))
+
     async def _release_reservation(
         self, request: ServiceRequest, reservation: "asyncio.Future[RejectedRequest | None]"
     ) -> None:
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -54,6 +54,11 @@
     resumed_request: str | None = None
     """Id of the request that delivered the first event of the stream, if this one resumes it."""
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has received events of the stream in earlier requests."""
+        return self.resumed_request is not None or self.last_event_id is not None
+
 
 class CallFailure(StrEnum):
     """Why a worker gave no response to a request."""
--- a/src/foxwinch/serving/metrics.py
+++ b/src/foxwinch/serving/metrics.py
@@ -57,6 +57,12 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self.stream_origins = Counter(
+            "foxwinch_stream_origins_total",
+            "Origins of streams by outcome of their storage or resolution.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "foxwinch_configuration_version",
             "Version of the configuration in force.",
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -15,6 +15,7 @@
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import Workers
 from foxwinch.serving.routing import RoutingTables
+from foxwinch.serving.stream_origins import StreamOrigins
 
 READINESS_PROPAGATION_SECONDS = 3.2
 """Time from the start of a shutdown until load balancers have seen that the node is not ready and
@@ -52,8 +53,9 @@
         self.budgets = BudgetLedger(store, clock, self._tasks, f"{name}/{clock.identifier()[:8]}")
         self.turns = TurnRecords(store, clock)
         self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics)
+        origins = StreamOrigins(store, routing, clock, metrics, self._tasks)
         self._handler = RequestHandler(
-            routing, self.dispatcher, self.budgets, self.turns, clock, metrics
+            routing, self.dispatcher, self.budgets, self.turns, origins, clock, metrics
         )
         self._running = 0
         self._closed = False
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -12,7 +12,6 @@
 
 from foxwinch.clock import Clock
 from foxwinch.core.records.turn import Turn, join_output
-from foxwinch.core.routing.stream_origin import origin_of
 from foxwinch.core.streams import EventFramer, StreamEvent
 from foxwinch.log import EventLog
 from foxwinch.records.turns import TurnRecords
@@ -26,6 +25,7 @@
 )
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.prompt import Prompt
+from foxwinch.serving.stream_origins import StreamOrigins
 
 MAX_CONVERSATIONS = 20_000
 SUCCESS = range(200, 300)
@@ -71,12 +71,14 @@
         self,
         dispatcher: Dispatcher,
         turns: TurnRecords,
+        origins: StreamOrigins,
         clock: Clock,
         metrics: ServingMetrics,
     ) -> None:
         """Create a server that sends calls through `dispatcher`."""
         self._dispatcher = dispatcher
         self._turns = turns
+        self._origins = origins
         self._clock = clock
         self._metrics = metrics
         self._last_workers: dict[str, str] = {}
@@ -146,7 +148,7 @@
             if not events:
                 continue
             if attempts.origin is None:
-                attempts.origin = origin_of(accepted.worker)
+                await self._origins.record(attempts, accepted)
             if not summary.has_started:
                 summary.has_started = True
                 await caller.begin(head)
--- /dev/null
+++ b/src/foxwinch/serving/stream_origins.py
@@ -0,0 +1,140 @@
+"""Recording of the origins of streams, and resolution of the origin of a resumed stream.
+
+A caller whose connection broke resumes its stream at any node. The node that began the stream may
+have been killed, so it stores the origin before it forwards the first event. A stream whose origin
+is not known is not resumed: a guess could join the output of two software versions.
+"""
+
+import asyncio
+
+from cachetools import LRUCache
+
+from foxwinch.clock import Clock
+from foxwinch.core.routing.stream_origin import StreamOrigin, origin_of
+from foxwinch.log import EventLog
+from foxwinch.outcomes import Refused
+from foxwinch.records.store_state import ObservedStore
+from foxwinch.records.stream_origins import StreamOriginRecords
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.serving.attempts import AcceptedCall, Attempts
+from foxwinch.serving.messages import RejectedRequest, Rejection, ServiceRequest
+from foxwinch.serving.metrics import ServingMetrics
+from foxwinch.serving.ports import RoutingView
+
+RECORD_WAIT_TARGETS = 0.2
+"""Maximum delay of the first event by its record, in multiples of the route's target time."""
+RECORD_SECONDS = 0.8
+"""Time after which the attempt to store an origin ends; most streams have ended by then."""
+UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS = 0.3
+"""Retry time for a stream of unknown origin; the record of a slow store may still arrive."""
+MAX_RECENT_ORIGINS = 4_096
+"""Number of origins of this node's streams that are kept in memory."""
+log = EventLog("stream_origins")
+
+
+class StreamOrigins:
+    """Records origins of begun streams and resolves origins of resumed ones."""
+
+    def __init__(
+        self,
+        store: ObservedStore,
+        routing: RoutingView,
+        clock: Clock,
+        metrics: ServingMetrics,
+        tasks: ServiceTasks,
+    ) -> None:
+        """Track the origins in `store`; writes run as `tasks`."""
+        self._store = store
+        self._records = StreamOriginRecords(store, clock)
+        self._routing = routing
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = tasks
+        self._recent: LRUCache[str, StreamOrigin] = LRUCache(MAX_RECENT_ORIGINS)
+        """Origins of streams that this node began, by request id."""
+
+    async def record(self, attempts: Attempts, accepted: AcceptedCall) -> None:
+        """Record the origin of a stream before its first event is forwarded.
+
+        A slow store delays the event only briefly; until its write is committed, only this node can
+        resume the stream.
+        """
+        request_id = attempts.request.request_id
+        origin = attempts.origin = origin_of(accepted.worker)
+        if not attempts.route.resumable:
+            return
+        self._recent[request_id] = origin
+        started_at = self._clock.monotonic()
+        writing = self._tasks.start(self._write(request_id, origin))
+        wait_seconds = RECORD_WAIT_TARGETS * attempts.route.latency_target_seconds
+        if self._store.is_degraded():
+            wait_seconds = 0.0
+        await asyncio.wait([writing], timeout=wait_seconds)
+        log.info(
+            "stream_began",
+            request=request_id,
+            service=origin.service,
+            software=origin.software_version,
+            origin_pending=not writing.done(),
+            waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
+        )
+
+    async def resolve(
+        self, request: ServiceRequest, services: list[str], deadline_at: float
+    ) -> StreamOrigin | RejectedRequest:
+        """Return the origin of the stream that a request resumes, or why it is not resumed."""
+        resumed = request.resumed_request
+        if resumed is None:
+            source, origin = "workers", self._only_origin(services)
+        elif resumed in self._recent:
+            source, origin = "memory", self._recent[resumed]
+        else:
+            found = await self._records.find(resumed, deadline_at)
+            if isinstance(found, Refused):
+                self._log_resolution(request, "store", None, found.detail)
+                return RejectedRequest(
+                    Rejection.NOT_RUN, "stream_origin_unavailable", found.retry_after_seconds
+                )
+            source, origin = "store", found
+        self._log_resolution(request, source, origin, None)
+        if origin is None:
+            return RejectedRequest(
+                Rejection.NOT_RUN, "stream_origin_unknown", UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS
+            )
+        return origin
+
+    async def _write(self, request_id: str, origin: StreamOrigin) -> None:
+        deadline_at = self._clock.monotonic() + RECORD_SECONDS
+        refused = await self._records.write(request_id, origin, deadline_at)
+        self._metrics.stream_origins.labels("unstored" if refused else "stored").inc()
+        if refused is not None:
+            log.warning(
+                "stream_origin_not_stored",
+                request=request_id,
+                reason=refused.reason.value,
+                detail=refused.detail,
+            )
+
+    def _only_origin(self, services: list[str]) -> StreamOrigin | None:
+        """Return the only origin of all known workers of the services, if there is only one."""
+        origins = {
+            origin_of(worker)
+            for worker in self._routing.directory.known_workers()
+            if worker.service in services
+        }
+        return origins.pop() if len(origins) == 1 else None
+
+    def _log_resolution(
+        self, request: ServiceRequest, source: str, origin: StreamOrigin | None, detail: str | None
+    ) -> None:
+        self._metrics.stream_origins.labels("resolved" if origin else "unknown").inc()
+        log.info(
+            "stream_origin_resolved" if origin else "stream_origin_unknown",
+            request=request.request_id,
+            resumes=request.resumed_request,
+            last_event=request.last_event_id,
+            source=source,
+            service=origin.service if origin else None,
+            software=origin.software_version if origin else None,
+            detail=detail,
+        )
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -181,6 +181,19 @@
                 )
             return CallerResponse(response.status, dict(response.headers), read)
 
+    async def metric(self, node, sample):
+        """Return the value of a metric sample of a node, or None if it has none yet."""
+        async with self._session.get(f"http://{node.address_of('metrics')}/metrics") as response:
+            lines = (await response.text()).splitlines()
+        values = [line.rpartition(" ")[2] for line in lines if line.startswith(sample + " ")]
+        return float(values[0]) if values else None
+
+    def open_turn(self, node, request_id, path=STREAM):
+        """Return a context manager that sends a request and yields its unread response."""
+        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "3000"}
+        url = URL(f"http://{node.address_of('callers')}{path}", encoded=True)
+        return self._session.post(url, headers=headers)
+
     async def request_turn(
         self, node, request_id, *, path=STREAM, budget=10_000, max_output_tokens=575, **more_headers
     ):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,7 +1,11 @@
 """Streams and the software versions of workers: a stream holds events of one version only."""
 
-from fake_platform import FakePlatform, configuration, routes
+import pytest
+
+from fake_platform import STREAM, FakePlatform, configuration, routes, wait_until
 from fake_worker import FakeResponse, FakeWorker, events
+from foxwinch.emulator.record_store import StoreFault
+from foxwinch.records.stream_origins import STREAM_ORIGINS_TABLE
 
 ALL_EVENTS = events(1, 5)
 ABORTED = FakeResponse(body=None, chunks=[*ALL_EVENTS[:2], ALL_EVENTS[2][:7]], cut=True)
@@ -28,6 +32,11 @@
         for worker in self.workers:
             worker.responses = shared
 
+    async def listed_versions(self, node):
+        """Return the software versions that a node knows."""
+        workers = node.node.routing.directory.known_workers()
+        return {worker.software_version for worker in workers}
+
     def versions_of(self, *request_ids):
         """Return the software version of each worker that received one of the requests."""
         return [
@@ -109,3 +118,153 @@
         reply = await platform.request_turn(node, "r1")
         assert not reply.is_complete
         assert len(platform.versions_of("r1")) == 1
+
+
+# Guards against a lost origin when the node is killed right after it has forwarded the first event.
+async def test_the_origin_is_stored_before_the_first_event_is_forwarded():
+    async with VersionedPlatform("v1") as platform:
+        node = await platform.start_node()
+        stored = []
+        platform.workers[0].responses = [
+            FakeResponse(body=None, chunks=ALL_EVENTS, pause_seconds=0.05)
+        ]
+        async with platform.open_turn(node, "r1") as response:
+            await response.content.readany()
+            stored = platform.model.rows_of(STREAM_ORIGINS_TABLE)
+        assert [row.key for row in stored] == ["r1"]
+
+
+# Guards against a node that cannot resume streams for some time after its start (LOST).
+async def test_a_node_that_has_just_started_resumes_a_stream_at_its_version():
+    async with VersionedPlatform("v1", "v2", "v1", "v2", attempts=1) as platform:
+        first = await platform.start_node()
+        for number in range(STREAMS):
+            second = await platform.start_node()
+            _, resumed = await begin_and_resume(platform, first, second, number)
+            assert resumed.is_complete
+            one, other = platform.versions_of(f"a{number}", f"b{number}")
+            assert one == other
+
+
+# Guards against a guessed version when the store does not tell how a stream began (ORDER).
+@pytest.mark.parametrize(
+    "fault", [StoreFault.BUSY, StoreFault.RATE_LIMITED, StoreFault.UNRESPONSIVE]
+)
+async def test_a_stream_of_unknown_origin_is_refused_and_not_run(fault):
+    async with VersionedPlatform("v1", "v2", attempts=1) as platform:
+        first, second = await platform.start_node(), await platform.start_node()
+        platform.set_responses(ABORTED)
+        await platform.request(first, STREAM, "a")
+        platform.set_responses(REST)
+        platform.model.store_faults.fault = fault
+        refused = await platform.request(second, STREAM, "b", Last_Event_Id=2, Resumes="a")
+        assert refused.status == 503
+        assert float(refused.headers["Retry-After"]) > 0
+        assert len(platform.versions_of("b")) == 0
+        resumed = await platform.request(first, STREAM, "c", Last_Event_Id=2, Resumes="a")
+        assert resumed.is_complete
+        assert len(set(platform.versions_of("a", "c"))) == 1
+
+
+# Guards against streams that wait for a store that is down, and against guesses afterwards (ORDER).
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.UNRESPONSIVE])
+async def test_a_stream_begins_during_a_store_outage_and_is_not_resumed_elsewhere(fault):
+    async with VersionedPlatform("v1", "v2", attempts=1) as platform:
+        first, second = await platform.start_node(), await platform.start_node()
+        platform.model.store_faults.fault = fault
+        platform.set_responses(ABORTED)
+        begun = await platform.request(first, STREAM, "a")
+        assert begun.body == b"".join(ALL_EVENTS[:2])
+        await wait_until(
+            lambda: platform.metric(first, 'foxwinch_stream_origins_total{outcome="unstored"}'), 1.0
+        )
+        platform.model.store_faults.fault = StoreFault.NONE
+        refused = await platform.request(second, STREAM, "b", Last_Event_Id=2, Resumes="a")
+        assert refused.status == 503
+        assert platform.versions_of("b") == []
+
+
+# Guards against a late write that replaces the origin of another stream or another version.
+@pytest.mark.parametrize("fault", [StoreFault.RESPONSE_LOST, StoreFault.LATE_WRITE])
+async def test_a_stream_is_resumed_after_the_response_to_its_write_was_lost(fault):
+    async with VersionedPlatform("v1", "v2", "v1", "v2", attempts=1) as platform:
+        first, second = await platform.start_node(), await platform.start_node()
+        platform.model.store_faults.late_seconds = 0.2
+        platform.model.store_faults.fault = fault
+        platform.set_responses(ABORTED)
+        await platform.request(first, STREAM, "a")
+        platform.model.store_faults.fault = StoreFault.NONE
+        platform.set_responses(REST)
+
+        async def resume():
+            return (
+                await platform.request(second, STREAM, "b", Last_Event_Id=2, Resumes="a")
+            ).status
+
+        await wait_until(resume, 200)
+        one, other = platform.versions_of("a", "b")
+        assert one == other
+
+
+# Guards against continuing at a worker that restarted under its id with another version (ORDER).
+async def test_a_stream_is_not_resumed_at_its_worker_after_that_was_upgraded():
+    async with VersionedPlatform(1, 1, attempts=1) as platform:
+        first, second = await platform.start_node(), await platform.start_node()
+        platform.set_responses(ABORTED)
+        await platform.request(first, STREAM, "a")
+        for number in range(2):
+            platform.list_worker(number, version="1.1", born=1_790_000_000_000)
+        platform.set_responses(COMPLETE)
+        for node in (first, second):
+            await wait_until(lambda node=node: platform.listed_versions(node), {"1.1"})
+            refused = await platform.request(node, STREAM, "b", Last_Event_Id=2, Resumes="a")
+            assert refused.status == 503
+        assert len(platform.versions_of("b")) == 0
+
+
+# Guards against ending streams of a version whose workers drain while others are free (LOST).
+async def test_a_stream_is_resumed_at_a_draining_worker_of_its_version():
+    async with VersionedPlatform("v1", "v2", "v2", attempts=1) as platform:
+        platform.workers[1].responses = platform.workers[2].responses = [
+            FakeResponse(status=503, headers={"Not-Run": "1"}, signed=False)
+        ]
+        first, second = await platform.start_node(), await platform.start_node()
+        platform.workers[0].responses = [ABORTED, REST]
+        await platform.request(first, STREAM, "a")
+        platform.list_worker(0, state="draining")
+        resumed = await platform.request(second, STREAM, "b", Last_Event_Id=2, Resumes="a")
+        assert resumed.is_complete
+        assert platform.versions_of("b") == ["v1"]
+
+
+# Guards against resumed streams that fail while their version has two workers (LOST).
+async def test_streams_are_resumed_when_one_of_two_workers_of_their_version_fails():
+    async with VersionedPlatform("v1", "v1", "v2", "v2", attempts=2) as platform:
+        first, second = await platform.start_node(), await platform.start_node()
+        for number in range(STREAMS):
+            _, resumed = await begin_and_resume(platform, first, second, number)
+            assert resumed.is_complete
+        failing = platform.workers[0]
+        failing.responses = [FakeResponse(drop=True)]
+        for number in range(STREAMS, 2 * STREAMS):
+            platform.workers[1].responses = [ABORTED]
+            platform.workers[2].responses = platform.workers[3].responses = [ABORTED]
+            await platform.request(first, STREAM, f"a{number}")
+            for worker in platform.workers[1:]:
+                worker.responses = [REST]
+            resumed = await platform.request(
+                second, STREAM, f"b{number}", Last_Event_Id=2, Resumes=f"a{number}"
+            )
+            assert resumed.is_complete
+
+
+# Guards against a caller that does not say which request it resumes and gets any version (ORDER).
+async def test_a_stream_resumed_without_its_first_request_needs_a_single_version():
+    async with VersionedPlatform("v1", "v2") as platform:
+        node = await platform.start_node()
+        refused = await platform.request(node, STREAM, "b", Last_Event_Id=2)
+        assert refused.status == 503
+        platform.list_worker(1, version="v1")
+        await wait_until(lambda: platform.listed_versions(node), {"v1"})
+        platform.set_responses(REST)
+        assert (await platform.request(node, STREAM, "c", Last_Event_Id=2)).is_complete
