--- a/tests/test_stream_version_fuzz.py
+++ b/tests/test_stream_version_fuzz.py
@@ -35,8 +35,8 @@
 EVENTS = 8
 STREAM_DEADLINE_SECONDS = 3.0
 MAX_MIXED_STREAMS = 2
-"""Number that the rule allows. A worker that restarts under its id with another version, while a node
-cannot read the worker list, may still add to a stream; see the incident's postmortem."""
+"""Number that the rule allows. A worker that restarts under its id with another version, while a
+node cannot read the worker list, may still add to a stream; see the incident's postmortem."""
 VERSIONS = ("v1", "v1.1", 2)
 
 
