Remove an unused method and give a refusal its reason only for begun streams

A stream that is bound to the only version before it began was refused with the reason no_worker_of_version where no_worker is meant; status and retry time are the same. No behaviour changes besides the reason in logs.

--- a/src/foxwinch/core/routing/stream_origin.py
+++ b/src/foxwinch/core/routing/stream_origin.py
@@ -15,10 +15,6 @@
     service: str
     software_version: str
 
-    def matches(self, worker: Worker) -> bool:
-        """Return whether a worker may continue the stream."""
-        return (worker.service, worker.software_version) == self
-
 
 def origin_of(worker: Worker) -> StreamOrigin:
     """Return the origin of streams that a worker begins."""
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -106,7 +106,7 @@
     ) -> AcceptedCall | RejectedRequest:
         """Send a request to workers until one responds; the calling code enforces the deadline."""
         dispatches = 0
-        wait_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
+        wait_for_capacity_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
         last_refusal: CallRefused | None = None
         while True:
             remaining_seconds = attempts.deadline_at - self._clock.monotonic()
@@ -114,7 +114,7 @@
                 return _deadline_exceeded(attempts)
             worker = self._choose_worker(attempts, last_worker)
             if worker is None or dispatches >= MAX_DISPATCHES:
-                if not await self._wait_for_capacity(attempts, wait_until):
+                if not await self._wait_for_capacity(attempts, wait_for_capacity_until):
                     return _not_dispatched(attempts, last_refusal)
                 dispatches = 0
                 continue
@@ -298,7 +298,7 @@
 def _not_dispatched(attempts: Attempts, last_refusal: CallRefused | None) -> RejectedRequest:
     if attempts.possibly_ran_on:
         return RejectedRequest(Rejection.FAILED, "no_worker_left")
-    if last_refusal is None and attempts.origin is not None:
+    if last_refusal is None and attempts.has_begun:
         return RejectedRequest(
             Rejection.NOT_RUN, "no_worker_of_version", NO_WORKER_RETRY_AFTER_SECONDS
         )
--- a/src/foxwinch/serving/stream_origins.py
+++ b/src/foxwinch/serving/stream_origins.py
@@ -22,7 +22,8 @@
 from foxwinch.serving.ports import RoutingView
 
 RECORD_WAIT_TARGETS = 0.2
-"""Maximum delay of the first event by its record, in multiples of the route's target time."""
+"""Maximum delay of the first event by its record, in multiples of the route's target time. A
+response with a later first event counts as late."""
 RECORD_SECONDS = 0.8
 """Time after which the attempt to store an origin ends; most streams have ended by then."""
 UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS = 0.3
