Let make generate find the plugins of the virtual environment

It failed where the environment is not activated: protoc looks for its plugins on the path. Measured: fails before, writes the same files after.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 # Generated code is committed, so this is only needed after a schema has changed.
 generate: $(STAMP)
-	$(BIN)/python proto/generate.py
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python proto/generate.py
 
 lock: $(STAMP)
 	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url \
