--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @dataclass
@@ -51,6 +51,8 @@
     """Never respond."""
     drop: bool = False
     """Close the connection without a response."""
+    crash: bool = False
+    """Crash in place of the last chunk, or of the whole response if it has no chunks."""
 
 
 def raw_response(request_id: str, body: bytes = b"other") -> bytes:
@@ -72,14 +74,38 @@
         self.disconnects = 0
         """Number of requests whose connection was closed before the end of the response."""
         self.address = ""
+        self.fatal_body: bytes | None = None
+        """Part of a body on which the worker crashes, whatever its responses are."""
+        self.crashes: list[ReceivedRequest] = []
+        """The requests that the worker crashed on."""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> "FakeWorker":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        await self._listen(0)
+        return self
+
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
-        return self
+
+    def crash(self) -> None:
+        """Reset all connections and stop listening, as a process that is killed."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            _reset(writer)
+
+    def reset_connections(self) -> None:
+        """Reset all connections while the worker lives on."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def restart(self) -> None:
+        """Listen again at the same address after a crash."""
+        await self._listen(int(self.address.rpartition(":")[2]))
 
     async def __aexit__(self, *_: object) -> None:
         assert self._server is not None
@@ -92,6 +118,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         self.connections += 1
         number = self.connections
         try:
@@ -101,6 +128,7 @@
             self.disconnects += 1
         finally:
             writer.close()
+            self._writers.discard(writer)
             self._tasks.discard(task)
 
     async def _serve_one(
@@ -114,8 +142,13 @@
         method, target, _ = first.split(" ")
         headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        self.received.append(ReceivedRequest(method, target, headers, body, number))
+        received = ReceivedRequest(method, target, headers, body, number)
+        self.received.append(received)
         response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
+        if self.fatal_body is not None and self.fatal_body in body:
+            response = replace(response, crash=True)
+        if response.crash:
+            self.crashes.append(received)
         disconnect = asyncio.ensure_future(reader.read(1)) if response.pause_seconds else None
         try:
             return await self._respond(writer, response, headers.get("request-id", ""), disconnect)
@@ -134,6 +167,9 @@
             await asyncio.sleep(3600)
         if response.drop:
             return False
+        if response.crash and not response.chunks:
+            self.crash()
+            return False
         writer.write(response.extra_before + _head(response, request_id) + (response.body or b""))
         for chunk in response.chunks:
             writer.write(chunk if response.unframed else _chunk(chunk))
@@ -143,6 +179,9 @@
                 if disconnect.done():
                     raise ConnectionError
         await writer.drain()
+        if response.crash:
+            self.crash()
+            return False
         if response.reset:
             await asyncio.sleep(0.02)
             _reset(writer)
