Log fingerprints of failed requests and whether their workers have ended

The line of a failed worker now has the request's fingerprint, the detail and the count against the route's limit. After a lost connection a health check on a new connection tells whether the worker still runs; line worker_checked, metric foxwinch_worker_probes_total. No decision depends on it yet.

--- a/src/foxwinch/platform/ingress.py
+++ b/src/foxwinch/platform/ingress.py
@@ -8,6 +8,7 @@
 
 from foxwinch.clock import Clock
 from foxwinch.platform.names import (
+    AFFINITY,
     CONNECTION_HEADERS,
     CONVERSATION,
     DEADLINE_MS,
@@ -113,6 +114,7 @@
                 previous_turn=headers.get(PREVIOUS_TURN) or None,
                 last_event_id=_parse_int(headers.get(LAST_EVENT_ID)),
                 resumed_request=headers.get(RESUMES) or None,
+                affinity=headers.get(AFFINITY, ""),
             )
         except ValueError:
             return None
--- a/src/foxwinch/platform/names.py
+++ b/src/foxwinch/platform/names.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 REQUEST_ID: Final = "Request-Id"
+AFFINITY: Final = "Affinity"
+"""Name of the object that a request concerns."""
 DEADLINE_MS: Final = "Deadline-Ms"
 LAST_EVENT_ID: Final = "Last-Event-Id"
 PROGRAM: Final = "Program"
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import errno
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -33,6 +34,7 @@
     CallInterrupted,
     CallRefused,
     OutgoingCall,
+    ProbeResult,
     ResponseHead,
 )
 
@@ -177,6 +179,36 @@
             return refused
         return HttpWorkerResponse(response)
 
+    async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
+        """Return whether the worker still runs, from a health check on a new connection."""
+        url = URL(f"http://{worker.address}{health_path}", encoded=True)
+        headers = {"Host": worker.address, EXPECTED_WORKER: worker.worker_id}
+        connector = aiohttp.TCPConnector(force_close=True)
+        is_connected = False
+
+        async def on_connected(*_: object) -> None:
+            nonlocal is_connected
+            is_connected = True
+
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(on_connected)
+        async with aiohttp.ClientSession(connector=connector, trace_configs=[trace]) as session:
+            session._retry_connection = False
+            try:
+                async with (
+                    asyncio.timeout(timeout_seconds),
+                    session.get(url, headers=headers, allow_redirects=False) as response,
+                ):
+                    is_other = response.status == STATUS_WRONG_WORKER
+                    return ProbeResult.ENDED if is_other else ProbeResult.RUNNING
+            except TimeoutError:
+                return ProbeResult.RUNNING if is_connected else ProbeResult.UNKNOWN
+            except aiohttp.ClientConnectorError as error:
+                is_refused = error.os_error.errno == errno.ECONNREFUSED
+                return ProbeResult.ENDED if is_refused else ProbeResult.UNKNOWN
+            except CONNECTION_ERRORS:
+                return ProbeResult.UNKNOWN
+
 
 def _headers(worker: Worker, call: OutgoingCall) -> CIMultiDict[str]:
     headers = CIMultiDict(call.request.headers)
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -14,6 +14,7 @@
 from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.core.routing.urgency import urgency_of
 from foxwinch.log import EventLog, age_ms
+from foxwinch.serving.crash_detection import CrashDetector
 from foxwinch.serving.messages import (
     CallFailure,
     CallInterrupted,
@@ -67,6 +68,14 @@
     """Whether the caller has received an event of the stream, in this request or an earlier one."""
     full_workers: set[str] = field(default_factory=set)
     """Ids of the tried workers that had no capacity and may have some later."""
+    _fingerprint: str | None = None
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the fingerprint of the request, which is computed when it is first needed."""
+        if self._fingerprint is None:
+            self._fingerprint = self.request.fingerprint()
+        return self._fingerprint
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +104,7 @@
         self._zone = zone
         self._metrics = metrics
         self.loads = LoadTable()
+        self._crashes = CrashDetector(routing, workers, clock, metrics)
         self._round_robin = WeightedRoundRobin()
 
     def ordered_services(self, route: Route) -> list[str]:
@@ -127,6 +137,7 @@
                     attempts.full_workers.add(worker.worker_id)
             elif isinstance(outcome, CallInterrupted):
                 attempts.possibly_ran_on.add(worker.worker_id)
+                await self.record_failure(worker, outcome, attempts)
                 if not self.may_retry(attempts):
                     return RejectedRequest(Rejection.FAILED, outcome.failure.value)
             else:
@@ -167,13 +178,25 @@
         finally:
             self.loads.call_ended(worker.incarnation)
 
-    def record_failure(self, worker: Worker, failure: CallFailure, request_id: str) -> None:
-        """Record that a worker aborted its response or sent an invalid one."""
+    async def record_failure(
+        self, worker: Worker, interrupted: CallInterrupted, attempts: Attempts
+    ) -> None:
+        """Record that a worker gave no valid response, and check whether it has ended."""
         self.loads.record_failure(worker.incarnation, self._clock.monotonic())
-        self._metrics.worker_failures.labels(failure.value).inc()
+        self._metrics.worker_failures.labels(interrupted.failure.value).inc()
         log.info(
-            "worker_failed", request=request_id, worker=worker.worker_id, failure=failure.value
+            "worker_failed",
+            request=attempts.request.request_id,
+            fingerprint=attempts.fingerprint,
+            worker=worker.worker_id,
+            started_ms=worker.started_ms,
+            failure=interrupted.failure.value,
+            detail=interrupted.detail,
+            possibly_ran_on=len(attempts.possibly_ran_on),
+            most=attempts.route.max_workers,
         )
+        if interrupted.failure is not CallFailure.UNRESPONSIVE:
+            await self._crashes.check(worker, attempts.request.request_id, attempts.fingerprint)
 
     def record_response(self, worker: Worker) -> None:
         """Record a valid response."""
@@ -229,9 +252,7 @@
         now = self._clock.monotonic()
         if isinstance(outcome, CallRefused):
             self._record_refusal(worker, outcome, attempts.request.request_id)
-        elif isinstance(outcome, CallInterrupted):
-            self.record_failure(worker, outcome.failure, attempts.request.request_id)
-        else:
+        elif not isinstance(outcome, CallInterrupted):
             self.loads.record_response_start(worker.incarnation, now - started_at, now)
         return outcome
 
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from foxwinch.core.routing.fingerprint import RequestContent, request_fingerprint
+
 
 @dataclass(frozen=True, slots=True)
 class ProgramParameters:
@@ -53,12 +55,26 @@
     """Id of the last event that the caller received in earlier requests for the same stream."""
     resumed_request: str | None = None
     """Id of the request that delivered the first event of the stream, if this one resumes it."""
+    affinity: str = ""
+    """Name of the object that the request concerns, if the caller states one."""
 
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller has received events of the stream in earlier requests."""
         return self.resumed_request is not None or self.last_event_id is not None
 
+    def fingerprint(self) -> str:
+        """Return the fingerprint that this request shares with its repetitions."""
+        content = RequestContent(
+            self.method,
+            self.target,
+            self.program.program_id if self.program else "",
+            self.previous_turn or "",
+            self.affinity,
+            self.body,
+        )
+        return request_fingerprint(content)
+
 
 class CallFailure(StrEnum):
     """Why a worker gave no response to a request."""
@@ -91,6 +107,17 @@
     detail: str
 
 
+class ProbeResult(StrEnum):
+    """Whether an incarnation of a worker still runs, as shown by a new connection."""
+
+    RUNNING = "running"
+    """Something accepts connections at its address and claims no other identity."""
+    ENDED = "ended"
+    """Nothing listens at its address, or another worker does."""
+    UNKNOWN = "unknown"
+    """The connection was not made in time or was closed without a response."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a worker's response, as forwarded to the caller."""
--- a/src/foxwinch/serving/metrics.py
+++ b/src/foxwinch/serving/metrics.py
@@ -38,6 +38,12 @@
             ["failure"],
             registry=self.registry,
         )
+        self.worker_probes = Counter(
+            "foxwinch_worker_probes_total",
+            "Checks whether a worker still runs after it lost a call, by result.",
+            ["result"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "foxwinch_store_calls_total",
             "Calls to the shared store by operation and outcome.",
--- a/src/foxwinch/serving/plain.py
+++ b/src/foxwinch/serving/plain.py
@@ -47,7 +47,8 @@
             dispatcher.record_response(accepted.worker)
             await caller.respond(head, body)
             return None
-        failure = body.failure if isinstance(body, CallInterrupted) else CallFailure.MALFORMED
-        dispatcher.record_failure(accepted.worker, failure, attempts.request.request_id)
+        if isinstance(body, bytes):
+            body = CallInterrupted(CallFailure.MALFORMED, "the response has no valid signature")
+        await dispatcher.record_failure(accepted.worker, body, attempts)
         if not dispatcher.may_retry(attempts):
-            return RejectedRequest(Rejection.FAILED, failure.value)
+            return RejectedRequest(Rejection.FAILED, body.failure.value)
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -4,7 +4,13 @@
 
 from foxwinch.core.routing.configuration import RoutingConfiguration
 from foxwinch.core.routing.directory import Worker, WorkerDirectory
-from foxwinch.serving.messages import CallInterrupted, CallRefused, OutgoingCall, WorkerResponse
+from foxwinch.serving.messages import (
+    CallInterrupted,
+    CallRefused,
+    OutgoingCall,
+    ProbeResult,
+    WorkerResponse,
+)
 
 
 class Workers(Protocol):
@@ -16,6 +22,10 @@
         """Send a call and return the response once its head has been received."""
         ...
 
+    async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
+        """Return whether the worker still runs, from a health check on a new connection."""
+        ...
+
 
 class RoutingView(Protocol):
     """Read access to the node's current routing state."""
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -59,7 +59,6 @@
 
 class _StreamResult(StrEnum):
     COMPLETE = "complete"
-    BROKEN = "broken"
     FORWARDED = "passed_on"
     """The response was not a stream and was forwarded as a single body."""
 
@@ -126,26 +125,24 @@
                 return None
             if result is _StreamResult.COMPLETE:
                 return await self._finish_stream(accepted, attempts, prompt, caller, summary)
-            self._dispatcher.record_failure(
-                accepted.worker, CallFailure.CONNECTION_LOST, attempts.request.request_id
-            )
+            await self._dispatcher.record_failure(accepted.worker, result, attempts)
             if not self._dispatcher.may_retry(attempts):
-                return RejectedRequest(Rejection.FAILED, CallFailure.CONNECTION_LOST.value)
+                return RejectedRequest(Rejection.FAILED, result.failure.value)
             if summary.last_event_id is not None:
                 attempts.last_event_id = summary.last_event_id
 
     async def _forward(
         self, accepted: AcceptedCall, attempts: Attempts, caller: Caller, summary: StreamSummary
-    ) -> _StreamResult:
+    ) -> _StreamResult | CallInterrupted:
         head = accepted.response.head
         if head.status not in SUCCESS:
             return await self._forward_error(accepted, caller, summary)
         if not head.signed:
-            return _StreamResult.BROKEN
+            return CallInterrupted(CallFailure.MALFORMED, "the response has no valid signature")
         framer = EventFramer()
         async for chunk in accepted.response.chunks():
             if isinstance(chunk, CallInterrupted):
-                return _StreamResult.BROKEN
+                return chunk
             events = framer.feed(chunk)
             if not events:
                 continue
@@ -161,15 +158,18 @@
             if unsent_events:
                 await caller.send(b"".join(event.raw for event in unsent_events))
         if framer.pending or not summary.has_started:
-            return _StreamResult.BROKEN
+            return CallInterrupted(CallFailure.MALFORMED, "the stream ended within an event")
         return _StreamResult.COMPLETE
 
     async def _forward_error(
         self, accepted: AcceptedCall, caller: Caller, summary: StreamSummary
-    ) -> _StreamResult:
+    ) -> _StreamResult | CallInterrupted:
         body = await accepted.response.read_body()
-        if summary.has_started or isinstance(body, CallInterrupted):
-            return _StreamResult.BROKEN
+        if isinstance(body, CallInterrupted):
+            return body
+        if summary.has_started:
+            detail = f"status {accepted.response.head.status} for a resumed stream"
+            return CallInterrupted(CallFailure.MALFORMED, detail)
         await caller.respond(accepted.response.head, body)
         return _StreamResult.FORWARDED
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -71,6 +71,7 @@
         """Responses in order; the last one is repeated."""
         self.received: list[ReceivedRequest] = []
         self.connections = 0
+        self.health_checks = 0
         self.disconnects = 0
         """Number of requests whose connection was closed before the end of the response."""
         self.address = ""
@@ -142,6 +143,10 @@
         method, target, _ = first.split(" ")
         headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if "request-id" not in headers:
+            self.health_checks += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
         received = ReceivedRequest(method, target, headers, body, number)
         self.received.append(received)
         response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
--- a/tests/test_stream_version_fuzz.py
+++ b/tests/test_stream_version_fuzz.py
@@ -18,6 +18,7 @@
     CallFailure,
     CallInterrupted,
     CallRefused,
+    ProbeResult,
     ResponseHead,
     ServiceRequest,
 )
@@ -135,6 +136,12 @@
         first_event = (call.last_event_id or 0) + 1
         return Response(found, call.request.request_id, first_event, self._world.rng)
 
+    async def probe(self, worker, health_path, timeout_seconds):
+        await asyncio.sleep(0.005)
+        found = next(each for each in self._world.workers if each.address == worker.address)
+        is_running = found.is_up and found.worker_id == worker.worker_id
+        return ProbeResult.RUNNING if is_running else ProbeResult.ENDED
+
 
 class Caller:
     """Collects what one request delivers."""
