--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -22,6 +22,8 @@
 RETAINED = "/kept/"
 SAFE = "/hold/"
 UNSAFE = "/confirm/"
+RESTART_SECONDS = 0.3
+"""Interval at which crashed workers are restarted."""
 
 
 def routes(attempts=3):
@@ -78,6 +80,7 @@
     """An emulated store, fake workers, and the nodes in front of them."""
 
     workers: list[FakeWorker]
+    worker_ids: dict[int, str] = field(default_factory=dict)
     model: RecordStoreModel = field(default_factory=lambda: RecordStoreModel(SystemClock()))
     nodes: list[ServeProcess] = field(default_factory=list)
     _store: web.AppRunner | None = None
@@ -124,7 +127,23 @@
 
     def list_worker(self, number, **changes):
         """Write a worker's entry to the worker list."""
-        self.model.put("servers", f"w{number}", self.entry_of(number, **changes))
+        worker_id = self.worker_ids.setdefault(number, f"w{number}")
+        self.model.put("servers", worker_id, self.entry_of(number, **changes))
+
+    async def restart_crashed_workers(self, same_id=False):
+        """Restart each crashed worker as a new incarnation until cancelled."""
+        restarts = 0
+        while True:
+            await asyncio.sleep(RESTART_SECONDS)
+            for number, worker in enumerate(self.workers):
+                if worker.is_running:
+                    continue
+                restarts += 1
+                if not same_id:
+                    self.model.remove("servers", self.worker_ids[number])
+                    self.worker_ids[number] = f"w{number}-{restarts}"
+                await worker.restart()
+                self.list_worker(number, born=1_790_000_000_000 + restarts)
 
     async def start_node(self, wait=True, notice_ms=3_000):
         """Start a node and return it, by default once it is ready."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -79,6 +79,7 @@
         """Part of a body on which the worker crashes, whatever its responses are."""
         self.crashes: list[ReceivedRequest] = []
         """The requests that the worker crashed on."""
+        self.is_running = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -91,11 +92,13 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
+        self.is_running = True
 
     def crash(self) -> None:
         """Reset all connections and stop listening, as a process that is killed."""
         assert self._server is not None
         self._server.close()
+        self.is_running = False
         for writer in list(self._writers):
             _reset(writer)
 
@@ -160,6 +163,7 @@
         finally:
             if disconnect is not None:
                 disconnect.cancel()
+                await asyncio.gather(disconnect, return_exceptions=True)
 
     async def _respond(
         self,
