Bound the workers that end under one request, over all its repetitions

The class: a limit that is kept with one attempt while the work lives longer. The count now belongs to the request's content, whose fingerprint is the same at every node, route attempt, repetition and resumption:

- after a lost connection a health check on a new connection tells a worker's end from a cut connection; the worker list confirms what it cannot tell,
- a crash is stored in a row of the request, of which each node watches a copy, and is passed on by datagrams, so that it is known before the caller returns while the store is slow or away, and survives the node,
- from the first crash on, repetitions run one at a time, under a claim taken by a conditional write, away from other suspected requests and never at the last worker of a service; a response clears the request,
- after three crashes it is refused at once as not run, with the time at which the crashes expire.

Requests under which nothing ended cost nothing: no call, and no fingerprint while no crash is known. The state of a request moved to its own module.

--- a/src/foxwinch/core/routing/directory.py
+++ b/src/foxwinch/core/routing/directory.py
@@ -149,6 +149,11 @@
                 leaving.append(entry.worker)
         return healthy or leaving
 
+    def listed_incarnation(self, worker_id: str) -> str | None:
+        """Return the incarnation that the list has under an id, or None."""
+        entry = self._entries.get(worker_id)
+        return entry.worker.incarnation if entry is not None and entry.listed else None
+
     def known_workers(self) -> list[Worker]:
         """Return all workers in the directory, also those that are leaving or were removed."""
         return [entry.worker for entry in self._entries.values()]
--- a/src/foxwinch/core/routing/selection.py
+++ b/src/foxwinch/core/routing/selection.py
@@ -21,6 +21,9 @@
 AVOIDED_COST = 10.0
 """Exceeds any load, so avoided workers are chosen last."""
 WARMUP_COST = 0.3
+SHARED_COST = 1.0
+"""Cost of a worker at which a request runs that workers have ended under: as much as if it were
+full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,8 @@
     """The program, if the call populates a cache; all nodes prefer the same worker for it."""
     excluded: Collection[str] = ()
     """Ids of the workers that this request has already been sent to."""
+    shared: Collection[str] = ()
+    """Incarnations of workers at which requests run that workers have ended under."""
 
 
 def choose_worker(
@@ -83,6 +88,8 @@
     if worker.warmup_seconds > 0:
         cost += WARMUP_COST
     cost += WAIT_COST_PER_SECOND * max(0.0, load.expected_wait_seconds(now) - IDLE_WAIT_SECONDS)
+    if worker.incarnation in criteria.shared:
+        cost += SHARED_COST
     if load.is_avoided(now):
         cost += AVOIDED_COST
     return cost
--- a/src/foxwinch/platform/process.py
+++ b/src/foxwinch/platform/process.py
@@ -93,13 +93,16 @@
         if settings.listen.metrics is not None:
             application = _metrics_application(metrics)
             await self._listen("metrics", application, settings.listen.metrics)
-        self._node.start()
+        host, _, port = settings.listen.peers.rpartition(":")
+        notices_address = await self._node.notices.open(host, int(port))
+        self._node.start(notices_address)
         log.info(
             "started",
             node=settings.name,
             zone=settings.zone,
             callers=self.address_of("callers"),
             ready=self.address_of("ready"),
+            notices=notices_address,
             took_ms=int(1e3 * (time.monotonic() - self._created_at)),
         )
 
--- /dev/null
+++ b/src/foxwinch/serving/attempt_state.py
@@ -0,0 +1,52 @@
+"""The state of a request across its attempts."""
+
+from dataclasses import dataclass, field
+
+from foxwinch.core.routing.configuration import Route
+from foxwinch.core.routing.directory import Worker
+from foxwinch.core.routing.stream_origin import StreamOrigin
+from foxwinch.serving.messages import ServiceRequest, WorkerResponse
+
+
+@dataclass(slots=True)
+class Attempts:
+    """The state of a request across its attempts."""
+
+    request: ServiceRequest
+    route: Route
+    services: list[str]
+    """The services that may serve the request, preferred one first."""
+    body: bytes
+    deadline_at: float
+    """Deadline on the monotonic clock: the earlier one of the caller's and the route's."""
+    tried_workers: set[str] = field(default_factory=set)
+    """Ids of the workers that the request was sent to."""
+    possibly_ran_on: set[str] = field(default_factory=set)
+    """Ids of the workers that may have run the request."""
+    last_event_id: int | None = None
+    origin: StreamOrigin | None = None
+    """Service and software version that the stream is bound to; None while any may begin it."""
+    has_begun: bool = False
+    """Whether the caller has received an event of the stream, in this request or an earlier one."""
+    full_workers: set[str] = field(default_factory=set)
+    """Ids of the tried workers that had no capacity and may have some later."""
+    has_claim: bool = False
+    """Whether the request holds the claim that repetitions need after a worker ended under it."""
+    runs_unclaimed: bool = False
+    """Whether the request runs without that claim, as the store was not available."""
+    _fingerprint: str | None = None
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the fingerprint of the request, which is computed when it is first needed."""
+        if self._fingerprint is None:
+            self._fingerprint = self.request.fingerprint()
+        return self._fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedCall:
+    """A worker that has started to respond."""
+
+    worker: Worker
+    response: WorkerResponse
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
 from foxwinch.clock import Clock
 from foxwinch.core.routing.configuration import Route
@@ -11,10 +10,10 @@
 from foxwinch.core.routing.load import LoadTable
 from foxwinch.core.routing.round_robin import WeightedRoundRobin
 from foxwinch.core.routing.selection import SelectionCriteria, choose_worker
-from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.core.routing.urgency import urgency_of
 from foxwinch.log import EventLog, age_ms
-from foxwinch.serving.crash_detection import CrashDetector
+from foxwinch.serving.attempt_state import AcceptedCall, Attempts
+from foxwinch.serving.crash_guard import CrashGuard
 from foxwinch.serving.messages import (
     CallFailure,
     CallInterrupted,
@@ -46,46 +45,6 @@
 log = EventLog("attempts")
 
 
-@dataclass(slots=True)
-class Attempts:
-    """The state of a request across its attempts."""
-
-    request: ServiceRequest
-    route: Route
-    services: list[str]
-    """The services that may serve the request, preferred one first."""
-    body: bytes
-    deadline_at: float
-    """Deadline on the monotonic clock: the earlier one of the caller's and the route's."""
-    tried_workers: set[str] = field(default_factory=set)
-    """Ids of the workers that the request was sent to."""
-    possibly_ran_on: set[str] = field(default_factory=set)
-    """Ids of the workers that may have run the request."""
-    last_event_id: int | None = None
-    origin: StreamOrigin | None = None
-    """Service and software version that the stream is bound to; None while any may begin it."""
-    has_begun: bool = False
-    """Whether the caller has received an event of the stream, in this request or an earlier one."""
-    full_workers: set[str] = field(default_factory=set)
-    """Ids of the tried workers that had no capacity and may have some later."""
-    _fingerprint: str | None = None
-
-    @property
-    def fingerprint(self) -> str:
-        """Return the fingerprint of the request, which is computed when it is first needed."""
-        if self._fingerprint is None:
-            self._fingerprint = self.request.fingerprint()
-        return self._fingerprint
-
-
-@dataclass(frozen=True, slots=True)
-class AcceptedCall:
-    """A worker that has started to respond."""
-
-    worker: Worker
-    response: WorkerResponse
-
-
 class Dispatcher:
     """Selects workers, sends calls and tracks the workers' load."""
 
@@ -96,15 +55,16 @@
         clock: Clock,
         zone: str,
         metrics: ServingMetrics,
+        guard: CrashGuard,
     ) -> None:
-        """Create a dispatcher for a node in `zone`."""
+        """Create a dispatcher for a node in `zone`; `guard` admits each send."""
         self._routing = routing
         self._workers = workers
         self._clock = clock
         self._zone = zone
         self._metrics = metrics
         self.loads = LoadTable()
-        self._crashes = CrashDetector(routing, workers, clock, metrics)
+        self.guard = guard
         self._round_robin = WeightedRoundRobin()
 
     def ordered_services(self, route: Route) -> list[str]:
@@ -119,8 +79,7 @@
         wait_for_capacity_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
         last_refusal: CallRefused | None = None
         while True:
-            remaining_seconds = attempts.deadline_at - self._clock.monotonic()
-            if remaining_seconds < MIN_CALL_SECONDS:
+            if attempts.deadline_at - self._clock.monotonic() < MIN_CALL_SECONDS:
                 return _deadline_exceeded(attempts)
             worker = self._choose_worker(attempts, last_worker)
             if worker is None or dispatches >= MAX_DISPATCHES:
@@ -128,9 +87,12 @@
                     return _not_dispatched(attempts, last_refusal)
                 dispatches = 0
                 continue
+            rejected = await self.guard.admit(attempts, worker)
+            if rejected is not None:
+                return rejected
             dispatches += 1
             attempts.tried_workers.add(worker.worker_id)
-            outcome = await self._call(worker, attempts, remaining_seconds)
+            outcome = await self._call(worker, attempts)
             if isinstance(outcome, CallRefused):
                 last_refusal = outcome
                 if outcome.failure is CallFailure.SHED:
@@ -195,25 +157,34 @@
             possibly_ran_on=len(attempts.possibly_ran_on),
             most=attempts.route.max_workers,
         )
-        if interrupted.failure is not CallFailure.UNRESPONSIVE:
-            await self._crashes.check(worker, attempts.request.request_id, attempts.fingerprint)
+        await self.guard.on_failure(worker, interrupted, attempts)
 
-    def record_response(self, worker: Worker) -> None:
+    def record_response(self, worker: Worker, attempts: Attempts) -> None:
         """Record a valid response."""
         self.loads.record_response(worker.incarnation)
+        self.guard.on_response(attempts)
 
     def _choose_worker(self, attempts: Attempts, last_worker: str | None) -> Worker | None:
         now = self._clock.monotonic()
         directory = self._routing.directory
         criteria = SelectionCriteria(
-            self._zone, last_worker, _caching_program(attempts.request), attempts.tried_workers
+            self._zone,
+            last_worker,
+            _caching_program(attempts.request),
+            attempts.tried_workers,
+            self.guard.shared_workers(attempts),
         )
+        crashed = self.guard.crashed_workers(attempts)
         services, software_version = attempts.services, None
         if attempts.origin is not None:
             services = [service for service in services if service == attempts.origin.service]
             software_version = attempts.origin.software_version
         for service in services:
-            workers = directory.eligible_workers(service, now, software_version)
+            workers = [
+                worker
+                for worker in directory.eligible_workers(service, now, software_version)
+                if worker.incarnation not in crashed
+            ]
             choice = choose_worker(workers, self.loads, criteria, now, self._clock.uniform())
             if choice is not None:
                 log.info(
@@ -235,8 +206,9 @@
         return None
 
     async def _call(
-        self, worker: Worker, attempts: Attempts, remaining_seconds: float
+        self, worker: Worker, attempts: Attempts
     ) -> WorkerResponse | CallRefused | CallInterrupted:
+        remaining_seconds = max(0.0, attempts.deadline_at - self._clock.monotonic())
         call = OutgoingCall(
             attempts.request,
             attempts.body,
--- /dev/null
+++ b/src/foxwinch/serving/crash_guard.py
@@ -0,0 +1,282 @@
+"""Limits how many workers end under one request, over all of its repetitions and all nodes.
+
+Everything that runs at a worker when it ends is suspected, most of it without reason. A suspected
+request runs again, but one send at a time, under a claim in the shared store, and away from other
+suspected ones. A response clears it. After `MAX_CRASHES` crashes it is not sent any more until they
+expire.
+"""
+
+from dataclasses import dataclass
+
+from foxwinch.clock import Clock
+from foxwinch.core.records.crash_history import MAX_CRASHES, Crash, CrashHistory, SendClaim
+from foxwinch.core.routing.directory import Worker
+from foxwinch.log import EventLog
+from foxwinch.outcomes import Refused
+from foxwinch.records.crash_records import CrashRecords
+from foxwinch.records.store_state import ObservedStore
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.serving.attempt_state import Attempts
+from foxwinch.serving.crash_detection import CrashDetector
+from foxwinch.serving.crash_notices import CrashNotice, CrashNotices
+from foxwinch.serving.messages import (
+    CallFailure,
+    CallInterrupted,
+    ProbeResult,
+    RejectedRequest,
+    Rejection,
+)
+from foxwinch.serving.metrics import ServingMetrics
+from foxwinch.serving.ports import RoutingView
+
+SAVE_WAIT_SECONDS = 0.1
+"""Maximum time that a failed call's caller waits for the crash to be stored. Notices tell the other
+nodes while the store is slow."""
+CLAIM_TIMEOUT_SECONDS = 0.9
+CLAIM_TIME_FRACTION = 0.35
+"""Fraction of a request's remaining time that may be spent on its claim."""
+CLAIM_MARGIN_SECONDS = 1.0
+"""Time from the end of a request to the expiry of its claim, within which it is released."""
+RELEASE_SECONDS = 5.0
+"""Time for which the release of a claim is tried."""
+CLAIMED_RETRY_AFTER_SECONDS = 0.3
+"""About the duration of a request, after which the holder of the claim has released it."""
+UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
+PROTECTION_SECONDS = 10.0
+"""Time for which a crash counts against the limit of a service."""
+MAX_CRASHED_FRACTION = 0.5
+"""Fraction of a service's workers that may have crashed recently when a request is sent under which
+two workers have ended."""
+MIN_REMAINING_WORKERS = 1
+"""Number of workers of a service that are kept from suspected requests after recent crashes."""
+log = EventLog("crashes")
+
+
+@dataclass(frozen=True, slots=True)
+class _LostCall:
+    """A lost call whose worker has not been found to have ended."""
+
+    worker: Worker
+    fingerprint: str
+    request_id: str
+
+
+class CrashGuard:
+    """Admits sends of requests to workers, and records the crashes under them."""
+
+    def __init__(
+        self,
+        records: CrashRecords,
+        detector: CrashDetector,
+        notices: CrashNotices,
+        routing: RoutingView,
+        store: ObservedStore,
+        clock: Clock,
+        metrics: ServingMetrics,
+        tasks: ServiceTasks,
+        node: str,
+    ) -> None:
+        """Create the guard of a node; `node` must be unique to this run of the process."""
+        self._records = records
+        self._detector = detector
+        self._notices = notices
+        self._routing = routing
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = tasks
+        self._node = node
+        self._unclaimed: set[str] = set()
+        """Fingerprints of suspected requests that run here without a claim."""
+        notices.on_notice = self._on_notice
+
+    def shared_workers(self, attempts: Attempts) -> frozenset[str]:
+        """Return the incarnations at which other suspected requests run."""
+        if self._records.is_empty:
+            return frozenset()
+        return frozenset(self._records.claimed_workers(attempts.fingerprint))
+
+    def crashed_workers(self, attempts: Attempts) -> frozenset[str]:
+        """Return the incarnations that have ended under a request.
+
+        The list may still have them; a worker that restarts under its id is then taken for them.
+        """
+        if self._records.is_empty:
+            return frozenset()
+        crashes = self._records.history_of(attempts.fingerprint).crashes
+        return frozenset(crash.worker for crash in crashes)
+
+    async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
+        """Return None if a request may be sent to a worker now, or why not."""
+        if self._records.is_empty:
+            return None
+        history = self._records.history_of(attempts.fingerprint)
+        if not history.crashes:
+            return None
+        if len(history.crashes) >= MAX_CRASHES:
+            return self._reject_quarantined(attempts, history)
+        if self._must_spare(worker.service, history):
+            return self._reject(
+                attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
+            )
+        return await self._claim(attempts, worker, history)
+
+    async def on_failure(
+        self, worker: Worker, interrupted: CallInterrupted, attempts: Attempts
+    ) -> None:
+        """Find out whether a worker that lost a call has ended, and record it before returning."""
+        if interrupted.failure is CallFailure.UNRESPONSIVE:
+            result = ProbeResult.UNKNOWN
+        else:
+            result = await self._detector.check(
+                worker, attempts.request.request_id, attempts.fingerprint
+            )
+        if result is ProbeResult.ENDED:
+            await self._record(worker, attempts.fingerprint, attempts.request.request_id)
+            attempts.has_claim = False
+            return
+        lost = _LostCall(worker, attempts.fingerprint, attempts.request.request_id)
+        self._tasks.start(self._confirm_later(lost, result))
+
+    def on_response(self, attempts: Attempts) -> None:
+        """Clear a request of suspicion, as its worker has completed it."""
+        if self._records.is_empty or not self._records.history_of(attempts.fingerprint).crashes:
+            return
+        attempts.has_claim = False
+        self._metrics.crash_decisions.labels("cleared").inc()
+        log.info(
+            "request_cleared",
+            request=attempts.request.request_id,
+            fingerprint=attempts.fingerprint,
+        )
+        deadline_at = self._clock.monotonic() + RELEASE_SECONDS
+        self._tasks.start(self._records.clear(attempts.fingerprint, deadline_at))
+
+    def on_end(self, attempts: Attempts) -> None:
+        """Release what a request holds once it has ended in any way."""
+        if attempts.runs_unclaimed:
+            self._unclaimed.discard(attempts.fingerprint)
+        if attempts.has_claim:
+            attempts.has_claim = False
+            deadline_at = self._clock.monotonic() + RELEASE_SECONDS
+            holder = self._holder(attempts.request.request_id)
+            self._tasks.start(self._records.release(attempts.fingerprint, holder, deadline_at))
+
+    async def _claim(
+        self, attempts: Attempts, worker: Worker, history: CrashHistory
+    ) -> RejectedRequest | None:
+        now = self._clock.monotonic()
+        left = attempts.deadline_at - now
+        holder = self._holder(attempts.request.request_id)
+        expires_ms = self._records.now_ms() + int(1e3 * (left + CLAIM_MARGIN_SECONDS))
+        claim = SendClaim(holder, worker.incarnation, expires_ms)
+        deadline_at = now + min(CLAIM_TIMEOUT_SECONDS, CLAIM_TIME_FRACTION * left)
+        outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
+        if isinstance(outcome, Refused):
+            return self._admit_without_store(attempts, history)
+        if outcome.claim is not None and outcome.claim.holder == holder:
+            attempts.has_claim = True
+            self._log_decision("admitted", attempts, outcome, "claimed")
+            return None
+        if len(outcome.crashes) >= MAX_CRASHES:
+            return self._reject_quarantined(attempts, outcome)
+        return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
+
+    def _admit_without_store(
+        self, attempts: Attempts, history: CrashHistory
+    ) -> RejectedRequest | None:
+        """Admit a request with one crash, once at a time; another one must wait for the store."""
+        fingerprint = attempts.fingerprint
+        is_running = fingerprint in self._unclaimed and not attempts.runs_unclaimed
+        if len(history.crashes) > 1 or is_running:
+            return self._reject(
+                attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
+            )
+        self._unclaimed.add(fingerprint)
+        attempts.runs_unclaimed = True
+        self._log_decision("admitted", attempts, history, "claim_unavailable")
+        return None
+
+    def _must_spare(self, service: str, history: CrashHistory) -> bool:
+        """Return whether a service has lost so many workers that it must not risk another one."""
+        directory = self._routing.directory
+        workers = {
+            worker.incarnation for worker in directory.known_workers() if worker.service == service
+        }
+        crashed = workers & self._records.crashed_since(PROTECTION_SECONDS)
+        if not crashed:
+            return False
+        eligible = directory.eligible_workers(service, self._clock.monotonic())
+        remaining = sum(worker.incarnation not in crashed for worker in eligible)
+        if remaining <= MIN_REMAINING_WORKERS:
+            return True
+        is_half_lost = len(crashed) > MAX_CRASHED_FRACTION * (remaining + len(crashed))
+        return len(history.crashes) > 1 and is_half_lost
+
+    async def _record(self, worker: Worker, fingerprint: str, request_id: str) -> None:
+        """Tell the other nodes of a crash and store it."""
+        crash = Crash(worker.incarnation, self._records.now_ms())
+        is_new = self._records.add_reported(fingerprint, crash)
+        if is_new:
+            self._notices.send(CrashNotice(fingerprint, crash))
+        started_at = self._clock.monotonic()
+        wait_seconds = 0.0 if self._store.is_degraded() else SAVE_WAIT_SECONDS
+        holder = self._holder(request_id)
+        is_stored = await self._records.save_crash(fingerprint, crash, holder, wait_seconds)
+        self._metrics.crash_decisions.labels("recorded").inc()
+        log.warning(
+            "worker_ended",
+            request=request_id,
+            fingerprint=fingerprint,
+            worker=worker.worker_id,
+            started_ms=worker.started_ms,
+            crashes=len(self._records.history_of(fingerprint).crashes),
+            new=is_new,
+            stored=is_stored,
+            waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
+        )
+
+    async def _confirm_later(self, lost: _LostCall, result: ProbeResult) -> None:
+        """Record a crash if the worker list shows within some seconds that the worker has ended."""
+        if await self._detector.has_ended_later(lost.worker, result):
+            await self._record(lost.worker, lost.fingerprint, lost.request_id)
+
+    def _on_notice(self, notice: CrashNotice) -> bool:
+        is_new = self._records.add_reported(notice.fingerprint, notice.crash)
+        if is_new:
+            log.info(
+                "crash_notice",
+                fingerprint=notice.fingerprint,
+                worker=notice.crash.worker,
+                crashes=len(self._records.history_of(notice.fingerprint).crashes),
+            )
+        return is_new
+
+    def _holder(self, request_id: str) -> str:
+        return f"{self._node}/{request_id}"
+
+    def _reject_quarantined(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
+        left_ms = max(0, history.retained_until_ms - self._records.now_ms())
+        return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
+
+    def _reject(
+        self, attempts: Attempts, history: CrashHistory, reason: str, retry_after_seconds: float
+    ) -> RejectedRequest:
+        self._log_decision("refused", attempts, history, reason)
+        if attempts.possibly_ran_on:
+            return RejectedRequest(Rejection.FAILED, reason)
+        return RejectedRequest(Rejection.NOT_RUN, reason, retry_after_seconds)
+
+    def _log_decision(
+        self, decision: str, attempts: Attempts, history: CrashHistory, reason: str
+    ) -> None:
+        self._metrics.crash_decisions.labels(reason).inc()
+        log.info(
+            f"send_{decision}",
+            request=attempts.request.request_id,
+            fingerprint=attempts.fingerprint,
+            reason=reason,
+            crashes=len(history.crashes),
+            claim=history.claim.holder if history.claim else None,
+            store_ms=self._records.now_ms(),
+        )
--- /dev/null
+++ b/src/foxwinch/serving/crash_notices.py
@@ -0,0 +1,127 @@
+"""Notices of crashes between nodes, by datagrams.
+
+The shared store tells every node of a crash, but may be slow or down when the caller returns to
+another node. Each node that learns of a crash by a notice passes it on to a few random others, so
+that all nodes know it after a few steps and none sends to all.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from google.protobuf.message import DecodeError
+
+from foxwinch._generated.crashes_pb2 import CrashNoticesMessage
+from foxwinch.clock import Clock
+from foxwinch.core.limits.token_bucket import TokenBucket
+from foxwinch.core.records.crash_history import Crash
+from foxwinch.log import EventLog
+from foxwinch.records.node_registry import NodeRegistry
+
+FAN_OUT = 6
+"""Number of nodes that each node passes a notice on to; one in 400 nodes is then missed."""
+COPIES = 2
+"""Number of times that a notice is sent, as datagrams may be lost."""
+COPY_INTERVAL_SECONDS = 0.01
+MAX_DATAGRAM_BYTES = 1_400
+MAX_DATAGRAMS_PER_SECOND = 500
+"""Limit of a node; after the loss of many workers, the shared store tells of the others."""
+log = EventLog("crash_notices")
+
+
+class CrashNotice(NamedTuple):
+    """A worker that ended while it ran a request."""
+
+    fingerprint: str
+    crash: Crash
+
+
+class CrashNotices(asyncio.DatagramProtocol):
+    """Sends notices and delivers received ones."""
+
+    def __init__(self, registry: NodeRegistry, clock: Clock) -> None:
+        """Send to the nodes in `registry`."""
+        self._registry = registry
+        self._clock = clock
+        self._transport: asyncio.DatagramTransport | None = None
+        self._bucket: TokenBucket | None = None
+        self._dropped = 0
+        self.on_notice: Callable[[CrashNotice], bool] = lambda notice: False
+        """Handles a notice and returns whether it was new; new ones are passed on."""
+
+    async def open(self, host: str, port: int) -> str:
+        """Listen on a UDP address, port 0 for a free one; return `ip:port`."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        self._transport = transport
+        bound_host, bound_port = transport.get_extra_info("sockname")[:2]
+        return f"{bound_host}:{bound_port}"
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, notice: CrashNotice) -> None:
+        """Send a notice to a few other nodes."""
+        addresses = self._choose_addresses()
+        if self._transport is None or not addresses:
+            return
+        payload = _encode(notice)
+        self._send_to(addresses, payload)
+        for number in range(1, COPIES):
+            asyncio.get_running_loop().call_later(
+                number * COPY_INTERVAL_SECONDS, self._send_to, addresses, payload
+            )
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Deliver the notices of a datagram and pass the new ones on."""
+        try:
+            message = CrashNoticesMessage.FromString(data)
+        except DecodeError as error:
+            log.warning("notice_malformed", sender=addr[0], detail=str(error))
+            return
+        for each in message.notices:
+            crash = Crash(each.crash.worker, each.crash.recorded_ms)
+            notice = CrashNotice(each.fingerprint, crash)
+            if self.on_notice(notice):
+                self.send(notice)
+
+    def error_received(self, exc: Exception) -> None:
+        """Log an error of the socket; the notice is lost."""
+        log.info("notice_not_sent", detail=type(exc).__name__)
+
+    def _choose_addresses(self) -> list[str]:
+        others = self._registry.others
+        chosen: list[str] = []
+        while others and len(chosen) < FAN_OUT:
+            chosen.append(others.pop(int(self._clock.uniform() * len(others))))
+        return chosen
+
+    def _send_to(self, addresses: list[str], payload: bytes) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        now = self._clock.monotonic()
+        if self._bucket is None:
+            rate = MAX_DATAGRAMS_PER_SECOND
+            self._bucket = TokenBucket.full(rate, rate, now)
+        for address in addresses:
+            if len(payload) > MAX_DATAGRAM_BYTES or not self._bucket.try_take(1, now):
+                self._drop()
+                continue
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(payload, (host, int(port)))
+
+    def _drop(self) -> None:
+        """Count a datagram that was not sent; log the first and each hundredth one."""
+        if self._dropped % 100 == 0:
+            log.warning("notice_dropped", dropped=self._dropped + 1)
+        self._dropped += 1
+
+
+def _encode(notice: CrashNotice) -> bytes:
+    message = CrashNoticesMessage()
+    entry = message.notices.add(fingerprint=notice.fingerprint)
+    entry.crash.worker = notice.crash.worker
+    entry.crash.recorded_ms = notice.crash.recorded_ms
+    return message.SerializeToString()
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -11,7 +11,8 @@
 from foxwinch.outcomes import Refused
 from foxwinch.records.budgets import BudgetLedger, Reserved
 from foxwinch.records.turns import NoSuchTurn, TurnRecords
-from foxwinch.serving.attempts import Attempts, Dispatcher
+from foxwinch.serving.attempt_state import Attempts
+from foxwinch.serving.attempts import Dispatcher
 from foxwinch.serving.messages import Caller, RejectedRequest, Rejection, ServiceRequest
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.plain import serve_plain
@@ -97,6 +98,7 @@
             outcome = await self._serve(attempts, configuration, caller)
         finally:
             self._metrics.running.dec()
+            self._dispatcher.guard.on_end(attempts)
             self._record_end(request, route, outcome, basis)
 
     async def _serve(
--- a/src/foxwinch/serving/metrics.py
+++ b/src/foxwinch/serving/metrics.py
@@ -44,6 +44,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.crash_decisions = Counter(
+            "foxwinch_crash_decisions_total",
+            "Crashes under requests, and sends that they affected, by decision.",
+            ["decision"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "foxwinch_store_calls_total",
             "Calls to the shared store by operation and outcome.",
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -1,15 +1,21 @@
 """A serving node: its components, readiness and graceful shutdown."""
 
 from collections.abc import Awaitable, Callable
+from math import isfinite
 
 from foxwinch.clock import Clock
 from foxwinch.log import EventLog
 from foxwinch.records.budgets import BudgetLedger
+from foxwinch.records.crash_records import CrashRecords
+from foxwinch.records.node_registry import NodeRegistry
 from foxwinch.records.store_probe import StoreProbe
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.turns import TurnRecords
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempts import Dispatcher
+from foxwinch.serving.crash_detection import CrashDetector
+from foxwinch.serving.crash_guard import CrashGuard
+from foxwinch.serving.crash_notices import CrashNotices
 from foxwinch.serving.handler import RequestHandler
 from foxwinch.serving.messages import Caller, RejectedRequest, Rejection, ServiceRequest
 from foxwinch.serving.metrics import ServingMetrics
@@ -50,9 +56,24 @@
         self._tasks = ServiceTasks("serving")
         self.routing = routing
         self.metrics = metrics
-        self.budgets = BudgetLedger(store, clock, self._tasks, f"{name}/{clock.identifier()[:8]}")
+        run_id = f"{name}/{clock.identifier()[:8]}"
+        self.budgets = BudgetLedger(store, clock, self._tasks, run_id)
         self.turns = TurnRecords(store, clock)
-        self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics)
+        self.crash_records = CrashRecords(store, clock, self._tasks)
+        self.registry = NodeRegistry(store, clock)
+        self.notices = CrashNotices(self.registry, clock)
+        guard = CrashGuard(
+            self.crash_records,
+            CrashDetector(routing, workers, clock, metrics),
+            self.notices,
+            routing,
+            store,
+            clock,
+            metrics,
+            self._tasks,
+            run_id,
+        )
+        self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics, guard)
         origins = StreamOrigins(store, routing, clock, metrics, self._tasks)
         self._handler = RequestHandler(
             routing, self.dispatcher, self.budgets, self.turns, origins, clock, metrics
@@ -64,7 +85,9 @@
     @property
     def ready(self) -> bool:
         """Whether the node should receive new requests."""
-        return not self.stopping and not self.is_isolated and self.routing.is_complete
+        knows_crashes = isfinite(self.crash_records.watch.age_seconds())
+        is_informed = self.routing.is_complete and knows_crashes
+        return not self.stopping and not self.is_isolated and is_informed
 
     @property
     def is_isolated(self) -> bool:
@@ -75,10 +98,15 @@
         """
         return self._store.unavailable_seconds() > ISOLATION_SECONDS
 
-    def start(self) -> None:
-        """Start the watches of the configuration and the workers."""
+    def start(self, notices_address: str | None = None) -> None:
+        """Start the watches; other nodes send notices to `notices_address`, if given."""
         self._tasks.start(self.routing.configuration_watch.run())
         self._tasks.start(self.routing.workers_watch.run())
+        self._tasks.start(self.crash_records.watch.run())
+        self._tasks.start(self.crash_records.run_cleanup())
+        if notices_address is not None:
+            self._tasks.start(self.registry.watch.run())
+            self._tasks.start(self.registry.run(notices_address))
         table = self.routing.configuration_watch.table
         self._tasks.start(StoreProbe(self._store, self._clock, table).run())
 
@@ -113,6 +141,7 @@
         self.budgets.release_all()
         while self.budgets.programs and self._clock.monotonic() < deadline_at:
             await self._clock.sleep(POLL_SECONDS)
+        await self.registry.unregister()
         log.info(
             "stopped",
             running=self._running,
@@ -122,4 +151,5 @@
 
     async def close(self) -> None:
         """Cancel all background tasks; also needed after `start` without `stop`."""
+        self.notices.close()
         await self._tasks.stop()
--- a/src/foxwinch/serving/plain.py
+++ b/src/foxwinch/serving/plain.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from foxwinch.clock import Clock
-from foxwinch.serving.attempts import Attempts, Dispatcher
+from foxwinch.serving.attempt_state import Attempts
+from foxwinch.serving.attempts import Dispatcher
 from foxwinch.serving.messages import (
     Caller,
     CallFailure,
@@ -44,7 +45,7 @@
                 accepted.response.close()
         head = accepted.response.head
         if isinstance(body, bytes) and (head.signed or head.status not in SUCCESS):
-            dispatcher.record_response(accepted.worker)
+            dispatcher.record_response(accepted.worker, attempts)
             await caller.respond(head, body)
             return None
         if isinstance(body, bytes):
--- a/src/foxwinch/serving/prompt.py
+++ b/src/foxwinch/serving/prompt.py
@@ -5,7 +5,7 @@
 from foxwinch.core.records.turn import Turn, build_prompt
 from foxwinch.outcomes import Refused
 from foxwinch.records.turns import NoSuchTurn, TurnRecords
-from foxwinch.serving.attempts import Attempts
+from foxwinch.serving.attempt_state import Attempts
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -15,7 +15,8 @@
 from foxwinch.core.streams import EventFramer, StreamEvent
 from foxwinch.log import EventLog
 from foxwinch.records.turns import TurnRecords
-from foxwinch.serving.attempts import AcceptedCall, Attempts, Dispatcher
+from foxwinch.serving.attempt_state import AcceptedCall, Attempts
+from foxwinch.serving.attempts import Dispatcher
 from foxwinch.serving.messages import (
     Caller,
     CallFailure,
@@ -200,7 +201,7 @@
         caller: Caller,
         summary: StreamSummary,
     ) -> RejectedRequest | None:
-        self._dispatcher.record_response(accepted.worker)
+        self._dispatcher.record_response(accepted.worker, attempts)
         self._remember_worker(attempts, accepted)
         if attempts.route.retained:
             rejected = await self._store_turn(attempts, prompt, summary)
--- a/src/foxwinch/serving/stream_origins.py
+++ b/src/foxwinch/serving/stream_origins.py
@@ -16,7 +16,7 @@
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.stream_origins import StreamOriginRecords
 from foxwinch.service_tasks import ServiceTasks
-from foxwinch.serving.attempts import AcceptedCall, Attempts
+from foxwinch.serving.attempt_state import AcceptedCall, Attempts
 from foxwinch.serving.messages import RejectedRequest, Rejection, ServiceRequest
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import RoutingView
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -23,7 +23,7 @@
 SAFE = "/hold/"
 UNSAFE = "/confirm/"
 RESTART_SECONDS = 0.3
-"""Interval at which crashed workers are restarted."""
+"""Minimum time from the crash of a worker to its restart."""
 
 
 def routes(attempts=3):
@@ -134,14 +134,14 @@
         """Restart each crashed worker as a new incarnation until cancelled."""
         restarts = 0
         while True:
+            down = [number for number, worker in enumerate(self.workers) if not worker.is_running]
             await asyncio.sleep(RESTART_SECONDS)
-            for number, worker in enumerate(self.workers):
-                if worker.is_running:
-                    continue
+            for number in down:
+                worker = self.workers[number]
                 restarts += 1
                 if not same_id:
                     self.model.remove("servers", self.worker_ids[number])
-                    self.worker_ids[number] = f"w{number}-{restarts}"
+                    worker.worker_id = self.worker_ids[number] = f"w{number}-{restarts}"
                 await worker.restart()
                 self.list_worker(number, born=1_790_000_000_000 + restarts)
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -80,6 +80,8 @@
         self.crashes: list[ReceivedRequest] = []
         """The requests that the worker crashed on."""
         self.is_running = False
+        self.worker_id: str | None = None
+        """Id that requests must expect; None accepts any."""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -150,6 +152,11 @@
             self.health_checks += 1
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
+        if self.worker_id is not None and headers.get("expect-instance") != self.worker_id:
+            lines = f"Request-Id: {headers['request-id']}\r\nInstance: {self.worker_id}\r\n"
+            head = f"HTTP/1.1 421 Some\r\n{lines}Content-Length: 0\r\n\r\n"
+            writer.write(head.encode())
+            return True
         received = ReceivedRequest(method, target, headers, body, number)
         self.received.append(received)
         response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -5,7 +5,16 @@
 
 import pytest
 
-from fake_platform import RETAINED, SAFE, STREAM, UNSAFE, FakePlatform, configuration, routes
+from fake_platform import (
+    RETAINED,
+    SAFE,
+    STREAM,
+    UNSAFE,
+    FakePlatform,
+    configuration,
+    routes,
+    wait_until,
+)
 from fake_worker import FakeResponse, FakeWorker, events
 from foxwinch.emulator.record_store import StoreFault
 
@@ -30,6 +39,8 @@
         platform.model.put("op", "config", configuration(routes=routes(attempts)))
         for _ in range(nodes):
             await platform.start_node()
+        for node in platform.nodes:
+            await wait_until(lambda node=node: count_known_nodes(node), nodes - 1)
         restarting = asyncio.ensure_future(platform.restart_crashed_workers(same_id))
         try:
             yield platform
@@ -39,11 +50,25 @@
                 await restarting
 
 
+async def count_known_nodes(node):
+    """Return the number of other nodes that a node sends notices to."""
+    return len(node.node.registry.others)
+
+
 def crashes_of(platform, body=FATAL):
     """Return how many workers have crashed on requests with `body`."""
     return sum(body in received.body for worker in platform.workers for received in worker.crashes)
 
 
+def crash_log(platform):
+    """Return the worker and request of each crash."""
+    return [
+        (received["Expect-Instance"], received["Request-Id"])
+        for worker in platform.workers
+        for received in worker.crashes
+    ]
+
+
 async def send_repeatedly(platform, path=SAFE, *, name="f", body=FATAL, first=0, **headers):
     """Repeat a request as callers do, each time at another node; return the statuses."""
     statuses = []
@@ -63,7 +88,7 @@
 async def test_a_request_repeated_at_other_nodes_crashes_three_workers_at_most(path, attempts):
     async with fatal_platform(attempts=attempts) as platform:
         statuses = await send_repeatedly(platform, path)
-        assert 1 <= crashes_of(platform) <= MAX_CRASHES
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
         assert 200 not in statuses
 
 
@@ -71,7 +96,7 @@
 async def test_workers_that_restart_under_their_id_count_as_crashed():
     async with fatal_platform(same_id=True, workers=4) as platform:
         await send_repeatedly(platform)
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against the same when the worker crashes in the middle of its stream.
@@ -79,7 +104,7 @@
 async def test_a_stream_that_crashes_its_workers_midway_is_stopped(path):
     async with fatal_platform(MIDWAY) as platform:
         await send_repeatedly(platform, path)
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against a resumed stream that does not count as a repetition of its first request.
@@ -88,7 +113,7 @@
         begun = await platform.request_turn(platform.nodes[0], "a", body=FATAL)
         assert not begun.is_complete
         await send_repeatedly(platform, STREAM, Last_Event_Id=2, Resumes="a")
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against counts that are lost with the node that has seen a crash.
@@ -98,7 +123,7 @@
             await platform.request_turn(platform.nodes[-1], f"f{number}", path=SAFE, body=FATAL)
             await platform.nodes.pop().stop()
             await platform.start_node()
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against repetitions that the nodes don't recognize while the store fails.
@@ -116,7 +141,7 @@
             node = platform.nodes[number % len(platform.nodes)]
             await platform.request(node, path, f"f{number}", body=FATAL)
             await asyncio.sleep(RETURN_SECONDS)
-        assert 1 <= crashes_of(platform) <= MAX_CRASHES
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against repetitions of one request that are in flight at the same time.
@@ -127,7 +152,7 @@
         await asyncio.gather(
             *(send_repeatedly(platform, name=f"f{first}-", first=first) for first in range(4))
         )
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against several fatal requests that together end a service, and against their bystanders.
@@ -184,7 +209,7 @@
         await asyncio.sleep(RETURN_SECONDS)
         await send_repeatedly(platform, STREAM)
         assert all(await asyncio.gather(*sound))
-        assert crashes_of(platform) <= MAX_CRASHES
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
 # Guards against blaming identical requests of another program.
