Bound what a worker may send in place of a response

Cause: read_body read to the end, the framer of events had a limit that nothing checked, surplus responses were read whole, and errors of the HTTP parser were not among the caught ones.

Now a plain body has at most 16 MiB, all buffered bodies of a node together 64 MiB until they have been sent to their callers, an event 1 MiB, the output of a retained turn 4 MiB, and at most eight interim or surplus responses come before the awaited one. What exceeds a bound is a malformed response: the connection is closed, the worker avoided, a safe request or resumable stream goes on elsewhere, another one gets 502.

--- a/src/foxwinch/core/streams.py
+++ b/src/foxwinch/core/streams.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 EVENT_END = b"\n\n"
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+"""Maximum size of an event; a worker that sends a longer one is faulty."""
 _ID = b"id:"
 _DATA = b"data:"
 
@@ -35,6 +36,11 @@
         """Whether the buffer contains an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the incomplete event exceeds `MAX_EVENT_BYTES`."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are now complete."""
         complete_events, separator, self._buffer = (self._buffer + data).rpartition(EVENT_END)
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -12,6 +12,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
@@ -38,8 +39,17 @@
     ResponseHead,
 )
 
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Maximum size of a response body that is not a stream."""
+MAX_BUFFERED_BYTES = 4 * MAX_RESPONSE_BYTES
+"""Maximum size of all buffered bodies together: a quarter of a node's memory."""
+MAX_SKIPPED_RESPONSES = 8
+"""Maximum number of interim responses and responses to other requests before the awaited one."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Maximum size of the body of a response to another request; a longer one is not read."""
 KEEPALIVE_SECONDS = 3.0
 """Keep-alive time of idle connections; workers close idle connections later than that."""
+STATUS_SWITCHING_PROTOCOLS = 101
 STATUS_WRONG_WORKER = 421
 STATUS_UNAVAILABLE = 503
 SKIPPED_AUTO_HEADERS = frozenset(
@@ -49,6 +59,28 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, ValueError, asyncio.IncompleteReadError)
 
 
+class _MalformedResponseError(aiohttp.ClientError):
+    """A worker sent bytes that are no response to the request."""
+
+
+class _BufferLimit:
+    """Counts the bytes of all buffered response bodies."""
+
+    def __init__(self) -> None:
+        self._buffered_bytes = 0
+
+    def try_take(self, size: int) -> bool:
+        """Count `size` bytes and return True if they fit."""
+        if self._buffered_bytes + size > MAX_BUFFERED_BYTES:
+            return False
+        self._buffered_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Stop counting `size` bytes."""
+        self._buffered_bytes -= size
+
+
 class _MatchedResponse(aiohttp.ClientResponse):
     """Skips responses to other requests that precede this one's on the connection."""
 
@@ -57,15 +89,26 @@
         expected_id = self.request_info.headers.get(REQUEST_ID)
         protocol = connection.protocol
         assert protocol is not None
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES):
             message, payload = await protocol.read()
+            if message.code // 100 == 1 and message.code != STATUS_SWITCHING_PROTOCOLS:
+                continue
             if _matches_request(message.code, message.headers, expected_id):
                 _requeue(protocol, message, payload)
-                break
+                await super().start(connection)
+                return self
             protocol.force_close()
-            await payload.read()
-        await super().start(connection)
-        return self
+            await _skip_body(payload)
+        raise _MalformedResponseError("too many responses that were not asked for")
+
+
+async def _skip_body(payload: StreamReader) -> None:
+    """Read and discard the body of a response to another request."""
+    skipped_bytes = 0
+    async for chunk in payload.iter_any():
+        skipped_bytes += len(chunk)
+        if skipped_bytes > MAX_SKIPPED_BYTES:
+            raise _MalformedResponseError("a response to another request is too large")
 
 
 def _requeue(protocol: ResponseHandler, message: RawResponseMessage, payload: StreamReader) -> None:
@@ -82,15 +125,18 @@
 ) -> bool:
     response_id = headers.get(REQUEST_ID)
     if response_id is None:
-        return NOT_RUN in headers or status == STATUS_WRONG_WORKER or status // 100 == 1
+        return NOT_RUN in headers or status in (STATUS_WRONG_WORKER, STATUS_SWITCHING_PROTOCOLS)
     return response_id == expected_id
 
 
 class HttpWorkerResponse:
     """A response whose head has arrived; implements `foxwinch.serving.messages.WorkerResponse`."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, limit: _BufferLimit) -> None:
+        """Count the body against `limit` from its receipt until `close`."""
         self._response = response
+        self._limit = limit
+        self._buffered_bytes = 0
         self._protocol = response.connection.protocol if response.connection else None
         headers = tuple(
             (name, value)
@@ -104,12 +150,18 @@
         )
 
     async def read_body(self) -> bytes | CallInterrupted:
-        """Read the complete body."""
-        try:
-            body = await self._response.content.read()
-        except CONNECTION_ERRORS as error:
-            return CallInterrupted(CallFailure.CONNECTION_LOST, type(error).__name__)
-        return self._check_reset() or body
+        """Read the complete body, of at most `MAX_RESPONSE_BYTES`."""
+        chunks: list[bytes] = []
+        async for chunk in self.chunks():
+            if isinstance(chunk, CallInterrupted):
+                return chunk
+            if self._buffered_bytes + len(chunk) > MAX_RESPONSE_BYTES:
+                return CallInterrupted(CallFailure.MALFORMED, "the body is too large")
+            if not self._limit.try_take(len(chunk)):
+                return CallInterrupted(CallFailure.MALFORMED, "too many bytes are buffered")
+            self._buffered_bytes += len(chunk)
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     async def chunks(self) -> AsyncIterator[bytes | CallInterrupted]:
         """Yield the body as it arrives."""
@@ -124,8 +176,10 @@
             yield reset
 
     def close(self) -> None:
-        """Discard the rest of the body; an incompletely read connection is closed."""
+        """Discard the body; an incompletely read connection is closed."""
         self._response.close()
+        self._limit.release(self._buffered_bytes)
+        self._buffered_bytes = 0
 
     def _check_reset(self) -> CallInterrupted | None:
         """Return an error if a response without a length ended with a connection reset."""
@@ -142,6 +196,7 @@
 
     def __init__(self) -> None:
         """Open a connection pool; must be called in a running event loop."""
+        self._limit = _BufferLimit()
         self._session = open_session(
             KEEPALIVE_SECONDS,
             response_class=_MatchedResponse,
@@ -171,13 +226,15 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return CallRefused(CallFailure.UNREACHABLE, type(error).__name__)
+        except (HttpProcessingError, _MalformedResponseError) as error:
+            return CallInterrupted(CallFailure.MALFORMED, type(error).__name__)
         except CONNECTION_ERRORS as error:
             return CallInterrupted(CallFailure.CONNECTION_LOST, type(error).__name__)
         refused = _refusal(response)
         if refused is not None:
             response.release()
             return refused
-        return HttpWorkerResponse(response)
+        return HttpWorkerResponse(response, self._limit)
 
     async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
         """Return whether the worker still runs, from a health check on a new connection."""
@@ -206,6 +263,8 @@
             except aiohttp.ClientConnectorError as error:
                 is_refused = error.os_error.errno == errno.ECONNREFUSED
                 return ProbeResult.ENDED if is_refused else ProbeResult.UNKNOWN
+            except HttpProcessingError:
+                return ProbeResult.RUNNING
             except CONNECTION_ERRORS:
                 return ProbeResult.UNKNOWN
 
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -134,7 +134,7 @@
     head: ResponseHead
 
     async def read_body(self) -> bytes | CallInterrupted:
-        """Read the complete body."""
+        """Read the complete body; one that exceeds the limits is malformed."""
         ...
 
     def chunks(self) -> AsyncIterator[bytes | CallInterrupted]:
@@ -142,7 +142,7 @@
         ...
 
     def close(self) -> None:
-        """Close the response; if it is incomplete, the worker cancels the request."""
+        """Close the response and free its body; if incomplete, the worker cancels the request."""
         ...
 
 
--- a/src/foxwinch/serving/plain.py
+++ b/src/foxwinch/serving/plain.py
@@ -38,16 +38,16 @@
         accepted = await dispatcher.dispatch(attempts, None)
         if isinstance(accepted, RejectedRequest):
             return accepted
-        with dispatcher.count_in_flight(accepted.worker):
-            try:
+        try:
+            with dispatcher.count_in_flight(accepted.worker):
                 body = await accepted.response.read_body()
-            finally:
-                accepted.response.close()
-        head = accepted.response.head
-        if isinstance(body, bytes) and (head.signed or head.status not in SUCCESS):
-            dispatcher.record_response(accepted.worker, attempts)
-            await caller.respond(head, body)
-            return None
+            head = accepted.response.head
+            if isinstance(body, bytes) and (head.signed or head.status not in SUCCESS):
+                dispatcher.record_response(accepted.worker, attempts)
+                await caller.respond(head, body)
+                return None
+        finally:
+            accepted.response.close()
         if isinstance(body, bytes):
             body = CallInterrupted(CallFailure.MALFORMED, "the response has no valid signature")
         await dispatcher.record_failure(accepted.worker, body, attempts)
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -29,6 +29,8 @@
 from foxwinch.serving.stream_origins import StreamOrigins
 
 MAX_CONVERSATIONS = 20_000
+MAX_RETAINED_BYTES = 4 * 1024 * 1024
+"""Maximum size of the output of a turn that is collected to be stored."""
 SUCCESS = range(200, 300)
 log = EventLog("streams")
 
@@ -43,6 +45,7 @@
     has_started: bool = False
     data: list[bytes] = field(default_factory=list)
     """Data of the events, collected only if the turn is retained."""
+    retained_bytes: int = 0
     last_received_id: int | None = None
     """Id of the last event that the caller received in an earlier request."""
 
@@ -145,16 +148,11 @@
             if isinstance(chunk, CallInterrupted):
                 return chunk
             events = framer.feed(chunk)
+            if framer.is_too_large or summary.retained_bytes > MAX_RETAINED_BYTES:
+                return CallInterrupted(CallFailure.MALFORMED, "the stream exceeds its limits")
             if not events:
                 continue
-            if not attempts.has_begun:
-                attempts.has_begun = True
-                await self._origins.wait_until_recorded(attempts, accepted)
-            if not summary.has_started:
-                summary.has_started = True
-                await caller.begin(head)
-                elapsed_seconds = self._clock.monotonic() - attempts.request.received_at
-                self._metrics.first_response_seconds.labels("stream").observe(elapsed_seconds)
+            await self._begin(accepted, attempts, caller, summary)
             unsent_events = self._count_events(events, attempts, summary)
             if unsent_events:
                 await caller.send(b"".join(event.raw for event in unsent_events))
@@ -162,6 +160,19 @@
             return CallInterrupted(CallFailure.MALFORMED, "the stream ended within an event")
         return _StreamResult.COMPLETE
 
+    async def _begin(
+        self, accepted: AcceptedCall, attempts: Attempts, caller: Caller, summary: StreamSummary
+    ) -> None:
+        """Record the origin of a stream and send its head, before its first event."""
+        if not attempts.has_begun:
+            attempts.has_begun = True
+            await self._origins.wait_until_recorded(attempts, accepted)
+        if not summary.has_started:
+            summary.has_started = True
+            await caller.begin(accepted.response.head)
+            elapsed_seconds = self._clock.monotonic() - attempts.request.received_at
+            self._metrics.first_response_seconds.labels("stream").observe(elapsed_seconds)
+
     async def _forward_error(
         self, accepted: AcceptedCall, caller: Caller, summary: StreamSummary
     ) -> _StreamResult | CallInterrupted:
@@ -191,6 +202,7 @@
                 summary.last_event_id = event.event_id
             if attempts.route.retained:
                 summary.data.append(event.data)
+                summary.retained_bytes += len(event.data)
         return unsent_events
 
     async def _finish_stream(
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -51,6 +51,10 @@
     """Never respond."""
     drop: bool = False
     """Close the connection without a response."""
+    endless: bytes = b""
+    """Bytes that are repeated after the head until the connection is closed."""
+    headless: bool = False
+    """Send no head before the endless bytes."""
     crash: bool = False
     """Crash in place of the last chunk, or of the whole response if it has no chunks."""
 
@@ -77,6 +81,8 @@
         self.address = ""
         self.fatal_body: bytes | None = None
         """Part of a body on which the worker crashes, whatever its responses are."""
+        self.endless_bytes = 0
+        """Number of endless bytes that could be written until the connection was closed."""
         self.crashes: list[ReceivedRequest] = []
         """The requests that the worker crashed on."""
         self.is_running = False
@@ -172,6 +178,28 @@
                 disconnect.cancel()
                 await asyncio.gather(disconnect, return_exceptions=True)
 
+    async def _send_chunks(
+        self,
+        writer: asyncio.StreamWriter,
+        response: FakeResponse,
+        disconnect: "asyncio.Future[bytes] | None",
+    ) -> None:
+        for chunk in response.chunks:
+            writer.write(chunk if response.unframed else _chunk(chunk))
+            await writer.drain()
+            if disconnect is not None:
+                await asyncio.wait([disconnect], timeout=response.pause_seconds)
+                if disconnect.done():
+                    raise ConnectionError
+
+    async def _send_endlessly(self, writer: asyncio.StreamWriter, response: FakeResponse) -> None:
+        """Repeat bytes until the connection is closed."""
+        block = response.endless if response.body is not None else _chunk(response.endless)
+        while True:
+            writer.write(block)
+            await writer.drain()
+            self.endless_bytes += len(block)
+
     async def _respond(
         self,
         writer: asyncio.StreamWriter,
@@ -186,14 +214,11 @@
         if response.crash and not response.chunks:
             self.crash()
             return False
-        writer.write(response.extra_before + _head(response, request_id) + (response.body or b""))
-        for chunk in response.chunks:
-            writer.write(chunk if response.unframed else _chunk(chunk))
-            await writer.drain()
-            if disconnect is not None:
-                await asyncio.wait([disconnect], timeout=response.pause_seconds)
-                if disconnect.done():
-                    raise ConnectionError
+        head = b"" if response.headless else _head(response, request_id)
+        writer.write(response.extra_before + head + (response.body or b""))
+        await self._send_chunks(writer, response, disconnect)
+        if response.endless:
+            await self._send_endlessly(writer, response)
         await writer.drain()
         if response.crash:
             self.crash()
