Let the soak draw requests that crash workers and bytes without end

The generators had no request that ends its worker and no endless response, so no run could find either fault.

Soak workers now crash on the requests of some programs, before or in the middle of a response, and on their own; all their connections are reset, nothing listens, and a successor starts under the same id or a new one. A request is repeated from its start several times. Workers may also send junk, an endless header line or an endless body. Checked: at most three workers crash on one request (BUDGET), no node answers 500, no node has more than 256 MB.

Nodes are registered for notices by name, so that a restarted node replaces its row and notices are not sent to former addresses.

--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -1,4 +1,6 @@
-"""The nodes that take notices from other nodes, registered in the shared store by address."""
+"""The nodes that take notices from other nodes, registered in the shared store by name."""
+
+from typing import NamedTuple
 
 from google.protobuf.message import DecodeError
 
@@ -18,75 +20,83 @@
 """Interval at which a node rewrites its row."""
 EXPIRY_MS = 1_000_000
 """Age from which the row of a node that ended without removing it is removed by another one."""
+MAX_REMOVALS = 50
+"""Maximum number of rows that one transaction removes."""
 REGISTER_RETRY_SECONDS = 1.0
 UNREGISTER_SECONDS = 0.3
 """Timeout of the removal of the row during a shutdown."""
 log = EventLog("nodes")
 
 
+class _Node(NamedTuple):
+    address: str
+    refreshed_ms: int
+    """Time of the last refresh on the store's clock."""
+
+
 class NodeRegistry:
     """Registers this node and lists the others."""
 
-    def __init__(self, store: ObservedStore, clock: Clock) -> None:
-        """List the nodes in `store`."""
+    def __init__(self, store: ObservedStore, clock: Clock, name: str) -> None:
+        """List the nodes in `store`; `name` is unique to this node and outlives its process."""
         self._store = store
         self._clock = clock
-        self._refreshed_ms: dict[str, int] = {}
-        """Time of the last refresh by address, on the store's clock."""
-        self._address: str | None = None
+        self._name = name
+        self._nodes: dict[str, _Node] = {}
+        self._is_registered = False
         self.watch = TableWatch(store, clock, NODES_TABLE, self._on_rows, WATCH_SECONDS)
 
     @property
     def others(self) -> list[str]:
         """Return the addresses of the other nodes (`ip:port`)."""
-        return [address for address in self._refreshed_ms if address != self._address]
+        return [node.address for name, node in self._nodes.items() if name != self._name]
 
     async def run(self, address: str) -> None:
-        """Keep this node registered under `address` until cancelled."""
-        self._address = address
+        """Keep this node registered with `address` until cancelled."""
         while True:
             clock = self._store.store_clock
             now_ms = clock.earliest_ms(self._clock.monotonic()) if clock.is_known else 0
-            writes = [RowWrite(_row_key(address), _encode(now_ms))]
-            writes += [RowWrite(_row_key(each), None) for each in self._expired(now_ms)]
+            value = NodeMessage(refreshed_ms=now_ms, address=address).SerializeToString()
+            writes = [RowWrite(_row_key(self._name), value)]
+            writes += [RowWrite(_row_key(name), None) for name in self._expired(now_ms)]
             outcome = await self._store.transact((), tuple(writes), CALL_TIMEOUT_SECONDS)
             is_refused = isinstance(outcome, Refused)
+            self._is_registered = self._is_registered or not is_refused
             await self._clock.sleep(REGISTER_RETRY_SECONDS if is_refused else REFRESH_SECONDS)
 
     async def unregister(self) -> None:
-        """Remove this node's row before it ends; an old row is harmless."""
-        if self._address is None:
+        """Remove this node's row before it ends; a row that stays is harmless."""
+        if not self._is_registered:
             return
-        writes = (RowWrite(_row_key(self._address), None),)
+        writes = (RowWrite(_row_key(self._name), None),)
         outcome = await self._store.transact((), writes, UNREGISTER_SECONDS)
         if isinstance(outcome, Refused):
-            log.info("node_not_unregistered", address=self._address, detail=outcome.detail)
+            log.info("node_not_unregistered", name=self._name, detail=outcome.detail)
 
     def _expired(self, now_ms: int) -> list[str]:
-        return [
-            address
-            for address, refreshed_ms in self._refreshed_ms.items()
-            if address != self._address and now_ms > refreshed_ms + EXPIRY_MS
+        expired = [
+            name
+            for name, node in self._nodes.items()
+            if name != self._name and now_ms > node.refreshed_ms + EXPIRY_MS
         ]
+        return expired[:MAX_REMOVALS]
 
     def _on_rows(self, read: RowsRead, is_full: bool) -> None:
         if is_full:
-            self._refreshed_ms.clear()
+            self._nodes.clear()
         for row in read.rows:
-            address = row.row.key
+            name = row.row.key
+            self._nodes.pop(name, None)
             if row.value is None:
-                self._refreshed_ms.pop(address, None)
                 continue
             try:
-                self._refreshed_ms[address] = NodeMessage.FromString(row.value).refreshed_ms
+                message = NodeMessage.FromString(row.value)
             except DecodeError as error:
-                log.warning("node_row_malformed", address=address, detail=str(error))
-        log.info("nodes_listed", count=len(self._refreshed_ms), full=is_full)
-
-
-def _row_key(address: str) -> RowKey:
-    return RowKey(NODES_TABLE, "", address)
+                log.warning("node_row_malformed", name=name, detail=str(error))
+                continue
+            self._nodes[name] = _Node(message.address, message.refreshed_ms)
+        log.info("nodes_listed", count=len(self._nodes), full=is_full)
 
 
-def _encode(refreshed_ms: int) -> bytes:
-    return NodeMessage(refreshed_ms=refreshed_ms).SerializeToString()
+def _row_key(name: str) -> RowKey:
+    return RowKey(NODES_TABLE, "", name)
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -60,7 +60,7 @@
         self.budgets = BudgetLedger(store, clock, self._tasks, run_id)
         self.turns = TurnRecords(store, clock)
         self.crash_records = CrashRecords(store, clock, self._tasks)
-        self.registry = NodeRegistry(store, clock)
+        self.registry = NodeRegistry(store, clock, name)
         self.notices = CrashNotices(self.registry, clock)
         guard = CrashGuard(
             self.crash_records,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,7 +16,7 @@
 from soak.disruptions import HARNESS, SETTLING_SECONDS, STOP, STORE, WORKERS, DisruptionLog
 from soak.invariants import TOKENS_PER_EVENT, Attempt, InvariantChecker
 from soak.nodes import SoakNode
-from soak.workers import EVENTS, SoakWorker
+from soak.workers import EVENTS, FATAL, SoakWorker
 
 MAX_TURN_TOKENS = 2 * EVENTS * TOKENS_PER_EVENT
 """Token limit of one turn; the workers generate half of it."""
@@ -30,6 +30,10 @@
 """Probability that a caller closes its persistent connection after a response."""
 RESUME_PROBABILITY = 0.8
 """Probability that a caller resumes an interrupted stream rather than repeats the turn."""
+FATAL_PROBABILITY = 0.04
+"""Probability that a program consists of one request that crashes its workers."""
+FATAL_TURNS = 3
+"""Number of times that such a request is sent from its start, each with its attempts."""
 MIN_WORKERS_OF_VERSION = 2
 """Ready workers of a stream's version from which on a resumption is expected to succeed."""
 
@@ -45,6 +49,8 @@
     previous: str | None = None
     """Request id of the last complete turn; only for programs of kind `kept`."""
     history: bytes = b""
+    is_fatal: bool = False
+    """Whether its first request crashes the worker that runs it."""
 
 
 class PersistentConnection:
@@ -116,10 +122,12 @@
         """Run programs one after another on one persistent connection until `stopped`."""
         connection = PersistentConnection(self._nodes, self._rng)
         while not stopped():
-            await self.run_program(connection)
+            await self.run_program(connection, self._rng.random() < FATAL_PROBABILITY)
         await connection.close()
 
-    async def run_program(self, connection: PersistentConnection | None = None) -> bool:
+    async def run_program(
+        self, connection: PersistentConnection | None = None, is_fatal: bool = False
+    ) -> bool:
         """Run a new program; return whether each of its turns was served."""
         turn_connection = connection or PersistentConnection(self._nodes, self._rng)
         turns = self._rng.randint(1, 6)
@@ -128,10 +136,14 @@
             f"p{self._next_number():x}",
             self._rng.choice(["stream", "kept"]),
             turns,
-            MAX_TURN_TOKENS * (turns + spare_turns),
+            MAX_TURN_TOKENS * (turns + (FATAL_TURNS * MAX_ATTEMPTS if is_fatal else spare_turns)),
+            is_fatal=is_fatal,
         )
         self.budgets[program.name] = (program.budget, MAX_TURN_TOKENS)
         try:
+            if program.is_fatal:
+                await self._run_fatal_request(program, turn_connection)
+                return False
             for number in range(program.turns):
                 new_input = f"input {program.name} {number};".encode()
                 if not await self._run_turn(program, new_input, turn_connection):
@@ -143,6 +155,16 @@
             if connection is None:
                 await turn_connection.close()
 
+    async def _run_fatal_request(self, program: Program, connection: PersistentConnection) -> None:
+        """Repeat a turn or a tool call that crashes its workers, from its start several times."""
+        body = FATAL + program.name.encode()
+        kind = self._rng.choice([program.kind, "safe", "unsafe"])
+        for _ in range(FATAL_TURNS):
+            if kind in ("safe", "unsafe"):
+                await self._call_tool(program, kind, body)
+            else:
+                await self._run_turn(program, body, connection)
+
     async def _run_turn(
         self, program: Program, new_input: bytes, connection: PersistentConnection
     ) -> bool:
@@ -201,15 +223,13 @@
         matching = [worker for worker in ready if version in (None, worker.software_version)]
         return len(matching) >= MIN_WORKERS_OF_VERSION
 
-    async def _call_tool(self, program: Program, kind: str) -> None:
+    async def _call_tool(self, program: Program, kind: str, body: bytes = b"call") -> None:
         """Call a tool; an unsafe call is retried only if the status says that it did not run."""
         for _ in range(MAX_ATTEMPTS):
-            attempt = self._new_attempt(program, kind, b"call")
+            attempt = self._new_attempt(program, kind, body)
             node = choose_node(self._nodes, self._rng)
             if node is not None:
-                await self._send(
-                    attempt, b"call", {"Program": program.name}, node, self._tool_session
-                )
+                await self._send(attempt, body, {"Program": program.name}, node, self._tool_session)
             may_retry = kind == "safe" or attempt.status in (408, 429, 503)
             if attempt.status == 200 or not may_retry:
                 return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -166,6 +166,7 @@
                 WorkerFaults(shed=probability),
                 WorkerFaults(disconnect=probability),
                 WorkerFaults(unresponsive=probability),
+                WorkerFaults(endless=0.1),
                 WorkerFaults(delay_seconds=0.3),
             ]
         )
@@ -206,6 +207,11 @@
         context.rng.choice(context.workers).start_incarnation(same_id=True)
 
 
+async def crash_worker(context: FaultContext, seconds: float) -> None:
+    """Crash one worker, whatever it runs."""
+    context.rng.choice(context.workers).crash()
+
+
 async def roll_out(context: FaultContext, seconds: float) -> None:
     """Restart some or all workers one after another with another software version."""
     others = [version for version in SOFTWARE_VERSIONS if version != context.last_rollout]
@@ -262,6 +268,7 @@
     disrupt_worker_connections,
     drain_worker,
     restart_worker,
+    crash_worker,
     roll_out,
     kill_some_nodes,
 )
@@ -273,6 +280,7 @@
     write_foreign_entries,
     drain_worker,
     restart_worker,
+    crash_worker,
     roll_out,
     abort_streams,
 )
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -15,6 +15,11 @@
 """Number of streams resumed at undisrupted nodes from which on their success is checked."""
 MIN_RESUMED_SHARE = 0.5
 """Smallest success of resumed streams, as a share of the success of new streams."""
+MAX_CRASHES = 3
+"""Number of workers that may crash on the repetitions of one request."""
+MAX_NODE_BYTES = 256 * 1024 * 1024
+"""Memory limit of a node process."""
+INTERNAL_ERROR_STATUS = 500
 NOT_RUN_STATUSES = frozenset({BUDGET_EXHAUSTED_STATUS, 408, 421, 429, 503})
 
 
@@ -62,6 +67,8 @@
         self.runs: list[Run] = []
         self.violations: list[str] = []
         self.outcomes: Counter[str] = Counter()
+        self.crashes: Counter[str] = Counter()
+        """Number of workers that crashed by the program of the fatal request."""
         self._stream_versions: dict[str, set[str]] = {}
         """Software versions of the received events by the id of a stream's first attempt."""
 
@@ -89,9 +96,22 @@
                 "UNASKED", run.request_id, f"{run.body!r} in place of {attempt.prompt!r}"
             )
 
+    def record_crash(self, request_id: str) -> None:
+        """Record that a worker crashes on a request; a program has one fatal request at most."""
+        attempt = self.attempts.get(request_id)
+        if attempt is not None:
+            self.crashes[attempt.program] += 1
+
+    def check_memory(self, node: str, resident_bytes: int) -> None:
+        """Check the memory of a node process."""
+        if resident_bytes > MAX_NODE_BYTES:
+            self._add_violation("FAULT", node, f"{resident_bytes >> 20} MB of memory")
+
     def check_response(self, attempt: Attempt, end_id: int) -> None:
         """Check a response; `end_id` is the id of the last event of a complete stream."""
         self.outcomes[f"{attempt.kind} {attempt.status}"] += 1
+        if attempt.status == INTERNAL_ERROR_STATUS:
+            self._add_violation("FAULT", attempt.request_id, f"{attempt.status} of the node itself")
         if attempt.stamp not in (None, f"stamp-{attempt.request_id}"):
             self._add_violation("MIXED", attempt.request_id, f"stamp {attempt.stamp}")
         for text in attempt.data:
@@ -150,6 +170,7 @@
                 self._add_violation("TWICE", attempt.request_id, f"ran {count} times")
             if count and attempt.status in NOT_RUN_STATUSES:
                 self._add_violation("REFUSED", attempt.request_id, f"{attempt.status}, and it ran")
+        self._check_crashes()
         self._check_stream_versions()
         self._check_resumptions()
         self._count_early_refusals(budgets, set(runs))
@@ -160,6 +181,14 @@
             if spent[program] > budget + max_turn_tokens:
                 self._add_violation("BUDGET", program, f"{spent[program]} of {budget}")
 
+    def _check_crashes(self) -> None:
+        """Check that no request was sent on after three workers had crashed on it (BUDGET)."""
+        self.outcomes["fatal requests"] = len(self.crashes)
+        self.outcomes["crashes of one request"] = max(self.crashes.values(), default=0)
+        for program, count in self.crashes.items():
+            if count > MAX_CRASHES:
+                self._add_violation("BUDGET", program, f"{count} workers crashed on one request")
+
     def _check_stream_versions(self) -> None:
         mixed = {
             origin: versions
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -1,9 +1,11 @@
 """Nodes of the soak: `foxwinch serve` processes, each behind a fault proxy to the store."""
 
 import asyncio
+import os
 import re
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import aiohttp
@@ -33,6 +35,7 @@
 INTERPRETER_START_SECONDS = 0.3
 """Time that the interpreter may need on a busy machine before it runs code of foxwinch."""
 POLL_SECONDS = 1.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 MAX_MISSES = 2
 """Failed readiness checks in a row before a node is taken out of rotation."""
 
@@ -117,6 +120,7 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 misses = 0 if await self._is_ready(session) else misses + 1
+                self._check_memory()
                 if misses == 0:
                     self.in_rotation = True
                 elif misses >= MAX_MISSES:
@@ -132,6 +136,13 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    def _check_memory(self) -> None:
+        if self._process is None or self._process.returncode is not None:
+            return
+        with suppress(OSError):
+            statistics = Path(f"/proc/{self._process.pid}/statm").read_text().split()
+            self._checker.check_memory(self.name, int(statistics[1]) * PAGE_BYTES)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._process is not None and self._process.returncode is None:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -11,7 +11,7 @@
 from foxwinch.bench.fault_proxy import FaultProxy
 from foxwinch.emulator.record_store import RecordStoreModel
 from foxwinch.identifiers import PeerAddress
-from soak.disruptions import DisruptionLog
+from soak.disruptions import WORKERS, DisruptionLog
 from soak.invariants import InvariantChecker, Run
 
 EVENTS = 8
@@ -20,6 +20,17 @@
 DRAIN_SECONDS = 2.0
 """Bound from storing a drain until undisrupted nodes send no more requests: `drain_ms`."""
 TABLE = "servers"
+FATAL = b"fatal"
+"""Part of a body on which a worker crashes."""
+DOWN_SECONDS = (0.5, 1.5)
+"""Range of the time from a crash until the successor of the worker listens."""
+ENDLESS_BLOCK = b"x" * 65_536
+ENDLESS_HEADS = (
+    b"",
+    b"HTTP/1.1 200 OK\r\nX: ",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\nResponse-Stamp: s\r\nRequest-Id: ",
+)
+"""Starts of endless responses; the request's id and an empty line follow the last one."""
 UPGRADE_SECONDS = 0.3
 """Time from the entry of an upgraded worker until it accepts connections."""
 
@@ -31,6 +42,8 @@
     shed: float = 0.0
     disconnect: float = 0.0
     unresponsive: float = 0.0
+    endless: float = 0.0
+    """Probability of bytes without end in place of a response."""
     delay_seconds: float = 0.0
 
 
@@ -58,6 +71,7 @@
         self._incarnation = 0
         self._entry_sequence = 0
         self._draining_at: float | None = None
+        self._crash_task: asyncio.Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -78,6 +92,9 @@
 
     async def stop(self) -> None:
         """Close the proxy and the server."""
+        if self._crash_task is not None:
+            self._crash_task.cancel()
+            await asyncio.gather(self._crash_task, return_exceptions=True)
         if self.proxy is not None:
             await self.proxy.stop()
         if self._runner is not None:
@@ -104,6 +121,21 @@
         self._draining_at = None
         self._write_entry("ready")
 
+    def crash(self) -> None:
+        """End at once: reset all connections, and stop listening until a successor starts."""
+        if self._crash_task is None or self._crash_task.done():
+            assert self.proxy is not None
+            self.proxy.reset()
+            self._crash_task = asyncio.ensure_future(self._run_crash())
+
+    async def _run_crash(self) -> None:
+        assert self.proxy is not None
+        with self._disruptions.span(WORKERS, "crash"):
+            await self.proxy.stop()
+            await asyncio.sleep(self._rng.uniform(*DOWN_SECONDS))
+            await self.proxy.start()
+            self.start_incarnation(same_id=self._rng.random() < 0.3)
+
     def drain(self) -> None:
         """Announce a drain in the worker list while the worker keeps serving."""
         self._write_entry("draining")
@@ -126,27 +158,54 @@
         self._model.put(TABLE, self._worker_id, json.dumps(entry).encode())
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
+        request["body"] = body = await request.read()
         request_id = request.headers.get("Request-Id", "")
         headers = {"Request-Id": request_id}
         if request.headers.get("Expect-Instance") != self._worker_id:
             return web.Response(status=421, headers={**headers, "Instance": self._worker_id})
+        if not request_id:
+            return web.Response(headers={"Instance": self._worker_id})
         self._check_drain(request_id)
         if self._rng.random() < self.faults.shed:
             return web.Response(status=503, headers={**headers, "Not-Run": "1"})
         first_event = int(request.headers.get("Last-Event-Id", 0)) + 1
         software_version = self.software_version
         self._checker.record_run(Run(request_id, body, first_event))
+        if FATAL in body and self._rng.random() < 0.5:
+            return await self._crash_on(request_id)
+        if self._rng.random() < self.faults.endless:
+            return await self._send_endlessly(request)
         if self._rng.random() < self.faults.unresponsive:
             await asyncio.sleep(30)
         await asyncio.sleep(self._rng.random() * 0.02 + self.faults.delay_seconds)
         headers["Response-Stamp"] = f"stamp-{request_id}"
         if request.path.startswith(("/plan/", "/kept/")):
             return await self._stream(request, first_event, headers, software_version)
+        if FATAL in body:
+            return await self._crash_on(request_id)
         if self._disconnects(request):
             return web.Response()
         return web.Response(body=f"{request_id} done".encode(), headers=headers)
 
+    async def _crash_on(self, request_id: str) -> web.Response:
+        self._checker.record_crash(request_id)
+        self.crash()
+        # The crash resets the connection, which cancels this handler.
+        await asyncio.sleep(30)
+        return web.Response()
+
+    async def _send_endlessly(self, request: web.Request) -> web.Response:
+        transport = request.transport
+        head = self._rng.choice(ENDLESS_HEADS)
+        if head.endswith(b"Request-Id: "):
+            head += request.headers["Request-Id"].encode() + b"\r\n\r\n"
+        if transport is not None:
+            transport.write(head)
+        while transport is not None and not transport.is_closing():
+            transport.write(ENDLESS_BLOCK)
+            await asyncio.sleep(0.005 if transport.get_write_buffer_size() else 0)
+        return web.Response()
+
     def _check_drain(self, request_id: str) -> None:
         """Report a request of an undisrupted node that comes too long after the stored drain."""
         if self._draining_at is None:
@@ -175,11 +234,18 @@
                 event = f"id: {number}\ndata: {data}\n\n".encode()
                 if self._disconnects(request, response, event):
                     return response
+                if number > first_event and self._is_fatal(request):
+                    await self._crash_on(headers["Request-Id"])
+                    return response
                 await response.write(event)
                 await asyncio.sleep(self._rng.random() * MAX_EVENT_PAUSE_SECONDS)
             await response.write_eof()
         return response
 
+    def _is_fatal(self, request: web.Request) -> bool:
+        """Return whether a request crashes the worker midway."""
+        return request.get("body", b"").find(FATAL) >= 0
+
     def _disconnects(
         self, request: web.Request, response: web.StreamResponse | None = None, event: bytes = b""
     ) -> bool:
