Spare the last workers of a service only from requests with two crashes

A service with one worker would have refused everything that ran when it crashed, for ten seconds after its successor was up. Only requests under which two workers have ended now wait for the service's limits.

--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -43,12 +43,12 @@
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
 PROTECTION_SECONDS = 10.0
-"""Time for which a crash counts against the limit of a service."""
+"""Time for which a crash counts against the limits of a service, which hold for requests under
+which two workers have ended."""
 MAX_CRASHED_FRACTION = 0.5
-"""Fraction of a service's workers that may have crashed recently when a request is sent under which
-two workers have ended."""
+"""Fraction of a service's workers that may have crashed recently."""
 MIN_REMAINING_WORKERS = 1
-"""Number of workers of a service that are kept from suspected requests after recent crashes."""
+"""Number of workers of a service that are spared after recent crashes."""
 log = EventLog("crashes")
 
 
@@ -115,7 +115,7 @@
             return None
         if len(history.crashes) >= MAX_CRASHES:
             return self._reject_quarantined(attempts, history)
-        if self._must_spare(worker.service, history):
+        if len(history.crashes) > 1 and self._must_spare(worker.service):
             return self._reject(
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
@@ -197,8 +197,8 @@
         self._log_decision("admitted", attempts, history, "claim_unavailable")
         return None
 
-    def _must_spare(self, service: str, history: CrashHistory) -> bool:
-        """Return whether a service has lost so many workers that it must not risk another one."""
+    def _must_spare(self, service: str) -> bool:
+        """Return whether a service has lost too many workers to risk another one."""
         directory = self._routing.directory
         workers = {
             worker.incarnation for worker in directory.known_workers() if worker.service == service
@@ -208,10 +208,8 @@
             return False
         eligible = directory.eligible_workers(service, self._clock.monotonic())
         remaining = sum(worker.incarnation not in crashed for worker in eligible)
-        if remaining <= MIN_REMAINING_WORKERS:
-            return True
         is_half_lost = len(crashed) > MAX_CRASHED_FRACTION * (remaining + len(crashed))
-        return len(history.crashes) > 1 and is_half_lost
+        return is_half_lost or remaining <= MIN_REMAINING_WORKERS
 
     async def _record(self, worker: Worker, fingerprint: str, request_id: str) -> None:
         """Tell the other nodes of a crash and store it."""
