--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,26 @@
     assert violated_rules(attempt(kind="stream", **complete), runs=[ran], budget=25) == ["BUDGET"]
 
 
+def test_a_request_that_crashes_more_than_three_workers_is_reported():
+    checker = InvariantChecker()
+    for number in range(4):
+        crashing = attempt(f"r{number}", status=502)
+        checker.record_sent(crashing)
+        assert checker.violations == []
+        checker.record_crash(crashing.request_id)
+    checker.check_totals({"p1": (1_000, 25)})
+    assert [line.split()[0] for line in checker.violations] == ["BUDGET"]
+
+
+def test_a_node_that_uses_too_much_memory_or_fails_internally_is_reported():
+    checker = InvariantChecker()
+    checker.check_memory("n0", 200 << 20)
+    assert checker.violations == []
+    checker.check_memory("n0", 300 << 20)
+    checker.check_response(attempt(status=500), end_id=3)
+    assert [line.split()[0] for line in checker.violations] == ["FAULT", "FAULT"]
+
+
 def test_streams_of_two_software_versions_are_reported():
     checker = InvariantChecker()
     for number in range(4):
