Release a claim whose caller leaves while it is being taken

A caller that left while the node took the claim for its repeated request left the claim in the store. Nothing released it, so other repetitions were refused until it expired, and it then counted as a crash: a sound request lost one of its three.

Cause: the handler was cancelled between the write of the claim and the note that it is held. The claim is now taken by a task of the node, which releases it if the request has ended meanwhile. A request whose third crash becomes known while it holds the claim is refused as well.

--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -195,17 +195,34 @@
         expires_ms = self._records.now_ms() + int(1e3 * (left + CLAIM_MARGIN_SECONDS))
         claim = SendClaim(holder, worker.incarnation, expires_ms)
         deadline_at = now + min(CLAIM_TIMEOUT_SECONDS, CLAIM_TIME_FRACTION * left)
-        outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
+        taken: asyncio.Future[CrashHistory | Refused] = asyncio.get_running_loop().create_future()
+        self._tasks.start(self._take_claim(attempts, claim, deadline_at, taken))
+        outcome = await asyncio.shield(taken)
         if isinstance(outcome, Refused):
             return self._admit_without_store(attempts, history)
-        if outcome.claim is not None and outcome.claim.holder == holder:
-            attempts.has_claim = True
-            self._log_decision("admitted", attempts, outcome, "claimed")
-            return None
         if len(outcome.crashes) >= MAX_CRASHES:
             return self._reject_quarantined(attempts, outcome)
+        if attempts.has_claim:
+            self._log_decision("admitted", attempts, outcome, "claimed")
+            return None
         return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
 
+    async def _take_claim(
+        self,
+        attempts: Attempts,
+        claim: SendClaim,
+        deadline_at: float,
+        taken: "asyncio.Future[CrashHistory | Refused]",
+    ) -> None:
+        """Take a claim, and release it if the caller has left meanwhile."""
+        outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
+        if isinstance(outcome, CrashHistory):
+            holder = outcome.claim.holder if outcome.claim is not None else None
+            attempts.has_claim = holder == claim.holder
+        taken.set_result(outcome)
+        if attempts.has_ended:
+            self._release(attempts)
+
     def _admit_without_store(
         self, attempts: Attempts, history: CrashHistory
     ) -> RejectedRequest | None:
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -16,7 +16,9 @@
     wait_until,
 )
 from fake_worker import FakeResponse, FakeWorker, events
+from foxwinch.core.records.crash_history import CrashHistory
 from foxwinch.emulator.record_store import StoreFault
+from foxwinch.records.crash_records import CRASHES_TABLE
 
 MAX_CRASHES = 3
 """Number of workers that may crash on repetitions of one request."""
@@ -55,6 +57,11 @@
     return len(node.node.registry.others)
 
 
+async def count_rows(platform):
+    """Return the number of requests with stored crashes."""
+    return len(platform.model.rows_of(CRASHES_TABLE))
+
+
 def crashes_of(platform, body=FATAL):
     """Return how many workers have crashed on requests with `body`."""
     return sum(body in received.body for worker in platform.workers for received in worker.crashes)
@@ -155,6 +162,31 @@
         assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
+async def claims_in_store(platform):
+    """Return the holders of claims for repetitions."""
+    rows = platform.model.rows_of(CRASHES_TABLE).values()
+    claims = [CrashHistory.decode(value).claim for value in rows]
+    return [claim.holder for claim in claims if claim is not None]
+
+
+# Guards against a claim that stays, and later counts as a crash, after its caller left.
+@pytest.mark.parametrize("leave_seconds", [0.05, 0.15, 0.25])
+async def test_a_caller_that_leaves_while_its_claim_is_taken_leaves_no_claim(leave_seconds):
+    async with fatal_platform(nodes=1) as platform:
+        (node,) = platform.nodes
+        await platform.request_turn(node, "r0", path=SAFE, body=FATAL)
+        await wait_until(lambda: count_rows(platform), 1)
+        for worker in platform.workers:
+            worker.fatal_body, worker.responses = None, [FakeResponse(silent=True)]
+        platform.model.store_faults.delay_seconds = 0.1
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(leave_seconds):
+                await platform.request_turn(node, "r1", path=SAFE, body=FATAL)
+        platform.model.store_faults.delay_seconds = 0.0
+        await asyncio.sleep(0.2)
+        await wait_until(lambda: claims_in_store(platform), [])
+
+
 # Guards against several fatal requests that together end a service, and against their bystanders.
 async def test_several_fatal_requests_crash_three_workers_each_at_most():
     async with fatal_platform(nodes=3) as platform:
