Log the sends that are given up while their worker runs them

The stand-in worker gets two more kinds of crash. No logic is changed; the tests of fatal requests pass.

--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -23,6 +23,10 @@
     """Ids of the workers that the request was sent to."""
     possibly_ran_on: set[str] = field(default_factory=set)
     """Ids of the workers that may have run the request."""
+    running_on: Worker | None = None
+    """The worker that runs the request as far as this node knows."""
+    sent_at: float = 0.0
+    """Time of the last send on the monotonic clock."""
     last_event_id: int | None = None
     origin: StreamOrigin | None = None
     """Service and software version that the stream is bound to; None while any may begin it."""
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -144,6 +144,7 @@
         self, worker: Worker, interrupted: CallInterrupted, attempts: Attempts
     ) -> None:
         """Record that a worker gave no valid response, and check whether it has ended."""
+        attempts.running_on = None
         self.loads.record_failure(worker.incarnation, self._clock.monotonic())
         self._metrics.worker_failures.labels(interrupted.failure.value).inc()
         log.info(
@@ -161,6 +162,7 @@
 
     def record_response(self, worker: Worker, attempts: Attempts) -> None:
         """Record a valid response."""
+        attempts.running_on = None
         self.loads.record_response(worker.incarnation)
         self.guard.on_response(attempts)
 
@@ -217,12 +219,14 @@
             urgency_of(attempts.route.priority, self._is_late(attempts.request)),
         )
         started_at = self._clock.monotonic()
+        attempts.running_on, attempts.sent_at = worker, started_at
         with self.count_in_flight(worker):
             outcome = await self._await_response(
                 worker, call, self._response_timeout_seconds(attempts, remaining_seconds)
             )
         now = self._clock.monotonic()
         if isinstance(outcome, CallRefused):
+            attempts.running_on = None
             self._record_refusal(worker, outcome, attempts.request.request_id)
         elif not isinstance(outcome, CallInterrupted):
             self.loads.record_response_start(worker.incarnation, now - started_at, now)
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -174,6 +174,17 @@
     def on_end(self, attempts: Attempts) -> None:
         """Release what a request holds once it has ended in any way."""
         attempts.has_ended = True
+        if attempts.running_on is not None:
+            self._metrics.crash_decisions.labels("given_up").inc()
+            log.info(
+                "send_given_up",
+                request=attempts.request.request_id,
+                fingerprint=attempts.fingerprint,
+                worker=attempts.running_on.worker_id,
+                started_ms=attempts.running_on.started_ms,
+                sent_ago_ms=int(1e3 * (self._clock.monotonic() - attempts.sent_at)),
+                left_ms=int(1e3 * (attempts.deadline_at - self._clock.monotonic())),
+            )
         if attempts.runs_unclaimed:
             self._unclaimed.discard(attempts.fingerprint)
         self._release(attempts)
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -126,6 +126,7 @@
                 finally:
                     accepted.response.close()
             if result is _StreamResult.FORWARDED:
+                attempts.running_on = None
                 return None
             if result is _StreamResult.COMPLETE:
                 return await self._finish_stream(accepted, attempts, prompt, caller, summary)
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -4,6 +4,18 @@
 import socket
 import struct
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+
+class CrashKind(StrEnum):
+    """What the callers of a worker notice of its crash."""
+
+    REFUSES = "refuses"
+    """Its connections are reset, and new ones are refused."""
+    UNREACHABLE = "unreachable"
+    """Its connections stay open without a byte, and new ones are not accepted."""
+    RESTARTS = "restarts"
+    """Its connections are reset, and its successor of the same id accepts new ones at once."""
 
 
 @dataclass
@@ -57,6 +69,8 @@
     """Send no head before the endless bytes."""
     crash: bool = False
     """Crash in place of the last chunk, or of the whole response if it has no chunks."""
+    crash_after_seconds: float = 0.0
+    """Time from the receipt of the request to the crash without any response."""
 
 
 def raw_response(request_id: str, body: bytes = b"other") -> bytes:
@@ -85,12 +99,14 @@
         """Number of endless bytes that could be written until the connection was closed."""
         self.crashes: list[ReceivedRequest] = []
         """The requests that the worker crashed on."""
+        self.crash_kind = CrashKind.REFUSES
         self.is_running = False
         self.worker_id: str | None = None
         """Id that requests must expect; None accepts any."""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._blockers: list[socket.socket] = []
 
     async def __aenter__(self) -> "FakeWorker":
         await self._listen(0)
@@ -103,12 +119,15 @@
         self.is_running = True
 
     def crash(self) -> None:
-        """Reset all connections and stop listening, as a process that is killed."""
+        """Lose all connections and stop listening, as a process that is killed."""
         assert self._server is not None
-        self._server.close()
         self.is_running = False
-        for writer in list(self._writers):
-            _reset(writer)
+        if self.crash_kind is not CrashKind.RESTARTS:
+            self._server.close()
+        if self.crash_kind is CrashKind.UNREACHABLE:
+            self._blockers = _block_port(int(self.address.rpartition(":")[2]))
+        else:
+            self.reset_connections()
 
     def reset_connections(self) -> None:
         """Reset all connections while the worker lives on."""
@@ -117,11 +136,20 @@
 
     async def restart(self) -> None:
         """Listen again at the same address after a crash."""
+        if self.crash_kind is CrashKind.RESTARTS:
+            self.is_running = True
+            return
+        for blocker in self._blockers:
+            blocker.close()
+        self._blockers.clear()
+        self.reset_connections()
         await self._listen(int(self.address.rpartition(":")[2]))
 
     async def __aexit__(self, *_: object) -> None:
         assert self._server is not None
         self._server.close()
+        for blocker in self._blockers:
+            blocker.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -135,9 +163,13 @@
         number = self.connections
         try:
             while await self._serve_one(reader, writer, number):
-                pass
+                if self._blockers:
+                    await asyncio.sleep(3600)
         except (ConnectionError, asyncio.IncompleteReadError):
             self.disconnects += 1
+        except asyncio.CancelledError:
+            # The streams of asyncio would log it as an error.
+            pass
         finally:
             writer.close()
             self._writers.discard(writer)
@@ -185,6 +217,8 @@
         disconnect: "asyncio.Future[bytes] | None",
     ) -> None:
         for chunk in response.chunks:
+            if self._blockers:
+                await asyncio.sleep(3600)
             writer.write(chunk if response.unframed else _chunk(chunk))
             await writer.drain()
             if disconnect is not None:
@@ -211,9 +245,11 @@
             await asyncio.sleep(3600)
         if response.drop:
             return False
-        if response.crash and not response.chunks:
+        if response.crash and response.crash_after_seconds:
+            await asyncio.sleep(response.crash_after_seconds)
+        if response.crash and (response.crash_after_seconds or not response.chunks):
             self.crash()
-            return False
+            return self.crash_kind is CrashKind.UNREACHABLE
         head = b"" if response.headless else _head(response, request_id)
         writer.write(response.extra_before + head + (response.body or b""))
         await self._send_chunks(writer, response, disconnect)
@@ -222,7 +258,7 @@
         await writer.drain()
         if response.crash:
             self.crash()
-            return False
+            return self.crash_kind is CrashKind.UNREACHABLE
         if response.reset:
             await asyncio.sleep(0.02)
             _reset(writer)
@@ -235,11 +271,29 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
+    if writer.transport.is_closing():
+        return
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
+def _block_port(port: int) -> list[socket.socket]:
+    """Return sockets that keep a loopback port open without accepting connections."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(0)
+    blockers = [listener]
+    # A queue of length 0 still holds one connection.
+    for _ in range(2):
+        blocker = socket.socket()
+        blocker.setblocking(False)
+        blocker.connect_ex(("127.0.0.1", port))
+        blockers.append(blocker)
+    return blockers
+
+
 def _head(response: FakeResponse, request_id: str) -> bytes:
     headers = {"Request-Id": request_id, **response.headers}
     if response.signed:
