Register a node for notices only once the store's clock is known

Cause: nodes that registered before their first response of the store wrote the time 0. Once the store's clock had passed 1,000 s, such rows counted as expired, and the next node that registered removed them; the nodes then got no notices for 300 s.

A node now waits for the store's clock.

--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -22,6 +22,8 @@
 """Age from which the row of a node that ended without removing it is removed by another one."""
 MAX_REMOVALS = 50
 """Maximum number of rows that one transaction removes."""
+CLOCK_POLL_SECONDS = 0.05
+"""Interval at which a starting node checks whether the store's clock is known."""
 REGISTER_RETRY_SECONDS = 1.0
 UNREGISTER_SECONDS = 0.3
 """Timeout of the removal of the row during a shutdown."""
@@ -53,9 +55,11 @@
 
     async def run(self, address: str) -> None:
         """Keep this node registered with `address` until cancelled."""
+        clock = self._store.store_clock
+        while not clock.is_known:
+            await self._clock.sleep(CLOCK_POLL_SECONDS)
         while True:
-            clock = self._store.store_clock
-            now_ms = clock.earliest_ms(self._clock.monotonic()) if clock.is_known else 0
+            now_ms = clock.earliest_ms(self._clock.monotonic())
             value = NodeMessage(refreshed_ms=now_ms, address=address).SerializeToString()
             writes = [RowWrite(_row_key(self._name), value)]
             writes += [RowWrite(_row_key(name), None) for name in self._expired(now_ms)]
