--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -14,6 +14,8 @@
     """Its connections are reset, and new ones are refused."""
     UNREACHABLE = "unreachable"
     """Its connections stay open without a byte, and new ones are not accepted."""
+    HANGS = "hangs"
+    """Its connections are reset, and new ones are accepted and get no response."""
     RESTARTS = "restarts"
     """Its connections are reset, and its successor of the same id accepts new ones at once."""
 
@@ -107,6 +109,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._blockers: list[socket.socket] = []
+        self._hangs = False
 
     async def __aenter__(self) -> "FakeWorker":
         await self._listen(0)
@@ -122,7 +125,8 @@
         """Lose all connections and stop listening, as a process that is killed."""
         assert self._server is not None
         self.is_running = False
-        if self.crash_kind is not CrashKind.RESTARTS:
+        self._hangs = self.crash_kind is CrashKind.HANGS
+        if self.crash_kind in (CrashKind.REFUSES, CrashKind.UNREACHABLE):
             self._server.close()
         if self.crash_kind is CrashKind.UNREACHABLE:
             self._blockers = _block_port(int(self.address.rpartition(":")[2]))
@@ -136,13 +140,15 @@
 
     async def restart(self) -> None:
         """Listen again at the same address after a crash."""
-        if self.crash_kind is CrashKind.RESTARTS:
-            self.is_running = True
-            return
         for blocker in self._blockers:
             blocker.close()
         self._blockers.clear()
-        self.reset_connections()
+        if self._hangs or self.crash_kind is CrashKind.UNREACHABLE:
+            self.reset_connections()
+        self._hangs = False
+        if self.crash_kind in (CrashKind.RESTARTS, CrashKind.HANGS):
+            self.is_running = True
+            return
         await self._listen(int(self.address.rpartition(":")[2]))
 
     async def __aexit__(self, *_: object) -> None:
@@ -163,8 +169,7 @@
         number = self.connections
         try:
             while await self._serve_one(reader, writer, number):
-                if self._blockers:
-                    await asyncio.sleep(3600)
+                await self._wait_if_silent()
         except (ConnectionError, asyncio.IncompleteReadError):
             self.disconnects += 1
         except asyncio.CancelledError:
@@ -182,6 +187,7 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
         except asyncio.IncompleteReadError:
             return False
+        await self._wait_if_silent()
         first, *lines = head.strip().split("\r\n")
         method, target, _ = first.split(" ")
         headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
@@ -210,6 +216,11 @@
                 disconnect.cancel()
                 await asyncio.gather(disconnect, return_exceptions=True)
 
+    async def _wait_if_silent(self) -> None:
+        """Never return while the crashed worker's connections get no bytes."""
+        if self._blockers or self._hangs:
+            await asyncio.sleep(3600)
+
     async def _send_chunks(
         self,
         writer: asyncio.StreamWriter,
@@ -217,8 +228,7 @@
         disconnect: "asyncio.Future[bytes] | None",
     ) -> None:
         for chunk in response.chunks:
-            if self._blockers:
-                await asyncio.sleep(3600)
+            await self._wait_if_silent()
             writer.write(chunk if response.unframed else _chunk(chunk))
             await writer.drain()
             if disconnect is not None:
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -15,7 +15,7 @@
     routes,
     wait_until,
 )
-from fake_worker import FakeResponse, FakeWorker, events
+from fake_worker import CrashKind, FakeResponse, FakeWorker, events
 from foxwinch.core.records.crash_history import CrashHistory
 from foxwinch.emulator.record_store import StoreFault
 from foxwinch.records.crash_records import CRASHES_TABLE
@@ -32,12 +32,23 @@
 
 
 @asynccontextmanager
-async def fatal_platform(response=COMPLETE, workers=12, nodes=3, attempts=1, same_id=False):
+async def fatal_platform(
+    response=COMPLETE,
+    workers=12,
+    nodes=3,
+    attempts=1,
+    same_id=False,
+    kind=CrashKind.REFUSES,
+    known_starts=False,
+):
     """Provide nodes and workers that crash on `FATAL` and are restarted."""
     fakes = [FakeWorker(response) for _ in range(workers)]
     for fake in fakes:
-        fake.fatal_body = FATAL
+        fake.fatal_body, fake.crash_kind = FATAL, kind
     async with FakePlatform(fakes) as platform:
+        if known_starts:
+            for number in range(workers):
+                platform.list_worker(number, born=1_789_000_000_000)
         platform.model.put("op", "config", configuration(routes=routes(attempts)))
         for _ in range(nodes):
             await platform.start_node()
@@ -89,6 +100,16 @@
     return statuses
 
 
+async def leave_repeatedly(platform, path, leave_seconds):
+    """Repeat a request at other nodes, each time leaving before its response."""
+    for number in range(TURNS * ATTEMPTS):
+        node = platform.nodes[number % len(platform.nodes)]
+        with suppress(TimeoutError):
+            async with asyncio.timeout(leave_seconds):
+                await platform.request_turn(node, f"f{number}", path=path, body=FATAL)
+        await asyncio.sleep(RETURN_SECONDS)
+
+
 # Guards against a repeated request that crashes a worker in each of its attempts (BUDGET).
 @pytest.mark.parametrize("path", [SAFE, STREAM, RETAINED, UNSAFE])
 @pytest.mark.parametrize("attempts", [1, 3])
@@ -106,6 +127,54 @@
         assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
 
 
+# Guards against crashes that no health check shows at once, after which the request was sent on.
+@pytest.mark.parametrize("kind", [CrashKind.UNREACHABLE, CrashKind.HANGS, CrashKind.RESTARTS])
+@pytest.mark.parametrize("path", [SAFE, STREAM, RETAINED, UNSAFE])
+@pytest.mark.parametrize("attempts", [1, 2])
+async def test_crashes_without_proof_count_until_the_worker_is_known_to_live(kind, path, attempts):
+    same_id = kind is CrashKind.RESTARTS
+    async with fatal_platform(
+        kind=kind, attempts=attempts, same_id=same_id, known_starts=same_id
+    ) as platform:
+        statuses = await send_repeatedly(platform, path)
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
+        assert 200 not in statuses
+
+
+# Guards against the same when the worker falls silent in the middle of its stream.
+@pytest.mark.parametrize("path", [STREAM, RETAINED])
+async def test_workers_that_fall_silent_midway_count_as_crashed(path):
+    async with fatal_platform(MIDWAY, kind=CrashKind.UNREACHABLE, attempts=2) as platform:
+        await send_repeatedly(platform, path)
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
+
+
+# Guards against a send that was left for another worker, and whose worker crashes later.
+@pytest.mark.parametrize("path", [SAFE, STREAM])
+async def test_a_send_that_timed_out_counts_when_its_worker_crashes_later(path):
+    response = FakeResponse(crash_after_seconds=1.0)
+    async with fatal_platform(response, attempts=2) as platform:
+        await send_repeatedly(platform, path)
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
+
+
+# Guards against a send whose caller has left, and whose worker crashes later.
+@pytest.mark.parametrize("path", [SAFE, STREAM])
+async def test_a_send_whose_caller_left_counts_when_its_worker_crashes_later(path):
+    response = FakeResponse(crash_after_seconds=0.5)
+    async with fatal_platform(response, attempts=2) as platform:
+        await leave_repeatedly(platform, path, 0.4)
+        await asyncio.sleep(0.5)
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
+
+
+# Guards against the same when a silent worker lets every caller leave.
+async def test_a_send_whose_caller_left_a_silent_worker_counts():
+    async with fatal_platform(kind=CrashKind.UNREACHABLE, attempts=2) as platform:
+        await leave_repeatedly(platform, STREAM, 0.4)
+        assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
+
+
 # Guards against the same when the worker crashes in the middle of its stream.
 @pytest.mark.parametrize("path", [STREAM, RETAINED])
 async def test_a_stream_that_crashes_its_workers_midway_is_stopped(path):
