--- a/src/foxwinch/core/records/crash_history.py
+++ b/src/foxwinch/core/records/crash_history.py
@@ -1,19 +1,25 @@
-"""The stored record of the workers that ended while they ran one request.
+"""The stored record of the workers that ended, or may have ended, while they ran one request.
 
-A request is known by its fingerprint, so that all repetitions share one record. From the first
-crash on, each further send needs an exclusive claim: repetitions then run one at a time, and the
-next holder of the claim knows how the last send ended.
+A request is known by its fingerprint, so that all repetitions share one record. A send whose worker
+is not known to live afterwards is in doubt, and counts as a crash until the worker has proved to
+live. From the first crash on, each further send needs an exclusive claim: repetitions then run one
+at a time, and the next holder of the claim knows how the last send ended.
 """
 
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
-from foxwinch._generated.crashes_pb2 import CrashHistoryMessage
+from foxwinch._generated.crashes_pb2 import CrashHistoryMessage, CrashMessage, DoubtMessage
 
 MAX_CRASHES = 3
 """Number of workers that may end under one request; it is then not sent any more."""
 RETENTION_MS = 600_000
 """Time for which a crash counts. Programs that were stopped may return within a minute."""
+DOUBT_MS = 10_000
+"""Time from the end of a run until a doubt that no node has resolved counts as a crash."""
+COMMON_CAUSE_MS = 2_000
+"""Time within which the losses of unsuspected sends count as one. A caller repeats a request only
+after its last send was lost, so losses at the same time are those of several callers."""
 
 
 class Crash(NamedTuple):
@@ -23,6 +29,29 @@
     """Its incarnation."""
     recorded_ms: int
     """Time on the store's clock."""
+    suspected: bool = True
+    """Whether a crash or a doubt was known of the request when it was sent."""
+
+    @property
+    def lost_ms(self) -> int:
+        """Return the time that decides which losses have a common cause."""
+        return self.recorded_ms
+
+
+class Doubt(NamedTuple):
+    """A worker that lost the request or was left with it, and may have ended under it."""
+
+    worker: str
+    lost_ms: int
+    """Time on the store's clock."""
+    ends_ms: int
+    """Time on the store's clock from which on the worker does not run the request any more."""
+    suspected: bool = True
+
+    @property
+    def expires_ms(self) -> int:
+        """Return the time on the store's clock at which the doubt counts as a crash."""
+        return max(self.lost_ms, self.ends_ms) + DOUBT_MS
 
 
 class SendClaim(NamedTuple):
@@ -36,38 +65,82 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashHistory:
-    """The crashes under one request, and the claim for its next send."""
+    """The crashes under one request, the doubts, and the claim for its next send."""
 
     crashes: tuple[Crash, ...] = ()
     claim: SendClaim | None = None
+    doubts: tuple[Doubt, ...] = ()
 
     def current(self, now_ms: int) -> "CrashHistory":
         """Return the history as of a time on the store's clock.
 
         A claim that expired without being released counts as a crash: its holder ended before it
-        could report how its send ended.
+        could report how its send ended. So does a doubt that was not resolved.
         """
-        crashes = tuple(
-            crash for crash in self.crashes if now_ms < crash.recorded_ms + RETENTION_MS
+        history = CrashHistory(
+            tuple(each for each in self.crashes if now_ms < each.recorded_ms + RETENTION_MS),
+            self.claim,
+            tuple(each for each in self.doubts if now_ms < each.expires_ms),
         )
+        for doubt in self.doubts:
+            if doubt.expires_ms <= now_ms < doubt.expires_ms + RETENTION_MS:
+                crash = Crash(doubt.worker, doubt.expires_ms, doubt.suspected)
+                history = history.with_crash(crash, "")
         claim = self.claim
         if claim is None or now_ms < claim.expires_ms:
-            return CrashHistory(crashes, claim)
-        history = CrashHistory(crashes)
-        if now_ms >= claim.expires_ms + RETENTION_MS:
             return history
+        if now_ms >= claim.expires_ms + RETENTION_MS:
+            return history.with_claim(None)
         return history.with_crash(Crash(claim.worker, claim.expires_ms), claim.holder)
 
     def with_crash(self, crash: Crash, holder: str) -> "CrashHistory":
         """Return the history with a crash, and without the claim if `holder` has it."""
         known = any(each.worker == crash.worker for each in self.crashes)
-        claim = None if self.claim is not None and self.claim.holder == holder else self.claim
-        return CrashHistory(self.crashes if known else (*self.crashes, crash), claim)
+        crashes = self.crashes if known else (*self.crashes, crash)
+        return CrashHistory(crashes, self._claim_without(holder), self._doubts_without(crash))
+
+    def with_doubt(self, doubt: Doubt, holder: str) -> "CrashHistory":
+        """Return the history with a doubt, and without the claim if `holder` has it."""
+        known = any(each.worker == doubt.worker for each in self.losses)
+        doubts = self.doubts if known else (*self.doubts, doubt)
+        return CrashHistory(self.crashes, self._claim_without(holder), doubts)
+
+    def without(self, worker: str) -> "CrashHistory":
+        """Return the history without an incarnation that has proved to live.
+
+        A doubt that expired meanwhile may already count as a crash.
+        """
+        crashes = tuple(each for each in self.crashes if each.worker != worker)
+        return replace(
+            self,
+            crashes=crashes,
+            doubts=tuple(each for each in self.doubts if each.worker != worker),
+        )
 
     def with_claim(self, claim: SendClaim | None) -> "CrashHistory":
         """Return the history with another claim or none."""
         return replace(self, claim=claim)
 
+    @property
+    def losses(self) -> list[Crash | Doubt]:
+        """Return the crashes and the doubts."""
+        return [*self.crashes, *self.doubts]
+
+    @property
+    def weight(self) -> int:
+        """Return the number of losses that count against `MAX_CRASHES`.
+
+        Losses of unsuspected sends within `COMMON_CAUSE_MS` count as one.
+        """
+        unsuspected_ms = sorted(loss.lost_ms for loss in self.losses if not loss.suspected)
+        weight = sum(loss.suspected for loss in self.losses)
+        first_ms: int | None = None
+        for lost_ms in unsuspected_ms:
+            if first_ms is None or lost_ms > first_ms + COMMON_CAUSE_MS:
+                first_ms = lost_ms
+                weight += 1
+        return weight
+
     @property
     def retained_until_ms(self) -> int:
         """Return the time on the store's clock at which the last crash stops to count."""
@@ -75,9 +148,10 @@
 
     def encode(self) -> bytes:
         """Return the stored form of the history."""
-        message = CrashHistoryMessage()
-        for crash in self.crashes:
-            message.crashes.add(worker=crash.worker, recorded_ms=crash.recorded_ms)
+        message = CrashHistoryMessage(
+            crashes=[encode_crash(crash) for crash in self.crashes],
+            doubts=[encode_doubt(doubt) for doubt in self.doubts],
+        )
         if self.claim is not None:
             message.claim.holder = self.claim.holder
             message.claim.worker = self.claim.worker
@@ -88,8 +162,45 @@
     def decode(cls, value: bytes) -> "CrashHistory":
         """Read the stored form; raise `DecodeError` if it is malformed."""
         message = CrashHistoryMessage.FromString(value)
-        crashes = tuple(Crash(each.worker, each.recorded_ms) for each in message.crashes)
-        if not message.HasField("claim"):
-            return cls(crashes)
-        claim = message.claim
-        return cls(crashes, SendClaim(claim.holder, claim.worker, claim.expires_ms))
+        claim = None
+        if message.HasField("claim"):
+            stored = message.claim
+            claim = SendClaim(stored.holder, stored.worker, stored.expires_ms)
+        return cls(
+            tuple(decode_crash(each) for each in message.crashes),
+            claim,
+            tuple(decode_doubt(each) for each in message.doubts),
+        )
+
+    def _claim_without(self, holder: str) -> SendClaim | None:
+        return None if self.claim is not None and self.claim.holder == holder else self.claim
+
+    def _doubts_without(self, crash: Crash) -> tuple[Doubt, ...]:
+        return tuple(each for each in self.doubts if each.worker != crash.worker)
+
+
+def encode_crash(crash: Crash) -> CrashMessage:
+    """Return the message of a crash."""
+    return CrashMessage(
+        worker=crash.worker, recorded_ms=crash.recorded_ms, unsuspected=not crash.suspected
+    )
+
+
+def decode_crash(message: CrashMessage) -> Crash:
+    """Return the crash of a message."""
+    return Crash(message.worker, message.recorded_ms, not message.unsuspected)
+
+
+def encode_doubt(doubt: Doubt) -> DoubtMessage:
+    """Return the message of a doubt."""
+    return DoubtMessage(
+        worker=doubt.worker,
+        lost_ms=doubt.lost_ms,
+        ends_ms=doubt.ends_ms,
+        unsuspected=not doubt.suspected,
+    )
+
+
+def decode_doubt(message: DoubtMessage) -> Doubt:
+    """Return the doubt of a message."""
+    return Doubt(message.worker, message.lost_ms, message.ends_ms, not message.unsuspected)
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -241,15 +241,7 @@
         url = URL(f"http://{worker.address}{health_path}", encoded=True)
         headers = {"Host": worker.address, EXPECTED_WORKER: worker.worker_id}
         connector = aiohttp.TCPConnector(force_close=True)
-        is_connected = False
-
-        async def on_connected(*_: object) -> None:
-            nonlocal is_connected
-            is_connected = True
-
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(on_connected)
-        async with aiohttp.ClientSession(connector=connector, trace_configs=[trace]) as session:
+        async with aiohttp.ClientSession(connector=connector) as session:
             session._retry_connection = False
             try:
                 async with (
@@ -259,7 +251,7 @@
                     is_other = response.status == STATUS_WRONG_WORKER
                     return ProbeResult.ENDED if is_other else ProbeResult.RUNNING
             except TimeoutError:
-                return ProbeResult.RUNNING if is_connected else ProbeResult.UNKNOWN
+                return ProbeResult.UNKNOWN
             except aiohttp.ClientConnectorError as error:
                 is_refused = error.os_error.errno == errno.ECONNREFUSED
                 return ProbeResult.ENDED if is_refused else ProbeResult.UNKNOWN
--- a/src/foxwinch/records/crash_records.py
+++ b/src/foxwinch/records/crash_records.py
@@ -1,7 +1,9 @@
 """Crash histories of requests in the shared store, of which each node keeps a copy.
 
-Only requests under which a worker has ended have a row, so the table is small and every node
-watches it. Notices of other nodes add crashes whose rows have not arrived yet.
+Only requests under which workers have ended, or several may have ended, have a row, so the table is
+small and every node watches it. Notices of other nodes add crashes whose rows have not arrived yet,
+and doubts, most of which are resolved without a row. A doubt is written and removed by the node
+that lost the send; the others only read it.
 """
 
 import asyncio
@@ -16,6 +18,7 @@
     MAX_CRASHES,
     Crash,
     CrashHistory,
+    Doubt,
     SendClaim,
 )
 from foxwinch.log import EventLog
@@ -43,12 +46,13 @@
 MAX_HISTORIES = 20_000
 """Maximum number of histories in memory, the oldest evicted first."""
 MAX_UNSAVED = 2_000
-"""Maximum number of histories that wait to be stored; further crashes stay in memory only."""
+"""Maximum number of histories that wait to be stored; further updates stay in memory only."""
 MIN_WAIT_SECONDS = 0.001
-SAVE_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=1.6)
+SAVE_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=0.4)
 CLEANUP_SECONDS = 60.0
 """Minimum interval between removals of expired rows; nodes vary it up to the double."""
 Change = Callable[[CrashHistory], CrashHistory | None]
+Update = Callable[[CrashHistory], CrashHistory]
 log = EventLog("crashes")
 
 
@@ -62,19 +66,23 @@
     """Store version as of which the history is known."""
     reported: dict[str, Crash] = field(default_factory=dict)
     """Crashes whose rows have not arrived, by worker incarnation."""
+    reported_doubts: dict[str, Doubt] = field(default_factory=dict)
+    """Doubts that are not stored, by worker incarnation; they lapse when they expire."""
 
-    def combined(self) -> CrashHistory:
-        """Return the history with the reported crashes."""
+    def with_crashes(self) -> CrashHistory:
+        """Return the stored history with the reported crashes."""
         history = self.history
         for crash in self.reported.values():
             history = history.with_crash(crash, "")
         return history
 
-
-@dataclass(frozen=True, slots=True)
-class _UnsavedCrash:
-    crash: Crash
-    holder: str
+    def combined(self, now_ms: int) -> CrashHistory:
+        """Return the stored history with the reported crashes and doubts."""
+        history = self.with_crashes()
+        for doubt in self.reported_doubts.values():
+            if now_ms < doubt.expires_ms:
+                history = history.with_doubt(doubt, "")
+        return history
 
 
 class CrashRecords:
@@ -88,7 +96,7 @@
         self._known: dict[str, _Known] = {}
         self._claims: dict[str, SendClaim] = {}
         """Claims of the known histories."""
-        self._unsaved: dict[str, list[_UnsavedCrash]] = {}
+        self._unsaved: dict[str, list[Update]] = {}
         self._saved = asyncio.Event()
         """Set and replaced after each batch."""
         self._is_saving = False
@@ -96,7 +104,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no crash is known."""
+        """Whether no crash and no doubt is known."""
         return not self._known
 
     def now_ms(self) -> int:
@@ -107,7 +115,10 @@
     def history_of(self, fingerprint: str) -> CrashHistory:
         """Return the current history of a request."""
         known = self._known.get(fingerprint)
-        return known.combined().current(self.now_ms()) if known is not None else CrashHistory()
+        if known is None:
+            return CrashHistory()
+        now_ms = self.now_ms()
+        return known.combined(now_ms).current(now_ms)
 
     def claimed_workers(self, without: str) -> Collection[str]:
         """Return the incarnations at which other requests than `without` run under a claim."""
@@ -128,25 +139,44 @@
     def add_reported(self, fingerprint: str, crash: Crash) -> bool:
         """Add a crash that is not stored yet; return whether it is new."""
         known = self._get(fingerprint)
-        if any(each.worker == crash.worker for each in known.combined().crashes):
+        if any(each.worker == crash.worker for each in known.with_crashes().crashes):
             return False
+        known.reported_doubts.pop(crash.worker, None)
         known.reported[crash.worker] = crash
         return True
 
-    async def save_crash(
-        self, fingerprint: str, crash: Crash, holder: str, wait_seconds: float
-    ) -> bool:
-        """Store a crash and release the claim of `holder`; return whether that is committed.
+    def add_doubt(self, fingerprint: str, doubt: Doubt) -> bool:
+        """Add a doubt that is not stored; return whether it is new."""
+        known = self._get(fingerprint)
+        history = known.combined(self.now_ms())
+        if any(each.worker == doubt.worker for each in history.losses):
+            return False
+        known.reported_doubts[doubt.worker] = doubt
+        return True
+
+    def has_loss(self, fingerprint: str, worker: str) -> bool:
+        """Return whether a send to an incarnation is in doubt or counts as a crash."""
+        history = self.history_of(fingerprint)
+        return any(each.worker == worker for each in history.losses)
+
+    def remove_doubt(self, fingerprint: str, worker: str) -> None:
+        """Forget the doubt of an incarnation that has proved to live, and remove a stored one."""
+        known = self._known.get(fingerprint)
+        if known is None:
+            return
+        known.reported_doubts.pop(worker, None)
+        is_stored = any(each.worker == worker for each in known.history.losses)
+        if is_stored or fingerprint in self._unsaved:
+            self.start_save(fingerprint, lambda history: history.without(worker))
+        self._drop_if_unknown(fingerprint)
+
+    async def save(self, fingerprint: str, update: Update, wait_seconds: float) -> bool:
+        """Apply an update to a stored history; return whether that is committed.
 
         The write goes on after `wait_seconds`.
         """
-        if len(self._unsaved) >= MAX_UNSAVED:
-            log.warning("crash_not_stored", fingerprint=fingerprint, unsaved=len(self._unsaved))
+        if not self.start_save(fingerprint, update):
             return False
-        self._unsaved.setdefault(fingerprint, []).append(_UnsavedCrash(crash, holder))
-        if not self._is_saving:
-            self._is_saving = True
-            self._tasks.start(self._save())
         end_at = self._clock.monotonic() + wait_seconds
         while fingerprint in self._unsaved:
             left = end_at - self._clock.monotonic()
@@ -159,6 +189,17 @@
                 continue
         return True
 
+    def start_save(self, fingerprint: str, update: Update) -> bool:
+        """Start to apply an update to a stored history; return False if too many are waiting."""
+        if len(self._unsaved) >= MAX_UNSAVED:
+            log.warning("crash_not_stored", fingerprint=fingerprint, unsaved=len(self._unsaved))
+            return False
+        self._unsaved.setdefault(fingerprint, []).append(update)
+        if not self._is_saving:
+            self._is_saving = True
+            self._tasks.start(self._save())
+        return True
+
     async def claim(
         self, fingerprint: str, claim: SendClaim, deadline_at: float
     ) -> CrashHistory | Refused:
@@ -169,7 +210,7 @@
 
         def take(history: CrashHistory) -> CrashHistory | None:
             held = history.claim is not None and history.claim.holder != claim.holder
-            if held or len(history.crashes) >= MAX_CRASHES:
+            if held or self.history_of(fingerprint).weight >= MAX_CRASHES:
                 return None
             return history.with_claim(claim)
 
@@ -193,7 +234,12 @@
         if known is None:
             return
         known.reported.clear()
+        known.reported_doubts.clear()
+        is_stored = known.row_version != ABSENT_VERSION or fingerprint in self._unsaved
         self._unsaved.pop(fingerprint, None)
+        if not is_stored:
+            self._drop_if_unknown(fingerprint)
+            return
         outcome = await self._change(fingerprint, lambda _: CrashHistory(), deadline_at)
         if isinstance(outcome, Refused):
             log.warning("crashes_not_cleared", fingerprint=fingerprint, detail=outcome.detail)
@@ -203,15 +249,24 @@
         while True:
             await self._clock.sleep(CLEANUP_SECONDS * (1 + self._clock.uniform()))
             now_ms = self.now_ms()
+            self._drop_lapsed_doubts(now_ms)
             expired = [
                 fingerprint
                 for fingerprint, known in self._known.items()
-                if known.combined().current(now_ms) == CrashHistory()
+                if known.combined(now_ms).current(now_ms) == CrashHistory()
             ]
             for start in range(0, len(expired), BATCH_ROWS):
                 batch = dict.fromkeys(expired[start : start + BATCH_ROWS], CrashHistory())
                 await self._transact(batch, CALL_TIMEOUT_SECONDS)
 
+    def _drop_lapsed_doubts(self, now_ms: int) -> None:
+        """Drop the reported doubts that have expired."""
+        for fingerprint, known in list(self._known.items()):
+            for worker, doubt in list(known.reported_doubts.items()):
+                if now_ms >= doubt.expires_ms:
+                    del known.reported_doubts[worker]
+            self._drop_if_unknown(fingerprint)
+
     async def _change(
         self, fingerprint: str, change: Change, deadline_at: float
     ) -> CrashHistory | Refused:
@@ -221,7 +276,7 @@
         """
         attempt = 0
         while True:
-            history = self._get(fingerprint).combined().current(self.now_ms())
+            history = self._get(fingerprint).with_crashes().current(self.now_ms())
             changed = change(history)
             if changed is None:
                 self._drop_if_unknown(fingerprint)
@@ -239,14 +294,14 @@
                 await self._clock.sleep(wait)
 
     async def _save(self) -> None:
-        """Store the unsaved crashes in batches until none is left."""
+        """Store the unsaved updates in batches until none is left."""
         attempt = 0
         while self._unsaved:
             batch = {}
             for fingerprint in list(self._unsaved)[:BATCH_ROWS]:
-                history = self._get(fingerprint).combined().current(self.now_ms())
-                for unsaved in self._unsaved[fingerprint]:
-                    history = history.with_crash(unsaved.crash, unsaved.holder)
+                history = self._get(fingerprint).with_crashes().current(self.now_ms())
+                for update in self._unsaved[fingerprint]:
+                    history = update(history)
                 batch[fingerprint] = (history, len(self._unsaved[fingerprint]))
             histories = {fingerprint: history for fingerprint, (history, _) in batch.items()}
             outcome = await self._transact(histories, CALL_TIMEOUT_SECONDS)
@@ -264,7 +319,7 @@
         self._is_saving = False
 
     def _mark_saved(self, fingerprint: str, count: int) -> None:
-        """Drop the first `count` unsaved crashes of a history; others may have been added since."""
+        """Drop the first `count` unsaved updates of a history; others may have been added since."""
         remaining = self._unsaved.pop(fingerprint, [])[count:]
         if remaining:
             self._unsaved[fingerprint] = remaining
@@ -307,7 +362,7 @@
             return
         known.seen_version = seen_version
         if stored.value is None:
-            if known.row_version != ABSENT_VERSION:
+            if known.row_version != ABSENT_VERSION and fingerprint not in self._unsaved:
                 known.reported.clear()
             known.history, known.row_version = CrashHistory(), ABSENT_VERSION
             self._claims.pop(fingerprint, None)
@@ -324,6 +379,9 @@
             self._claims[fingerprint] = known.history.claim
         for crash in known.history.crashes:
             known.reported.pop(crash.worker, None)
+            known.reported_doubts.pop(crash.worker, None)
+        for doubt in known.history.doubts:
+            known.reported_doubts.pop(doubt.worker, None)
 
     def _get(self, fingerprint: str) -> _Known:
         known = self._known.get(fingerprint)
@@ -337,7 +395,9 @@
 
     def _drop_if_unknown(self, fingerprint: str) -> None:
         known = self._known.get(fingerprint)
-        if known is None or known.reported or fingerprint in self._unsaved:
+        if known is None or known.reported or known.reported_doubts:
+            return
+        if fingerprint in self._unsaved:
             return
         if known.row_version == ABSENT_VERSION:
             del self._known[fingerprint]
--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -36,6 +36,8 @@
     """Ids of the tried workers that had no capacity and may have some later."""
     has_claim: bool = False
     """Whether the request holds the claim that repetitions need after a worker ended under it."""
+    is_suspected: bool = False
+    """Whether a crash or a doubt was known of the request before its last send."""
     runs_unclaimed: bool = False
     """Whether the request runs without that claim, as the store was not available."""
     has_ended: bool = False
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -176,7 +176,7 @@
             attempts.tried_workers,
             self.guard.shared_workers(attempts),
         )
-        crashed = self.guard.crashed_workers(attempts)
+        lost = self.guard.lost_workers(attempts)
         services, software_version = attempts.services, None
         if attempts.origin is not None:
             services = [service for service in services if service == attempts.origin.service]
@@ -185,7 +185,7 @@
             workers = [
                 worker
                 for worker in directory.eligible_workers(service, now, software_version)
-                if worker.incarnation not in crashed
+                if worker.incarnation not in lost
             ]
             choice = choose_worker(workers, self.loads, criteria, now, self._clock.uniform())
             if choice is not None:
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -1,10 +1,13 @@
-"""Detection of workers that have ended, after a connection to them was lost.
+"""Detection of workers that have ended, after a send to them got no response.
 
-A lost connection may be the worker's end, or a reset of this one connection while the worker lives
-on. A health check on a new connection tells them apart.
+That may be the worker's end, or a cut connection, a slow worker or a caller that left while the
+worker lives on. A health check on a new connection tells most of them apart, the worker list the
+others, some seconds later.
 """
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from foxwinch.clock import Clock
 from foxwinch.core.routing.directory import RESTORE_SECONDS, Worker
@@ -18,15 +21,33 @@
 PROBES = 2
 """Number of probes until one tells. After a pause of this process, the first one is timed out."""
 DEFAULT_HEALTH_PATH = "/"
-CONFIRM_SECONDS = 6.0
-"""Time in which the worker list shows a worker's end: the expiry of its entry, and
-`RESTORE_SECONDS`."""
-CONFIRM_POLL_SECONDS = 0.25
-FIRST_CONFIRM_POLL_SECONDS = 0.02
+EXPIRY_MARGIN_SECONDS = 1.0
+"""Time by which the store may remove an expired entry late, and by which its nodes notice it."""
+RESOLVE_SECONDS = 120.0
+"""Time for which a lost send is watched; during an outage the worker list does not tell."""
+CHECK_INTERVAL_SECONDS = 0.3
+POLL_SECONDS = 0.25
+FIRST_POLL_SECONDS = 0.02
 """Poll interval of the first quarter of a second; a worker that restarts at once is listed then."""
 log = EventLog("crashes")
 
 
+@dataclass(frozen=True, slots=True)
+class LostSend:
+    """A send without a response, whose worker may have ended under it; times are monotonic."""
+
+    worker: Worker
+    fingerprint: str
+    request_id: str
+    lost_at: float
+    ends_at: float
+    """Time from which on the worker does not run the request any more."""
+    suspected: bool
+    """Whether a crash or a doubt was known of the request when it was sent."""
+    checked_at: float = float("-inf")
+    """Time of the last health check."""
+
+
 class CrashDetector:
     """Checks whether workers still run; concurrent checks of one worker share a probe."""
 
@@ -64,31 +85,63 @@
         )
         return result
 
-    async def has_ended_later(self, worker: Worker, result: ProbeResult) -> bool:
-        """Return whether the worker list shows within `CONFIRM_SECONDS` that a worker has ended.
+    async def resolve(
+        self, lost: LostSend, is_open: Callable[[], bool], is_needed: Callable[[], bool]
+    ) -> ProbeResult:
+        """Return whether a worker lived at the end of a lost send, or has ended, once it is known.
 
-        It has if it is listed with another start. A removed entry alone does not tell, as workers
-        may serve on without one and entries expire while the store is down, unless the probe got no
-        response either.
+        The worker list costs no call and tells within seconds. While `is_needed()` is true, health
+        checks are made as well. Return `UNKNOWN` if nothing tells within `RESOLVE_SECONDS`, or once
+        `is_open()` is false.
         """
-        started_at = self._clock.monotonic()
-        confirm_until = started_at + CONFIRM_SECONDS
+        give_up_at = max(lost.lost_at, lost.ends_at) + RESOLVE_SECONDS
         unlisted_since: float | None = None
-        while (now := self._clock.monotonic()) < confirm_until:
-            listed = self._routing.directory.listed_incarnation(worker.worker_id)
-            if listed is not None and listed != worker.incarnation:
-                return True
+        checked_at = lost.checked_at
+        while (now := self._clock.monotonic()) < give_up_at and is_open():
+            listed = self._routing.directory.listed_incarnation(lost.worker.worker_id)
+            if listed is not None and listed != lost.worker.incarnation:
+                return ProbeResult.ENDED
+            if self._is_listed_as_living(lost, listed):
+                return ProbeResult.RUNNING
             if listed is not None:
                 unlisted_since = None
             elif unlisted_since is None:
                 unlisted_since = now
-            elif result is ProbeResult.UNKNOWN and now - unlisted_since > RESTORE_SECONDS:
-                return True
-            is_first = now - started_at < CONFIRM_POLL_SECONDS
-            await self._clock.sleep(
-                FIRST_CONFIRM_POLL_SECONDS if is_first else CONFIRM_POLL_SECONDS
-            )
-        return False
+            is_unlisted = unlisted_since is not None and now - unlisted_since > RESTORE_SECONDS
+            if (is_needed() or is_unlisted) and now - checked_at >= CHECK_INTERVAL_SECONDS:
+                checked_at = now
+                result = await self.check(lost.worker, lost.request_id, lost.fingerprint)
+                if result is ProbeResult.ENDED or self.proves_life(lost, result, now):
+                    return result
+                if result is ProbeResult.UNKNOWN and is_unlisted:
+                    return ProbeResult.ENDED
+            is_first = now - lost.lost_at < POLL_SECONDS
+            await self._clock.sleep(FIRST_POLL_SECONDS if is_first else POLL_SECONDS)
+        return ProbeResult.UNKNOWN
+
+    def proves_life(self, lost: LostSend, result: ProbeResult, checked_at: float) -> bool:
+        """Return whether a health check that began at `checked_at` proves that the worker lived.
+
+        A worker that reports its starts may be back under its id. Its successor is listed within
+        half of the time in which entries expire.
+        """
+        if result is not ProbeResult.RUNNING or checked_at < lost.ends_at:
+            return False
+        if lost.worker.started_ms is None:
+            return True
+        listed = self._routing.directory.listed_incarnation(lost.worker.worker_id)
+        listed_by = max(lost.lost_at, lost.ends_at) + 0.5 * self._routing.expiry_seconds
+        return listed == lost.worker.incarnation and self._listed_at() >= listed_by
+
+    def _is_listed_as_living(self, lost: LostSend, listed: str | None) -> bool:
+        """Return whether the entry has stayed for longer than that of an ended worker."""
+        expired_by = max(lost.lost_at, lost.ends_at) + self._routing.expiry_seconds
+        is_later = self._listed_at() >= expired_by + EXPIRY_MARGIN_SECONDS
+        return listed == lost.worker.incarnation and is_later
+
+    def _listed_at(self) -> float:
+        """Return the time as of which the worker list is known."""
+        return self._clock.monotonic() - self._routing.workers_age_seconds()
 
     async def _probe(self, worker: Worker) -> ProbeResult:
         configuration = self._routing.configuration
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -3,36 +3,31 @@
 Everything that runs at a worker when it ends is suspected, most of it without reason. A suspected
 request runs again, but one send at a time, under a claim in the shared store, and away from other
 suspected ones. A response clears it. After `MAX_CRASHES` crashes it is not sent any more until they
-expire.
+expire; sends in doubt count as crashes until their workers have proved to live.
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import replace
 
 from foxwinch.clock import Clock
-from foxwinch.core.records.crash_history import MAX_CRASHES, Crash, CrashHistory, SendClaim
+from foxwinch.core.records.crash_history import MAX_CRASHES, CrashHistory, SendClaim
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
 from foxwinch.records.crash_records import CrashRecords
-from foxwinch.records.store_state import ObservedStore
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import Attempts
-from foxwinch.serving.crash_detection import CrashDetector
-from foxwinch.serving.crash_notices import CrashNotice, CrashNotices
+from foxwinch.serving.crash_detection import LostSend
+from foxwinch.serving.lost_sends import LostSends
 from foxwinch.serving.messages import (
     CallFailure,
     CallInterrupted,
-    ProbeResult,
     RejectedRequest,
     Rejection,
 )
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import RoutingView
 
-SAVE_WAIT_SECONDS = 0.1
-"""Maximum time that a failed call's caller waits for the crash to be stored. Notices tell the other
-nodes while the store is slow."""
 CLAIM_TIMEOUT_SECONDS = 0.9
 CLAIM_TIME_FRACTION = 0.35
 """Fraction of a request's remaining time that may be spent on its claim."""
@@ -43,6 +38,8 @@
 CLAIMED_RETRY_AFTER_SECONDS = 0.3
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
+DOUBT_RETRY_AFTER_SECONDS = 0.5
+"""About the time in which health checks or heartbeats resolve a doubt."""
 PROTECTION_SECONDS = 10.0
 """Time for which a crash counts against the limits of a service, which hold for requests under
 which two workers have ended."""
@@ -53,43 +50,27 @@
 log = EventLog("crashes")
 
 
-@dataclass(frozen=True, slots=True)
-class _LostCall:
-    """A lost call whose worker has not been found to have ended."""
-
-    worker: Worker
-    fingerprint: str
-    request_id: str
-
-
 class CrashGuard:
     """Admits sends of requests to workers, and records the crashes under them."""
 
     def __init__(
         self,
         records: CrashRecords,
-        detector: CrashDetector,
-        notices: CrashNotices,
+        lost_sends: LostSends,
         routing: RoutingView,
-        store: ObservedStore,
         clock: Clock,
         metrics: ServingMetrics,
         tasks: ServiceTasks,
-        node: str,
     ) -> None:
-        """Create the guard of a node; `node` must be unique to this run of the process."""
+        """Create the guard of a node, which leaves failed sends to `lost_sends`."""
         self._records = records
-        self._detector = detector
-        self._notices = notices
+        self._lost_sends = lost_sends
         self._routing = routing
-        self._store = store
         self._clock = clock
         self._metrics = metrics
         self._tasks = tasks
-        self._node = node
         self._unclaimed: set[str] = set()
         """Fingerprints of suspected requests that run here without a claim."""
-        notices.on_notice = self._on_notice
 
     def shared_workers(self, attempts: Attempts) -> frozenset[str]:
         """Return the incarnations at which other suspected requests run."""
@@ -97,29 +78,35 @@
             return frozenset()
         return frozenset(self._records.claimed_workers(attempts.fingerprint))
 
-    def crashed_workers(self, attempts: Attempts) -> frozenset[str]:
-        """Return the incarnations that have ended under a request.
+    def lost_workers(self, attempts: Attempts) -> frozenset[str]:
+        """Return the incarnations that have ended or may have ended under a request.
 
         The list may still have them; a worker that restarts under its id is then taken for them.
         """
         if self._records.is_empty:
             return frozenset()
-        crashes = self._records.history_of(attempts.fingerprint).crashes
-        return frozenset(crash.worker for crash in crashes)
+        losses = self._records.history_of(attempts.fingerprint).losses
+        return frozenset(loss.worker for loss in losses)
 
     async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return None if a request may be sent to a worker now, or why not."""
+        attempts.is_suspected = False
         if self._records.is_empty:
             return None
         history = self._records.history_of(attempts.fingerprint)
-        if not history.crashes:
+        if not history.weight:
             return None
-        if len(history.crashes) >= MAX_CRASHES:
-            return self._reject_quarantined(attempts, history)
-        if len(history.crashes) > 1 and self._must_spare(worker.service):
+        attempts.is_suspected = True
+        if history.weight > 1:
+            self._lost_sends.resolve(attempts.fingerprint, history)
+        if history.weight >= MAX_CRASHES:
+            return self._reject_suspected(attempts, history)
+        if len(history.crashes) > 1 and history.weight > 1 and self._must_spare(worker.service):
             return self._reject(
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
+        if not history.crashes and history.weight == 1:
+            return None
         return await self._claim(attempts, worker, history)
 
     async def on_failure(
@@ -127,41 +114,38 @@
     ) -> None:
         """Find out whether a worker that lost a call has ended, and record it before returning.
 
-        This goes on, and keeps the claim, when the caller leaves meanwhile.
+        This goes on, and keeps the claim, when the caller leaves meanwhile. A worker that was left
+        for its slow response may still run the call, so only later checks can tell.
         """
-        is_claimed, attempts.has_claim = attempts.has_claim, False
-        settling = self._tasks.start(
-            self._settle_failure(worker, interrupted, attempts, is_claimed)
-        )
-        await asyncio.shield(settling)
-
-    async def _settle_failure(
-        self,
-        worker: Worker,
-        interrupted: CallInterrupted,
-        attempts: Attempts,
-        is_claimed: bool,
-    ) -> None:
         if interrupted.failure is CallFailure.UNRESPONSIVE:
-            result = ProbeResult.UNKNOWN
-        else:
-            result = await self._detector.check(
-                worker, attempts.request.request_id, attempts.fingerprint
-            )
-        if result is ProbeResult.ENDED:
-            await self._record(worker, attempts.fingerprint, attempts.request.request_id)
+            self._lost_sends.add(self._lost_send(worker, attempts, attempts.deadline_at))
             return
-        attempts.has_claim = is_claimed
+        is_claimed, attempts.has_claim = attempts.has_claim, False
+        lost = self._lost_send(worker, attempts, self._clock.monotonic())
+        await asyncio.shield(self._tasks.start(self._settle(lost, attempts, is_claimed)))
+
+    async def _settle(self, lost: LostSend, attempts: Attempts, is_claimed: bool) -> None:
+        has_ended = await self._lost_sends.settle(lost)
+        attempts.has_claim = is_claimed and not has_ended
         if attempts.has_ended:
             self._release(attempts)
-        lost = _LostCall(worker, attempts.fingerprint, attempts.request.request_id)
-        self._tasks.start(self._confirm_later(lost, result))
+
+    def _lost_send(self, worker: Worker, attempts: Attempts, ends_at: float) -> LostSend:
+        return LostSend(
+            worker,
+            attempts.fingerprint,
+            attempts.request.request_id,
+            self._clock.monotonic(),
+            ends_at,
+            attempts.is_suspected,
+        )
 
     def on_response(self, attempts: Attempts) -> None:
         """Clear a request of suspicion, as its worker has completed it."""
-        if self._records.is_empty or not self._records.history_of(attempts.fingerprint).crashes:
+        if self._records.is_empty or not self._records.history_of(attempts.fingerprint).weight:
             return
         attempts.has_claim = False
+        self._lost_sends.forget(attempts.fingerprint)
         self._metrics.crash_decisions.labels("cleared").inc()
         log.info(
             "request_cleared",
@@ -175,26 +159,38 @@
         """Release what a request holds once it has ended in any way."""
         attempts.has_ended = True
         if attempts.running_on is not None:
-            self._metrics.crash_decisions.labels("given_up").inc()
-            log.info(
-                "send_given_up",
-                request=attempts.request.request_id,
-                fingerprint=attempts.fingerprint,
-                worker=attempts.running_on.worker_id,
-                started_ms=attempts.running_on.started_ms,
-                sent_ago_ms=int(1e3 * (self._clock.monotonic() - attempts.sent_at)),
-                left_ms=int(1e3 * (attempts.deadline_at - self._clock.monotonic())),
-            )
+            self._give_up(attempts, attempts.running_on)
         if attempts.runs_unclaimed:
             self._unclaimed.discard(attempts.fingerprint)
         self._release(attempts)
 
+    def _give_up(self, attempts: Attempts, worker: Worker) -> None:
+        """Put the send of a request in doubt that ends while its worker may run it."""
+        now = self._clock.monotonic()
+        self._metrics.crash_decisions.labels("given_up").inc()
+        log.info(
+            "send_given_up",
+            request=attempts.request.request_id,
+            fingerprint=attempts.fingerprint,
+            worker=worker.worker_id,
+            started_ms=worker.started_ms,
+            sent_ago_ms=int(1e3 * (now - attempts.sent_at)),
+            left_ms=int(1e3 * (attempts.deadline_at - now)),
+        )
+        self._lost_sends.add(self._lost_send(worker, attempts, max(now, attempts.deadline_at)))
+
     def _release(self, attempts: Attempts) -> None:
+        """Release a request's claim; its doubts take the place of it."""
+        request_id, has_claim = attempts.request.request_id, attempts.has_claim
+        if not self._records.is_empty and self._lost_sends.share(
+            attempts.fingerprint, request_id, has_claim
+        ):
+            attempts.has_claim = False
         if not attempts.has_claim:
             return
         attempts.has_claim = False
         deadline_at = self._clock.monotonic() + RELEASE_SECONDS
-        holder = self._holder(attempts.request.request_id)
+        holder = self._lost_sends.holder(request_id)
         self._tasks.start(self._records.release(attempts.fingerprint, holder, deadline_at))
 
     async def _claim(
@@ -202,7 +198,7 @@
     ) -> RejectedRequest | None:
         now = self._clock.monotonic()
         left = attempts.deadline_at - now
-        holder = self._holder(attempts.request.request_id)
+        holder = self._lost_sends.holder(attempts.request.request_id)
         expires_ms = self._records.now_ms() + int(1e3 * (left + CLAIM_MARGIN_SECONDS))
         claim = SendClaim(holder, worker.incarnation, expires_ms)
         deadline_at = now + min(CLAIM_TIMEOUT_SECONDS, CLAIM_TIME_FRACTION * left)
@@ -211,11 +207,12 @@
         outcome = await asyncio.shield(taken)
         if isinstance(outcome, Refused):
             return self._admit_without_store(attempts, history)
-        if len(outcome.crashes) >= MAX_CRASHES:
-            return self._reject_quarantined(attempts, outcome)
         if attempts.has_claim:
             self._log_decision("admitted", attempts, outcome, "claimed")
             return None
+        history = self._records.history_of(attempts.fingerprint)
+        if history.weight >= MAX_CRASHES:
+            return self._reject_suspected(attempts, history)
         return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
 
     async def _take_claim(
@@ -240,7 +237,7 @@
         """Admit a request with one crash, once at a time; another one must wait for the store."""
         fingerprint = attempts.fingerprint
         is_running = fingerprint in self._unclaimed and not attempts.runs_unclaimed
-        if len(history.crashes) > 1 or is_running:
+        if history.weight > 1 or is_running:
             return self._reject(
                 attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
@@ -263,49 +260,10 @@
         is_half_lost = len(crashed) > MAX_CRASHED_FRACTION * (remaining + len(crashed))
         return is_half_lost or remaining <= MIN_REMAINING_WORKERS
 
-    async def _record(self, worker: Worker, fingerprint: str, request_id: str) -> None:
-        """Tell the other nodes of a crash and store it."""
-        crash = Crash(worker.incarnation, self._records.now_ms())
-        is_new = self._records.add_reported(fingerprint, crash)
-        if is_new:
-            self._notices.send(CrashNotice(fingerprint, crash))
-        started_at = self._clock.monotonic()
-        wait_seconds = 0.0 if self._store.is_degraded() else SAVE_WAIT_SECONDS
-        holder = self._holder(request_id)
-        is_stored = await self._records.save_crash(fingerprint, crash, holder, wait_seconds)
-        self._metrics.crash_decisions.labels("recorded").inc()
-        log.warning(
-            "worker_ended",
-            request=request_id,
-            fingerprint=fingerprint,
-            worker=worker.worker_id,
-            started_ms=worker.started_ms,
-            crashes=len(self._records.history_of(fingerprint).crashes),
-            new=is_new,
-            stored=is_stored,
-            waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
-        )
-
-    async def _confirm_later(self, lost: _LostCall, result: ProbeResult) -> None:
-        """Record a crash if the worker list shows within some seconds that the worker has ended."""
-        if await self._detector.has_ended_later(lost.worker, result):
-            await self._record(lost.worker, lost.fingerprint, lost.request_id)
-
-    def _on_notice(self, notice: CrashNotice) -> bool:
-        is_new = self._records.add_reported(notice.fingerprint, notice.crash)
-        if is_new:
-            log.info(
-                "crash_notice",
-                fingerprint=notice.fingerprint,
-                worker=notice.crash.worker,
-                crashes=len(self._records.history_of(notice.fingerprint).crashes),
-            )
-        return is_new
-
-    def _holder(self, request_id: str) -> str:
-        return f"{self._node}/{request_id}"
-
-    def _reject_quarantined(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
+    def _reject_suspected(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
+        """Reject a request until its crashes expire, or some of its doubts are resolved."""
+        if replace(history, doubts=()).weight < MAX_CRASHES:
+            return self._reject(attempts, history, "workers_in_doubt", DOUBT_RETRY_AFTER_SECONDS)
         left_ms = max(0, history.retained_until_ms - self._records.now_ms())
         return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
 
@@ -327,6 +285,8 @@
             fingerprint=attempts.fingerprint,
             reason=reason,
             crashes=len(history.crashes),
+            doubts=len(history.doubts),
+            weight=history.weight,
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -1,8 +1,8 @@
-"""Notices of crashes between nodes, by datagrams.
+"""Notices of crashes and doubts between nodes, by datagrams.
 
 The shared store tells every node of a crash, but may be slow or down when the caller returns to
-another node. Each node that learns of a crash by a notice passes it on to a few random others, so
-that all nodes know it after a few steps and none sends to all.
+another node, and most doubts are never stored. Each node that learns of one by a notice passes it
+on to a few random others, so that all nodes know it after a few steps and none sends to all.
 """
 
 import asyncio
@@ -14,7 +14,14 @@
 from foxwinch._generated.crashes_pb2 import CrashNoticesMessage
 from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.core.records.crash_history import Crash
+from foxwinch.core.records.crash_history import (
+    Crash,
+    Doubt,
+    decode_crash,
+    decode_doubt,
+    encode_crash,
+    encode_doubt,
+)
 from foxwinch.log import EventLog
 from foxwinch.records.node_registry import NodeRegistry
 
@@ -24,16 +31,18 @@
 """Number of times that a notice is sent, as datagrams may be lost."""
 COPY_INTERVAL_SECONDS = 0.01
 MAX_DATAGRAM_BYTES = 1_400
+MAX_NOTICES = 10
+"""Maximum number of notices in a datagram; each has some 100 bytes."""
 MAX_DATAGRAMS_PER_SECOND = 500
 """Limit of a node; after the loss of many workers, the shared store tells of the others."""
 log = EventLog("crash_notices")
 
 
 class CrashNotice(NamedTuple):
-    """A worker that ended while it ran a request."""
+    """A worker that ended, or may have ended, while it ran a request."""
 
     fingerprint: str
-    crash: Crash
+    loss: Crash | Doubt
 
 
 class CrashNotices(asyncio.DatagramProtocol):
@@ -46,6 +55,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._bucket: TokenBucket | None = None
         self._dropped = 0
+        self._pending: list[CrashNotice] = []
+        """Notices that the next datagrams will hold."""
         self.on_notice: Callable[[CrashNotice], bool] = lambda notice: False
         """Handles a notice and returns whether it was new; new ones are passed on."""
 
@@ -62,16 +73,23 @@
             self._transport.close()
 
     def send(self, notice: CrashNotice) -> None:
-        """Send a notice to a few other nodes."""
+        """Send a notice to a few other nodes, with those that follow at once."""
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._send_pending)
+        self._pending.append(notice)
+
+    def _send_pending(self) -> None:
+        pending, self._pending = self._pending, []
         addresses = self._choose_addresses()
         if self._transport is None or not addresses:
             return
-        payload = _encode(notice)
-        self._send_to(addresses, payload)
-        for number in range(1, COPIES):
-            asyncio.get_running_loop().call_later(
-                number * COPY_INTERVAL_SECONDS, self._send_to, addresses, payload
-            )
+        for start in range(0, len(pending), MAX_NOTICES):
+            payload = _encode(pending[start : start + MAX_NOTICES])
+            self._send_to(addresses, payload)
+            for number in range(1, COPIES):
+                asyncio.get_running_loop().call_later(
+                    number * COPY_INTERVAL_SECONDS, self._send_to, addresses, payload
+                )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -85,8 +103,8 @@
             log.warning("notice_malformed", sender=addr[0], detail=str(error))
             return
         for each in message.notices:
-            crash = Crash(each.crash.worker, each.crash.recorded_ms)
-            notice = CrashNotice(each.fingerprint, crash)
+            loss = decode_doubt(each.doubt) if each.HasField("doubt") else decode_crash(each.crash)
+            notice = CrashNotice(each.fingerprint, loss)
             if self.on_notice(notice):
                 self.send(notice)
 
@@ -122,9 +140,12 @@
         self._dropped += 1
 
 
-def _encode(notice: CrashNotice) -> bytes:
+def _encode(notices: list[CrashNotice]) -> bytes:
     message = CrashNoticesMessage()
-    entry = message.notices.add(fingerprint=notice.fingerprint)
-    entry.crash.worker = notice.crash.worker
-    entry.crash.recorded_ms = notice.crash.recorded_ms
+    for notice in notices:
+        entry = message.notices.add(fingerprint=notice.fingerprint)
+        if isinstance(notice.loss, Doubt):
+            entry.doubt.CopyFrom(encode_doubt(notice.loss))
+        else:
+            entry.crash.CopyFrom(encode_crash(notice.loss))
     return message.SerializeToString()
--- /dev/null
+++ b/src/foxwinch/serving/lost_sends.py
@@ -0,0 +1,276 @@
+"""Sends without a response: whether their workers have ended is found out and told to other nodes.
+
+Until a worker has proved to live after a send was lost, the send is in doubt and counts like a
+crash. Most doubts are resolved by a health check before the caller hears of the failure. The others
+are told to the other nodes when the request ends; they are stored only if several sends of the
+request are in doubt or have ended their workers, as only then they decide about the next send.
+"""
+
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from foxwinch.clock import Clock
+from foxwinch.core.records.crash_history import Crash, CrashHistory, Doubt
+from foxwinch.core.routing.directory import Worker
+from foxwinch.log import EventLog
+from foxwinch.records.crash_records import CrashRecords
+from foxwinch.records.store_state import ObservedStore
+from foxwinch.service_tasks import ServiceTasks
+from foxwinch.serving.crash_detection import CrashDetector, LostSend
+from foxwinch.serving.crash_notices import CrashNotice, CrashNotices
+from foxwinch.serving.messages import ProbeResult
+from foxwinch.serving.metrics import ServingMetrics
+from foxwinch.serving.ports import RoutingView
+
+SAVE_WAIT_SECONDS = 0.1
+"""Maximum time that a failed call's caller waits for the crash to be stored. Notices tell the other
+nodes while the store is slow."""
+log = EventLog("crashes")
+
+
+@dataclass(slots=True)
+class _OwnDoubt:
+    """A doubt of a send of this node."""
+
+    doubt: Doubt
+    request_id: str
+    is_shared: bool = False
+    is_stored: bool = False
+
+
+@dataclass(slots=True)
+class _OwnDoubts:
+    """The doubts of this node's sends of one request, by worker incarnation."""
+
+    by_worker: dict[str, _OwnDoubt] = field(default_factory=dict)
+
+
+class LostSends:
+    """Tracks lost sends until it is known whether their workers have ended."""
+
+    def __init__(
+        self,
+        records: CrashRecords,
+        detector: CrashDetector,
+        notices: CrashNotices,
+        routing: RoutingView,
+        store: ObservedStore,
+        clock: Clock,
+        metrics: ServingMetrics,
+        tasks: ServiceTasks,
+        node: str,
+    ) -> None:
+        """Track the sends of a node; `node` must be unique to this run of the process."""
+        self._records = records
+        self._detector = detector
+        self._notices = notices
+        self._routing = routing
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = tasks
+        self._node = node
+        self._own: dict[str, _OwnDoubts] = {}
+        """Unresolved doubts of this node by fingerprint."""
+        self._resolving: set[tuple[str, str]] = set()
+        """Fingerprints and worker incarnations of the doubts that this node tries to resolve."""
+        notices.on_notice = self._on_notice
+
+    def holder(self, request_id: str) -> str:
+        """Return the name by which a request of this node holds a claim."""
+        return f"{self._node}/{request_id}"
+
+    def add(self, lost: LostSend) -> None:
+        """Put a send in doubt whose worker may still run it."""
+        self._add_doubt(lost)
+        self._start_resolving(lost)
+
+    async def settle(self, lost: LostSend) -> bool:
+        """Put a send in doubt whose connection was lost, and check its worker before returning.
+
+        Return whether the worker has ended, which is then recorded and releases the request's
+        claim. A worker that proves to live leaves no doubt.
+        """
+        self._add_doubt(lost)
+        checked_at = self._clock.monotonic()
+        result = await self._detector.check(lost.worker, lost.request_id, lost.fingerprint)
+        if result is ProbeResult.ENDED:
+            await self._record(lost)
+            return True
+        if self._detector.proves_life(lost, result, checked_at):
+            self._clear(lost)
+        else:
+            self._start_resolving(replace(lost, checked_at=checked_at))
+        return False
+
+    def share(self, fingerprint: str, request_id: str, has_claim: bool) -> bool:
+        """Tell the other nodes of this node's doubts; return whether that releases the claim."""
+        own = self._own.get(fingerprint)
+        if own is None:
+            return False
+        unshared = [each for each in own.by_worker.values() if not each.is_shared]
+        for each in unshared:
+            each.is_shared = True
+            self._notices.send(CrashNotice(fingerprint, each.doubt))
+        if has_claim or self._is_needed(fingerprint):
+            self._store_own(fingerprint)
+        return has_claim and any(each.request_id == request_id for each in unshared)
+
+    def forget(self, fingerprint: str) -> None:
+        """Forget the doubts of a request that a worker has completed."""
+        self._own.pop(fingerprint, None)
+
+    def resolve(self, fingerprint: str, history: CrashHistory) -> None:
+        """Try to resolve doubts that keep a request from being sent, whichever node has them."""
+        if not history.doubts:
+            return
+        workers = {each.incarnation: each for each in self._routing.directory.known_workers()}
+        for doubt in history.doubts:
+            worker = workers.get(doubt.worker)
+            if worker is not None and (fingerprint, doubt.worker) not in self._resolving:
+                self._start_resolving(self._lost_send(fingerprint, doubt, worker))
+
+    def _lost_send(self, fingerprint: str, doubt: Doubt, worker: Worker) -> LostSend:
+        """Return the lost send of another node's doubt."""
+        now, now_ms = self._clock.monotonic(), self._records.now_ms()
+        return LostSend(
+            worker,
+            fingerprint,
+            request_id="",
+            lost_at=now + (doubt.lost_ms - now_ms) / 1e3,
+            ends_at=now + (doubt.ends_ms - now_ms) / 1e3,
+            suspected=doubt.suspected,
+        )
+
+    def _add_doubt(self, lost: LostSend) -> None:
+        now, now_ms = self._clock.monotonic(), self._records.now_ms()
+        ends_ms = now_ms + int(1e3 * max(0.0, lost.ends_at - now))
+        doubt = Doubt(lost.worker.incarnation, now_ms, ends_ms, lost.suspected)
+        if not self._records.add_doubt(lost.fingerprint, doubt):
+            return
+        own = self._own.setdefault(lost.fingerprint, _OwnDoubts())
+        own.by_worker[doubt.worker] = _OwnDoubt(doubt, lost.request_id)
+        self._metrics.crash_decisions.labels("doubted").inc()
+
+    def _start_resolving(self, lost: LostSend) -> None:
+        key = (lost.fingerprint, lost.worker.incarnation)
+        if key not in self._resolving:
+            self._resolving.add(key)
+            self._tasks.start(self._resolve(lost))
+
+    async def _resolve(self, lost: LostSend) -> None:
+        result = await self._detector.resolve(
+            lost,
+            is_open=lambda: self._is_open(lost),
+            is_needed=lambda: self._is_needed(lost.fingerprint),
+        )
+        self._resolving.discard((lost.fingerprint, lost.worker.incarnation))
+        if result is ProbeResult.ENDED:
+            await self._record(lost)
+        elif result is ProbeResult.RUNNING:
+            self._clear(lost)
+        elif self._is_open(lost):
+            self._drop_own(lost)
+            log.warning(
+                "doubt_unresolved",
+                request=lost.request_id,
+                fingerprint=lost.fingerprint,
+                worker=lost.worker.worker_id,
+            )
+
+    def _is_open(self, lost: LostSend) -> bool:
+        return self._records.has_loss(lost.fingerprint, lost.worker.incarnation)
+
+    def _is_needed(self, fingerprint: str) -> bool:
+        """Return whether doubts of a request decide about its next send."""
+        return self._records.history_of(fingerprint).weight > 1
+
+    def _clear(self, lost: LostSend) -> None:
+        """Remove the doubt of a worker that has proved to live."""
+        self._drop_own(lost)
+        self._records.remove_doubt(lost.fingerprint, lost.worker.incarnation)
+        self._metrics.crash_decisions.labels("doubt_cleared").inc()
+        log.info(
+            "doubt_cleared",
+            request=lost.request_id,
+            fingerprint=lost.fingerprint,
+            worker=lost.worker.worker_id,
+            started_ms=lost.worker.started_ms,
+            age_ms=int(1e3 * (self._clock.monotonic() - lost.lost_at)),
+        )
+
+    def _drop_own(self, lost: LostSend) -> None:
+        own = self._own.get(lost.fingerprint)
+        if own is None:
+            return
+        own.by_worker.pop(lost.worker.incarnation, None)
+        if not own.by_worker:
+            del self._own[lost.fingerprint]
+
+    def _store_own(self, fingerprint: str) -> None:
+        """Store the shared doubts of this node for a request."""
+        own = self._own.get(fingerprint)
+        if own is None:
+            return
+        for each in own.by_worker.values():
+            if each.is_shared and not each.is_stored:
+                each.is_stored = True
+                holder = self.holder(each.request_id)
+                self._records.start_save(fingerprint, partial(_add, each.doubt, holder))
+
+    async def _record(self, lost: LostSend) -> None:
+        """Tell the other nodes of a crash and store it."""
+        self._drop_own(lost)
+        lost_ms = self._records.now_ms() - int(1e3 * (self._clock.monotonic() - lost.lost_at))
+        crash = Crash(lost.worker.incarnation, max(0, lost_ms), lost.suspected)
+        is_new = self._records.add_reported(lost.fingerprint, crash)
+        if is_new:
+            self._notices.send(CrashNotice(lost.fingerprint, crash))
+        started_at = self._clock.monotonic()
+        wait_seconds = 0.0 if self._store.is_degraded() else SAVE_WAIT_SECONDS
+        holder = self.holder(lost.request_id)
+        is_stored = await self._records.save(
+            lost.fingerprint, partial(_add, crash, holder), wait_seconds
+        )
+        self._metrics.crash_decisions.labels("recorded").inc()
+        log.warning(
+            "worker_ended",
+            request=lost.request_id,
+            fingerprint=lost.fingerprint,
+            worker=lost.worker.worker_id,
+            started_ms=lost.worker.started_ms,
+            lost_ago_ms=int(1e3 * (started_at - lost.lost_at)),
+            crashes=len(self._records.history_of(lost.fingerprint).crashes),
+            new=is_new,
+            stored=is_stored,
+            waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
+        )
+
+    def _on_notice(self, notice: CrashNotice) -> bool:
+        """Add a notice of another node; return whether it was new."""
+        fingerprint, loss = notice
+        if isinstance(loss, Doubt):
+            is_new = self._records.add_doubt(fingerprint, loss)
+        else:
+            is_new = self._records.add_reported(fingerprint, loss)
+        if not is_new:
+            return False
+        history = self._records.history_of(fingerprint)
+        log.info(
+            "crash_notice",
+            fingerprint=fingerprint,
+            worker=loss.worker,
+            is_doubt=isinstance(loss, Doubt),
+            crashes=len(history.crashes),
+            doubts=len(history.doubts),
+        )
+        if history.weight > 1:
+            self._store_own(fingerprint)
+        return True
+
+
+def _add(loss: Crash | Doubt, holder: str, history: CrashHistory) -> CrashHistory:
+    """Return a history with a loss, and without the claim of its holder."""
+    if isinstance(loss, Doubt):
+        return history.with_doubt(loss, holder)
+    return history.with_crash(loss, holder)
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -111,11 +111,11 @@
     """Whether an incarnation of a worker still runs, as shown by a new connection."""
 
     RUNNING = "running"
-    """Something accepts connections at its address and claims no other identity."""
+    """Something responds at its address and claims no other identity."""
     ENDED = "ended"
     """Nothing listens at its address, or another worker does."""
     UNKNOWN = "unknown"
-    """The connection was not made in time or was closed without a response."""
+    """No response arrived in time, or the connection was closed without one."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -17,6 +17,7 @@
 from foxwinch.serving.crash_guard import CrashGuard
 from foxwinch.serving.crash_notices import CrashNotices
 from foxwinch.serving.handler import RequestHandler
+from foxwinch.serving.lost_sends import LostSends
 from foxwinch.serving.messages import Caller, RejectedRequest, Rejection, ServiceRequest
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import Workers
@@ -62,7 +63,7 @@
         self.crash_records = CrashRecords(store, clock, self._tasks)
         self.registry = NodeRegistry(store, clock, name)
         self.notices = CrashNotices(self.registry, clock)
-        guard = CrashGuard(
+        lost_sends = LostSends(
             self.crash_records,
             CrashDetector(routing, workers, clock, metrics),
             self.notices,
@@ -73,6 +74,7 @@
             self._tasks,
             run_id,
         )
+        guard = CrashGuard(self.crash_records, lost_sends, routing, clock, metrics, self._tasks)
         self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics, guard)
         origins = StreamOrigins(store, routing, clock, metrics, self._tasks)
         self._handler = RequestHandler(
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -44,6 +44,11 @@
         """Return the time since the configuration was last confirmed as the newest."""
         ...
 
+    @property
+    def expiry_seconds(self) -> float:
+        """Return the time after which the entry of a worker that has ended expires."""
+        ...
+
     def workers_age_seconds(self) -> float:
         """Return the time since the worker list was last confirmed as the newest."""
         ...
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -79,6 +79,11 @@
         """Return the directory of known workers."""
         return self._directory
 
+    @property
+    def expiry_seconds(self) -> float:
+        """Return the time after which the entry of a worker that has ended expires."""
+        return self._expiry_seconds
+
     def configuration_age_seconds(self) -> float:
         """Return the time since the configuration was last confirmed as the newest."""
         return self.configuration_watch.age_seconds()
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -194,13 +194,15 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if "request-id" not in headers:
             self.health_checks += 1
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            return True
         if self.worker_id is not None and headers.get("expect-instance") != self.worker_id:
-            lines = f"Request-Id: {headers['request-id']}\r\nInstance: {self.worker_id}\r\n"
+            request_id = headers.get("request-id", "")
+            lines = f"Request-Id: {request_id}\r\nInstance: {self.worker_id}\r\n"
             head = f"HTTP/1.1 421 Some\r\n{lines}Content-Length: 0\r\n\r\n"
             writer.write(head.encode())
             return True
+        if "request-id" not in headers:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
         received = ReceivedRequest(method, target, headers, body, number)
         self.received.append(received)
         response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
--- /dev/null
+++ b/tests/test_crash_history.py
@@ -0,0 +1,64 @@
+"""Crash histories: which losses count, and how doubts end."""
+
+import pytest
+
+from foxwinch.core.records.crash_history import (
+    COMMON_CAUSE_MS,
+    DOUBT_MS,
+    MAX_CRASHES,
+    RETENTION_MS,
+    Crash,
+    CrashHistory,
+    Doubt,
+    SendClaim,
+)
+
+DOUBT = Doubt("w1", 1_000, 1_500)
+
+
+def test_doubts_count_like_crashes_and_each_worker_once():
+    history = CrashHistory().with_crash(Crash("w0", 900), "").with_doubt(DOUBT, "")
+    assert history.with_doubt(Doubt("w2", 1_100, 1_100), "").weight == MAX_CRASHES
+    assert history.with_doubt(Doubt("w0", 1_100, 1_100), "").weight == 2
+    assert history.with_crash(Crash("w1", 2_000), "").losses == [
+        Crash("w0", 900),
+        Crash("w1", 2_000),
+    ]
+
+
+# Guards against a doubt that is forgotten together with the node that had to resolve it.
+def test_an_unresolved_doubt_becomes_a_crash_when_it_expires():
+    history = CrashHistory().with_doubt(DOUBT, "")
+    expires_ms = DOUBT.ends_ms + DOUBT_MS
+    assert history.current(expires_ms - 1) == history
+    assert history.current(expires_ms).crashes == (Crash("w1", expires_ms),)
+    assert history.current(expires_ms + RETENTION_MS) == CrashHistory()
+    assert history.current(expires_ms).without("w1") == CrashHistory()
+
+
+# Guards against refusing a request of many callers after one event ended all of its workers.
+def test_losses_of_unsuspected_sends_at_one_time_count_once():
+    history = CrashHistory()
+    for number in range(8):
+        history = history.with_crash(Crash(f"w{number}", 1_000 + 100 * number, False), "")
+    assert history.weight == 1
+    assert history.with_crash(Crash("w8", 1_200), "").weight == 2
+    later_ms = 1_000 + COMMON_CAUSE_MS + 1
+    assert history.with_doubt(Doubt("w8", later_ms, later_ms, False), "").weight == 2
+
+
+@pytest.mark.parametrize("loss", [Crash("w1", 5), Doubt("w1", 5, 6)])
+def test_a_loss_releases_the_claim_of_its_holder_only(loss):
+    claim = SendClaim("n1/r1", "w1", 10)
+    history = CrashHistory(claim=claim)
+    add = history.with_crash if isinstance(loss, Crash) else history.with_doubt
+    assert add(loss, "n1/r1").claim is None
+    assert add(loss, "n2/r1").claim == claim
+
+
+def test_the_stored_form_keeps_all_fields():
+    history = CrashHistory(
+        (Crash("w0", 1, False), Crash("w1", 2)), SendClaim("n/r", "w2", 9), (DOUBT,)
+    )
+    assert CrashHistory.decode(history.encode()) == history
+    assert CrashHistory().encode() == b""
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -43,8 +43,8 @@
 ):
     """Provide nodes and workers that crash on `FATAL` and are restarted."""
     fakes = [FakeWorker(response) for _ in range(workers)]
-    for fake in fakes:
-        fake.fatal_body, fake.crash_kind = FATAL, kind
+    for number, fake in enumerate(fakes):
+        fake.fatal_body, fake.crash_kind, fake.worker_id = FATAL, kind, f"w{number}"
     async with FakePlatform(fakes) as platform:
         if known_starts:
             for number in range(workers):
@@ -324,3 +324,26 @@
             platform.nodes[0], "other", path=SAFE, body=FATAL, Program="p2"
         )
         assert reply.status == 200
+
+
+# Guards against refusing a request of many callers for good after its workers lost power together.
+@pytest.mark.parametrize("kind", [CrashKind.REFUSES, CrashKind.UNREACHABLE])
+async def test_a_request_of_many_callers_is_served_after_all_its_workers_ended_at_once(kind):
+    slow = FakeResponse(body=None, chunks=[b"part"] * 4, pause_seconds=0.05)
+    async with fatal_platform(slow, workers=4, nodes=3, attempts=2, kind=kind) as platform:
+
+        async def run(number):
+            for attempt in range(20):
+                node = platform.nodes[(number + attempt) % 3]
+                reply = await platform.request(node, SAFE, f"s{number}-{attempt}", body=b"same")
+                if reply.status == 200 and reply.is_complete:
+                    return True
+                await asyncio.sleep(4 * RETURN_SECONDS)
+            return False
+
+        calls = [asyncio.ensure_future(run(number)) for number in range(24)]
+        await asyncio.sleep(0.1)
+        for worker in platform.workers:
+            worker.crash()
+        served = await asyncio.gather(*calls)
+        assert all(served), served.count(True)
