--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -130,12 +130,12 @@
         worker_id = self.worker_ids.setdefault(number, f"w{number}")
         self.model.put("servers", worker_id, self.entry_of(number, **changes))
 
-    async def restart_crashed_workers(self, same_id=False):
+    async def restart_crashed_workers(self, same_id=False, restart_seconds=RESTART_SECONDS):
         """Restart each crashed worker as a new incarnation until cancelled."""
         restarts = 0
         while True:
             down = [number for number, worker in enumerate(self.workers) if not worker.is_running]
-            await asyncio.sleep(RESTART_SECONDS)
+            await asyncio.sleep(restart_seconds)
             for number in down:
                 worker = self.workers[number]
                 restarts += 1
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fake_platform import (
+    RESTART_SECONDS,
     RETAINED,
     SAFE,
     STREAM,
@@ -25,6 +26,7 @@
 FATAL = b"crash the worker;"
 TURNS = 3
 ATTEMPTS = 3
+SLOW_RESTART_SECONDS = 1.0
 RETURN_SECONDS = 0.05
 """Time after which callers repeat a failed request."""
 COMPLETE = FakeResponse(body=None, chunks=events(1, 5))
@@ -40,6 +42,7 @@
     same_id=False,
     kind=CrashKind.REFUSES,
     known_starts=False,
+    restart_seconds=RESTART_SECONDS,
 ):
     """Provide nodes and workers that crash on `FATAL` and are restarted."""
     fakes = [FakeWorker(response) for _ in range(workers)]
@@ -54,7 +57,9 @@
             await platform.start_node()
         for node in platform.nodes:
             await wait_until(lambda node=node: count_known_nodes(node), nodes - 1)
-        restarting = asyncio.ensure_future(platform.restart_crashed_workers(same_id))
+        restarting = asyncio.ensure_future(
+            platform.restart_crashed_workers(same_id, restart_seconds)
+        )
         try:
             yield platform
         finally:
@@ -134,7 +139,11 @@
 async def test_crashes_without_proof_count_until_the_worker_is_known_to_live(kind, path, attempts):
     same_id = kind is CrashKind.RESTARTS
     async with fatal_platform(
-        kind=kind, attempts=attempts, same_id=same_id, known_starts=same_id
+        kind=kind,
+        attempts=attempts,
+        same_id=same_id,
+        known_starts=same_id,
+        restart_seconds=SLOW_RESTART_SECONDS,
     ) as platform:
         statuses = await send_repeatedly(platform, path)
         assert 1 <= crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
