Let a starting node ask for the losses that are not stored yet

What callers saw: in the random test a request ended four or five workers. A node that was started during a store outage served it; the crashes before were known from notices alone, sent before that start, and the nodes that had to store them had been killed.

A node now asks a few others when it knows them, and they send the losses that they know and that are not stored.

--- a/src/foxwinch/records/crash_records.py
+++ b/src/foxwinch/records/crash_records.py
@@ -159,6 +159,21 @@
         history = self.history_of(fingerprint)
         return any(each.worker == worker for each in history.losses)
 
+    def unstored_losses(self, most: int) -> list[tuple[str, Crash | Doubt]]:
+        """Return at most `most` losses that are not known to be stored, by fingerprint."""
+        now_ms = self.now_ms()
+        unstored: list[tuple[str, Crash | Doubt]] = []
+        for fingerprint, known in self._known.items():
+            unstored += [(fingerprint, crash) for crash in known.reported.values()]
+            unstored += [
+                (fingerprint, doubt)
+                for doubt in known.reported_doubts.values()
+                if now_ms < doubt.expires_ms
+            ]
+            if len(unstored) >= most:
+                break
+        return unstored[:most]
+
     def remove_doubt(self, fingerprint: str, worker: str) -> None:
         """Forget the doubt of an incarnation that has proved to live, and remove a stored one."""
         known = self._known.get(fingerprint)
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -2,7 +2,8 @@
 
 The shared store tells every node of a crash, but may be slow or down when the caller returns to
 another node, and most doubts are never stored. Each node that learns of one by a notice passes it
-on to a few random others, so that all nodes know it after a few steps and none sends to all.
+on to a few random others, so that all nodes know it after a few steps and none sends to all. A node
+that starts asks a few others for the losses that are not stored yet.
 """
 
 import asyncio
@@ -33,6 +34,12 @@
 MAX_DATAGRAM_BYTES = 1_400
 MAX_NOTICES = 10
 """Maximum number of notices in a datagram; each has some 100 bytes."""
+MAX_UNSTORED = 50
+"""Maximum number of notices sent to a node that asks."""
+ASK_POLL_SECONDS = 0.02
+"""Interval at which a starting node checks whether it knows others."""
+ASK_SECONDS = 10.0
+"""Time after which a starting node that knows no others stops checking."""
 MAX_DATAGRAMS_PER_SECOND = 500
 """Limit of a node; after the loss of many workers, the shared store tells of the others."""
 log = EventLog("crash_notices")
@@ -59,6 +66,8 @@
         """Notices that the next datagrams will hold."""
         self.on_notice: Callable[[CrashNotice], bool] = lambda notice: False
         """Handles a notice and returns whether it was new; new ones are passed on."""
+        self.list_unstored: Callable[[int], list[CrashNotice]] = lambda most: []
+        """Returns at most so many known losses that are not stored."""
 
     async def open(self, host: str, port: int) -> str:
         """Listen on a UDP address, port 0 for a free one; return `ip:port`."""
@@ -91,6 +100,18 @@
                     number * COPY_INTERVAL_SECONDS, self._send_to, addresses, payload
                 )
 
+    async def ask_for_unstored(self) -> None:
+        """Ask a few other nodes, once they are known, for the losses that are not stored."""
+        give_up_at = self._clock.monotonic() + ASK_SECONDS
+        while not self._registry.others and self._clock.monotonic() < give_up_at:
+            await self._clock.sleep(ASK_POLL_SECONDS)
+        addresses = self._choose_addresses()
+        log.info("notices_asked", nodes=len(addresses))
+        payload = CrashNoticesMessage(asks=True).SerializeToString()
+        for _ in range(COPIES):
+            self._send_to(addresses, payload)
+            await self._clock.sleep(COPY_INTERVAL_SECONDS)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport  # type: ignore[assignment]
@@ -102,6 +123,8 @@
         except DecodeError as error:
             log.warning("notice_malformed", sender=addr[0], detail=str(error))
             return
+        if message.asks:
+            self._answer(f"{addr[0]}:{addr[1]}")
         for each in message.notices:
             loss = decode_doubt(each.doubt) if each.HasField("doubt") else decode_crash(each.crash)
             notice = CrashNotice(each.fingerprint, loss)
@@ -112,6 +135,12 @@
         """Log an error of the socket; the notice is lost."""
         log.info("notice_not_sent", detail=type(exc).__name__)
 
+    def _answer(self, address: str) -> None:
+        """Send the losses that are not stored to a node that asked for them."""
+        notices = self.list_unstored(MAX_UNSTORED)
+        for start in range(0, len(notices), MAX_NOTICES):
+            self._send_to([address], _encode(notices[start : start + MAX_NOTICES]))
+
     def _choose_addresses(self) -> list[str]:
         others = self._registry.others
         chosen: list[str] = []
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -75,6 +75,7 @@
         self._resolving: set[tuple[str, str]] = set()
         """Fingerprints and worker incarnations of the doubts that this node tries to resolve."""
         notices.on_notice = self._on_notice
+        notices.list_unstored = self._list_unstored
 
     def holder(self, request_id: str) -> str:
         """Return the name by which a request of this node holds a claim."""
@@ -246,6 +247,11 @@
             waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
         )
 
+    def _list_unstored(self, most: int) -> list[CrashNotice]:
+        """Return notices of known losses that are not stored, for a node that has just started."""
+        unstored = self._records.unstored_losses(most)
+        return [CrashNotice(fingerprint, loss) for fingerprint, loss in unstored]
+
     def _on_notice(self, notice: CrashNotice) -> bool:
         """Add a notice of another node; return whether it was new."""
         fingerprint, loss = notice
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -109,6 +109,7 @@
         if notices_address is not None:
             self._tasks.start(self.registry.watch.run())
             self._tasks.start(self.registry.run(notices_address))
+            self._tasks.start(self.notices.ask_for_unstored())
         table = self.routing.configuration_watch.table
         self._tasks.start(StoreProbe(self._store, self._clock, table).run())
 
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -206,14 +206,15 @@
 class NoticeTransport:
     """Delivers the datagrams of one node to the others, late and not always."""
 
-    def __init__(self, world):
+    def __init__(self, world, number):
         self._world = world
+        self._number = number
 
     def sendto(self, payload, address):
         node = self._world.nodes[int(address[1])]
         if node is not None and self._world.rng.random() >= NOTICE_LOSS:
             asyncio.get_running_loop().call_later(
-                NOTICE_SECONDS, node.notices.datagram_received, payload, ("node", 0)
+                NOTICE_SECONDS, node.notices.datagram_received, payload, ("node", self._number)
             )
 
     def is_closing(self):
@@ -304,7 +305,7 @@
             metrics=metrics,
             grace_seconds=5.0,
         )
-        node.notices.connection_made(NoticeTransport(self))
+        node.notices.connection_made(NoticeTransport(self, number))
         node.start(f"node:{number}")
         return node
 
