Let the random test draw how workers crash, when, and whether callers leave

Workers refuse, fall silent, hang or restart at once under their id; a request may run for up to 1.5 s before it crashes its worker; half of the fatal callers leave within 2.4 s.

--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from fake_platform import HOST, SAFE, STREAM, configuration, routes
+from fake_worker import CrashKind
 from foxwinch.emulator.record_store import RecordStoreModel, StoreFault
 from foxwinch.platform.translation import decode_configuration_row, decode_worker_row
 from foxwinch.records.store_state import ObservedStore
@@ -32,11 +33,20 @@
 VERSIONS = ("v1", "v1.1", 2)
 FATAL = b"fatal"
 """Part of a body on which a worker crashes."""
-DOWN_SECONDS = (0.3, 1.0)
+LISTED_SECONDS = (0.0, 1.2)
+"""Range of the time from a restart under the same id to its entry."""
+DOWN_SECONDS = (0.3, 2.0)
 """Range of the time from a crash until the successor of the worker accepts connections."""
 FATAL_ATTEMPTS = 9
 FATAL_PAUSE_SECONDS = (0.5, 2.5)
 """Range of the time between two fatal requests of one caller."""
+USER_TIMEOUT_SECONDS = 1.0
+"""Time after which a silent connection is lost."""
+CONNECT_SECONDS = 0.5
+FATAL_RUN_SECONDS = (0.1, 1.5)
+"""Range of the time that a request runs before it crashes its worker."""
+PATIENCE_SECONDS = (0.2, 2.4)
+"""Range of the time after which a caller leaves."""
 RETURN_SECONDS = 0.05
 """Time after which callers repeat a fatal request."""
 NOTICE_SECONDS = 0.002
@@ -68,6 +78,8 @@
         self.version = VERSIONS[0]
         self.incarnation = 0
         self.is_up = True
+        self.is_silent = False
+        """Whether its connections stay open and get no bytes."""
         self.shed = self.abort = 0.0
         self.list_entry()
 
@@ -98,13 +110,24 @@
         self.is_up = True
 
     def crash(self):
-        """End at once; a successor starts under the same id or a new one."""
-        if self.is_up:
-            self.is_up = False
-            self._world.start(self._succeed())
-
-    async def _succeed(self):
+        """End at once in one of several ways; a successor starts under the same id or a new one."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        kind = self._world.rng.choice(tuple(CrashKind))
+        self.is_silent = kind in (CrashKind.UNREACHABLE, CrashKind.HANGS)
+        if kind is CrashKind.RESTARTS:
+            self.incarnation += 1
+            self.is_up = True
+        self._world.start(self._succeed(kind))
+
+    async def _succeed(self, kind):
+        if kind is CrashKind.RESTARTS:
+            await asyncio.sleep(self._world.rng.uniform(*LISTED_SECONDS))
+            self.list_entry()
+            return
         await asyncio.sleep(self._world.rng.uniform(*DOWN_SECONDS))
+        self.is_silent = False
         await self.restart(self.version, new_id=self._world.rng.random() < 0.5)
 
 
@@ -124,6 +147,8 @@
         for number in range(self._first_event, EVENTS + 1):
             event = f"id: {number}\ndata: {self._version}\n\n".encode()
             crashed = not self._worker.is_up or self._worker.incarnation != self._incarnation
+            if crashed and self._worker.is_silent:
+                await asyncio.sleep(USER_TIMEOUT_SECONDS)
             if crashed or self._rng.random() < self._worker.abort:
                 yield event[: self._rng.randrange(len(event))]
                 yield CallInterrupted(CallFailure.CONNECTION_LOST, "aborted")
@@ -177,6 +202,8 @@
     async def call(self, worker, call):
         await asyncio.sleep(0.005)
         found = next(each for each in self._world.workers if each.address == worker.address)
+        if found.is_silent:
+            await asyncio.sleep(CONNECT_SECONDS)
         if not found.is_up:
             return CallRefused(CallFailure.UNREACHABLE, "down")
         if found.worker_id != worker.worker_id:
@@ -190,15 +217,27 @@
 
     async def _crash(self, worker, request):
         """Crash before the response or in its middle."""
+        rng = self._world.rng
+        is_first_half = rng.random() < 0.5
+        if is_first_half:
+            await asyncio.sleep(rng.choice((0.0, 0.0, rng.uniform(*FATAL_RUN_SECONDS))))
+        if not worker.is_up:
+            return CallInterrupted(CallFailure.CONNECTION_LOST, "ended by another request")
         self._world.crashes[request.body] += 1
+        response = Response(worker, request.request_id, 1, rng)
         worker.crash()
-        if self._world.rng.random() < 0.5:
+        if is_first_half:
+            if worker.is_silent:
+                await asyncio.sleep(USER_TIMEOUT_SECONDS)
             return CallInterrupted(CallFailure.CONNECTION_LOST, "crashed")
-        return Response(worker, request.request_id, 1, self._world.rng)
+        return response
 
     async def probe(self, worker, health_path, timeout_seconds):
         await asyncio.sleep(0.005)
         found = next(each for each in self._world.workers if each.address == worker.address)
+        if found.is_silent:
+            await asyncio.sleep(timeout_seconds)
+            return ProbeResult.UNKNOWN
         is_running = found.is_up and found.worker_id == worker.worker_id
         return ProbeResult.RUNNING if is_running else ProbeResult.ENDED
 
@@ -318,8 +357,11 @@
         await asyncio.sleep(self.rng.random())
         self.nodes[number] = self._start_node(number)
 
-    async def send(self, request_id, origin, last_event, body=b"", path=STREAM):
-        """Send a request to a random running node and return what it delivered."""
+    async def send(self, request_id, origin, last_event, body=b"", path=STREAM, patience=None):
+        """Send a request to a random running node and return what it delivered.
+
+        The caller leaves after `patience` seconds, if given.
+        """
         caller = Caller()
         running = [number for number in range(NODES) if self.nodes[number] is not None]
         if not running:
@@ -340,7 +382,10 @@
         )
         task = asyncio.ensure_future(self.nodes[number].handle(request, caller))
         self.requests[number][task] = request
-        await asyncio.wait([task])
+        await asyncio.wait([task], timeout=patience)
+        if not task.done():
+            task.cancel()
+            await asyncio.wait([task])
         del self.requests[number][task]
         if not task.cancelled():
             task.result()
@@ -379,7 +424,9 @@
             body = FATAL + b"%d-%d" % (number, request)
             path = self.rng.choice((STREAM, SAFE))
             for attempt in range(FATAL_ATTEMPTS):
-                caller = await self.send(f"f{number}-{request}-{attempt}", None, None, body, path)
+                name = f"f{number}-{request}-{attempt}"
+                patience = self.rng.choice((None, self.rng.uniform(*PATIENCE_SECONDS)))
+                caller = await self.send(name, None, None, body, path, patience)
                 assert not caller.is_complete
                 await asyncio.sleep(RETURN_SECONDS)
             await asyncio.sleep(self.rng.uniform(*FATAL_PAUSE_SECONDS))
