--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -97,6 +97,8 @@
         if not history.weight:
             return None
         attempts.is_suspected = True
+        # This node may be killed during the next send.
+        self._lost_sends.share(attempts.fingerprint, attempts.request.request_id, has_claim=False)
         if history.weight > 1:
             self._lost_sends.resolve(attempts.fingerprint, history)
         if history.weight >= MAX_CRASHES:
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -2,7 +2,7 @@
 
 Until a worker has proved to live after a send was lost, the send is in doubt and counts like a
 crash. Most doubts are resolved by a health check before the caller hears of the failure. The others
-are told to the other nodes when the request ends; they are stored only if several sends of the
+are told to the other nodes before the request is sent again or ends; they are stored only if several sends of the
 request are in doubt or have ended their workers, as only then they decide about the next send.
 """
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,9 @@
 """Probability that a caller resumes an interrupted stream rather than repeats the turn."""
 FATAL_PROBABILITY = 0.04
 """Probability that a program consists of one request that crashes its workers."""
+LEAVE_PROBABILITY = 0.4
+"""Probability that the caller of a fatal request leaves before its deadline."""
+LEAVE_SECONDS = (0.2, 2.4)
 FATAL_TURNS = 3
 """Number of times that such a request is sent from its start, each with its attempts."""
 MIN_WORKERS_OF_VERSION = 2
@@ -264,7 +267,7 @@
         attempt.is_checked = self._is_resumption_expected(attempt)
         completed = None
         try:
-            async with asyncio.timeout(DEADLINE_SECONDS + 0.5):
+            async with asyncio.timeout(self._patience_seconds(body)):
                 async with session.post(url, data=body, headers=request_headers) as response:
                     attempt.status = response.status
                     attempt.stamp = response.headers.get("Response-Stamp")
@@ -280,6 +283,12 @@
         self._checker.check_response(attempt, EVENTS)
         return completed
 
+    def _patience_seconds(self, body: bytes) -> float:
+        """Return the time after which the caller leaves; some of a fatal request leave early."""
+        if FATAL in body and self._rng.random() < LEAVE_PROBABILITY:
+            return self._rng.uniform(*LEAVE_SECONDS)
+        return DEADLINE_SECONDS + 0.5
+
     def _check_connection_loss(self, attempt: Attempt) -> None:
         """Report a connection that ended without a response if only a planned stop was going on."""
         now = self._disruptions.now()
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from fake_worker import CrashKind
 from foxwinch.bench.fault_proxy import FaultProxy
 from foxwinch.emulator.record_store import RecordStoreModel
 from foxwinch.identifiers import PeerAddress
@@ -22,7 +23,11 @@
 TABLE = "servers"
 FATAL = b"fatal"
 """Part of a body on which a worker crashes."""
-DOWN_SECONDS = (0.5, 1.5)
+LISTED_SECONDS = (0.0, 1.2)
+"""Range of the time from a restart under the same id to its entry."""
+RUN_SECONDS = (0.1, 1.5)
+"""Range of the time that a request may run before it crashes its worker."""
+DOWN_SECONDS = (0.5, 2.5)
 """Range of the time from a crash until the successor of the worker listens."""
 ENDLESS_BLOCK = b"x" * 65_536
 ENDLESS_HEADS = (
@@ -72,6 +77,7 @@
         self._entry_sequence = 0
         self._draining_at: float | None = None
         self._crash_task: asyncio.Task[None] | None = None
+        self._late_crashes: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -92,9 +98,10 @@
 
     async def stop(self) -> None:
         """Close the proxy and the server."""
-        if self._crash_task is not None:
-            self._crash_task.cancel()
-            await asyncio.gather(self._crash_task, return_exceptions=True)
+        tasks = [*self._late_crashes, *([self._crash_task] if self._crash_task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self.proxy is not None:
             await self.proxy.stop()
         if self._runner is not None:
@@ -113,6 +120,10 @@
         """Restart without any state, under the same id or a new one."""
         if self.proxy is not None:
             self.proxy.reset()
+        self._renew(same_id)
+
+    def _renew(self, same_id: bool) -> None:
+        """Become another incarnation and write its entry."""
         if not same_id:
             self._model.remove(TABLE, self._worker_id)
             self._worker_id = f"w{self._number}-{self._incarnation}"
@@ -121,19 +132,38 @@
         self._draining_at = None
         self._write_entry("ready")
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the worker has crashed and its successor has not started."""
+        return self._crash_task is not None and not self._crash_task.done()
+
     def crash(self) -> None:
-        """End at once: reset all connections, and stop listening until a successor starts."""
-        if self._crash_task is None or self._crash_task.done():
-            assert self.proxy is not None
+        """End at once, in one of the ways that its callers may notice; a successor starts later."""
+        if self.is_down:
+            return
+        assert self.proxy is not None
+        kind = self._rng.choice(tuple(CrashKind))
+        if kind is CrashKind.UNREACHABLE:
+            self.proxy.stall()
+        else:
             self.proxy.reset()
-            self._crash_task = asyncio.ensure_future(self._run_crash())
+        self._crash_task = asyncio.ensure_future(self._run_crash(kind))
 
-    async def _run_crash(self) -> None:
+    async def _run_crash(self, kind: CrashKind) -> None:
         assert self.proxy is not None
         with self._disruptions.span(WORKERS, "crash"):
-            await self.proxy.stop()
-            await asyncio.sleep(self._rng.uniform(*DOWN_SECONDS))
-            await self.proxy.start()
+            if kind is CrashKind.RESTARTS:
+                await asyncio.sleep(self._rng.uniform(*LISTED_SECONDS))
+                self._renew(same_id=True)
+                return
+            if kind is CrashKind.REFUSES:
+                await self.proxy.stop()
+                await asyncio.sleep(self._rng.uniform(*DOWN_SECONDS))
+                await self.proxy.start()
+            else:
+                self.proxy.set_faults(block_to_target=True, block_to_client=True)
+                await asyncio.sleep(self._rng.uniform(*DOWN_SECONDS))
+                self.proxy.set_faults(block_to_target=False, block_to_client=False)
             self.start_incarnation(same_id=self._rng.random() < 0.3)
 
     def drain(self) -> None:
@@ -188,12 +218,25 @@
         return web.Response(body=f"{request_id} done".encode(), headers=headers)
 
     async def _crash_on(self, request_id: str) -> web.Response:
-        self._checker.record_crash(request_id)
-        self.crash()
+        if self._rng.random() < 0.3:
+            # Such a worker ends although its caller has left.
+            crash = asyncio.ensure_future(self._crash_later(request_id))
+            self._late_crashes.add(crash)
+            crash.add_done_callback(self._late_crashes.discard)
+        elif not self.is_down:
+            self._checker.record_crash(request_id)
+            self.crash()
         # The crash resets the connection, which cancels this handler.
         await asyncio.sleep(30)
         return web.Response()
 
+    async def _crash_later(self, request_id: str) -> None:
+        incarnation = self._incarnation
+        await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
+        if not self.is_down and self._incarnation == incarnation:
+            self._checker.record_crash(request_id)
+            self.crash()
+
     async def _send_endlessly(self, request: web.Request) -> web.Response:
         transport = request.transport
         head = self._rng.choice(ENDLESS_HEADS)
