Keep the claim of a request's next send when an earlier one is found to have ended

The end of its first worker was found while its third send ran; recording it released the claim, as both had the same holder, and another node sent the request. A loss now releases a claim only for its own worker.

Also ask workers that report their starts for it (/v1/report): after a reset of their connections that proves at once that they live.

--- a/src/foxwinch/core/records/crash_history.py
+++ b/src/foxwinch/core/records/crash_history.py
@@ -94,16 +94,18 @@
         return history.with_crash(Crash(claim.worker, claim.expires_ms), claim.holder)
 
     def with_crash(self, crash: Crash, holder: str) -> "CrashHistory":
-        """Return the history with a crash, and without the claim if `holder` has it."""
+        """Return the history with a crash, without the claim that `holder` has for its send."""
         known = any(each.worker == crash.worker for each in self.crashes)
         crashes = self.crashes if known else (*self.crashes, crash)
-        return CrashHistory(crashes, self._claim_without(holder), self._doubts_without(crash))
+        return CrashHistory(
+            crashes, self._claim_without(holder, crash.worker), self._doubts_without(crash)
+        )
 
     def with_doubt(self, doubt: Doubt, holder: str) -> "CrashHistory":
-        """Return the history with a doubt, and without the claim if `holder` has it."""
+        """Return the history with a doubt, without the claim that `holder` has for its send."""
         known = any(each.worker == doubt.worker for each in self.losses)
         doubts = self.doubts if known else (*self.doubts, doubt)
-        return CrashHistory(self.crashes, self._claim_without(holder), doubts)
+        return CrashHistory(self.crashes, self._claim_without(holder, doubt.worker), doubts)
 
     def without(self, worker: str) -> "CrashHistory":
         """Return the history without an incarnation that has proved to live.
@@ -172,8 +174,10 @@
             tuple(decode_doubt(each) for each in message.doubts),
         )
 
-    def _claim_without(self, holder: str) -> SendClaim | None:
-        return None if self.claim is not None and self.claim.holder == holder else self.claim
+    def _claim_without(self, holder: str, worker: str) -> SendClaim | None:
+        claim = self.claim
+        is_settled = claim is not None and claim.holder == holder and claim.worker == worker
+        return None if is_settled else claim
 
     def _doubts_without(self, crash: Crash) -> tuple[Doubt, ...]:
         return tuple(each for each in self.doubts if each.worker != crash.worker)
--- a/src/foxwinch/platform/names.py
+++ b/src/foxwinch/platform/names.py
@@ -23,6 +23,11 @@
 NOT_RUN: Final = "Not-Run"
 RETRY_AFTER: Final = "Retry-After"
 
+WORKER_REPORT: Final = "/v1/report"
+"""Path of the state that a worker reports of itself."""
+WORKER_STARTED_MS: Final = "born"
+"""Unix time of a worker's start, in what it reports of itself."""
+
 STORE_TRANSACT: Final = "/v1/rows-tx"
 STORE_READ: Final = "/v1/rows-get"
 STORE_CHANGES: Final = "/v1/rows-feed"
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import errno
+import json
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -29,6 +30,8 @@
     RETRY_AFTER,
     SIGNATURE,
     URGENCY,
+    WORKER_REPORT,
+    WORKER_STARTED_MS,
 )
 from foxwinch.serving.messages import (
     CallFailure,
@@ -47,6 +50,9 @@
 """Maximum number of interim responses and responses to other requests before the awaited one."""
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Maximum size of the body of a response to another request; a longer one is not read."""
+MAX_REPORT_BYTES = 64 * 1024
+"""Maximum size of a worker's report; of a longer one, or of one that arrives in parts, nothing is
+concluded."""
 KEEPALIVE_SECONDS = 3.0
 """Keep-alive time of idle connections; workers close idle connections later than that."""
 STATUS_SWITCHING_PROTOCOLS = 101
@@ -237,8 +243,13 @@
         return HttpWorkerResponse(response, self._limit)
 
     async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
-        """Return whether the worker still runs, from a health check on a new connection."""
-        url = URL(f"http://{worker.address}{health_path}", encoded=True)
+        """Return whether the worker still runs, from a request on a new connection.
+
+        A worker that reports its starts is asked for that; if it has no report, or reports none,
+        its health check tells less.
+        """
+        path = health_path if worker.started_ms is None else WORKER_REPORT
+        url = URL(f"http://{worker.address}{path}", encoded=True)
         headers = {"Host": worker.address, EXPECTED_WORKER: worker.worker_id}
         connector = aiohttp.TCPConnector(force_close=True)
         async with aiohttp.ClientSession(connector=connector) as session:
@@ -248,8 +259,11 @@
                     asyncio.timeout(timeout_seconds),
                     session.get(url, headers=headers, allow_redirects=False) as response,
                 ):
-                    is_other = response.status == STATUS_WRONG_WORKER
-                    return ProbeResult.ENDED if is_other else ProbeResult.RUNNING
+                    if response.status == STATUS_WRONG_WORKER:
+                        return ProbeResult.ENDED
+                    if worker.started_ms is None:
+                        return ProbeResult.RUNNING
+                    return await _compare_start(worker, response)
             except TimeoutError:
                 return ProbeResult.UNKNOWN
             except aiohttp.ClientConnectorError as error:
@@ -261,6 +275,19 @@
                 return ProbeResult.UNKNOWN
 
 
+async def _compare_start(worker: Worker, response: aiohttp.ClientResponse) -> ProbeResult:
+    """Return whether the report of a worker names the start that is known of it."""
+    body = await response.content.read(MAX_REPORT_BYTES)
+    try:
+        report = json.loads(body)
+    except ValueError:
+        return ProbeResult.RUNNING
+    started_ms = report.get(WORKER_STARTED_MS) if isinstance(report, dict) else None
+    if not isinstance(started_ms, int):
+        return ProbeResult.RUNNING
+    return ProbeResult.LIVING if started_ms == worker.started_ms else ProbeResult.ENDED
+
+
 def _headers(worker: Worker, call: OutgoingCall) -> CIMultiDict[str]:
     headers = CIMultiDict(call.request.headers)
     headers["Host"] = call.request.host
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -102,7 +102,7 @@
             if listed is not None and listed != lost.worker.incarnation:
                 return ProbeResult.ENDED
             if self._is_listed_as_living(lost, listed):
-                return ProbeResult.RUNNING
+                return ProbeResult.LIVING
             if listed is not None:
                 unlisted_since = None
             elif unlisted_since is None:
@@ -111,8 +111,10 @@
             if (is_needed() or is_unlisted) and now - checked_at >= CHECK_INTERVAL_SECONDS:
                 checked_at = now
                 result = await self.check(lost.worker, lost.request_id, lost.fingerprint)
-                if result is ProbeResult.ENDED or self.proves_life(lost, result, now):
+                if result is ProbeResult.ENDED:
                     return result
+                if self.proves_life(lost, result, now):
+                    return ProbeResult.LIVING
                 if result is ProbeResult.UNKNOWN and is_unlisted:
                     return ProbeResult.ENDED
             is_first = now - lost.lost_at < POLL_SECONDS
@@ -125,7 +127,11 @@
         A worker that reports its starts may be back under its id. Its successor is listed within
         half of the time in which entries expire.
         """
-        if result is not ProbeResult.RUNNING or checked_at < lost.ends_at:
+        if checked_at < lost.ends_at:
+            return False
+        if result is ProbeResult.LIVING:
+            return True
+        if result is not ProbeResult.RUNNING:
             return False
         if lost.worker.started_ms is None:
             return True
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -2,8 +2,9 @@
 
 Until a worker has proved to live after a send was lost, the send is in doubt and counts like a
 crash. Most doubts are resolved by a health check before the caller hears of the failure. The others
-are told to the other nodes before the request is sent again or ends; they are stored only if several sends of the
-request are in doubt or have ended their workers, as only then they decide about the next send.
+are told to the other nodes before the request is sent again or ends; they are stored only if
+several sends of the request are in doubt or have ended their workers, as only then they decide
+about the next send.
 """
 
 from dataclasses import dataclass, field, replace
@@ -168,7 +169,7 @@
         self._resolving.discard((lost.fingerprint, lost.worker.incarnation))
         if result is ProbeResult.ENDED:
             await self._record(lost)
-        elif result is ProbeResult.RUNNING:
+        elif result is ProbeResult.LIVING:
             self._clear(lost)
         elif self._is_open(lost):
             self._drop_own(lost)
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -110,8 +110,10 @@
 class ProbeResult(StrEnum):
     """Whether an incarnation of a worker still runs, as shown by a new connection."""
 
+    LIVING = "living"
+    """The same start of the worker responds."""
     RUNNING = "running"
-    """Something responds at its address and claims no other identity."""
+    """Something responds at its address and claims no other identity; it may be another start."""
     ENDED = "ended"
     """Nothing listens at its address, or another worker does."""
     UNKNOWN = "unknown"
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -23,7 +23,7 @@
         ...
 
     async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
-        """Return whether the worker still runs, from a health check on a new connection."""
+        """Return whether the worker still runs, from a request on a new connection."""
         ...
 
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -1,6 +1,7 @@
 """A fake of the platform's workers that writes raw bytes, so that it can misbehave."""
 
 import asyncio
+import json
 import socket
 import struct
 from dataclasses import dataclass, field, replace
@@ -103,6 +104,8 @@
         """The requests that the worker crashed on."""
         self.crash_kind = CrashKind.REFUSES
         self.is_running = False
+        self.started_ms: int | None = None
+        """Time of the start that the worker reports, if any."""
         self.worker_id: str | None = None
         """Id that requests must expect; None accepts any."""
         self._server: asyncio.Server | None = None
@@ -201,7 +204,8 @@
             writer.write(head.encode())
             return True
         if "request-id" not in headers:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            report = json.dumps({"born": self.started_ms} if self.started_ms else {}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(report) + report)
             return True
         received = ReceivedRequest(method, target, headers, body, number)
         self.received.append(received)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -36,6 +36,8 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\nResponse-Stamp: s\r\nRequest-Id: ",
 )
 """Starts of endless responses; the request's id and an empty line follow the last one."""
+NUMBER_WITHOUT_REPORT = 4
+"""Number of the worker whose health checks do not name its start."""
 UPGRADE_SECONDS = 0.3
 """Time from the entry of an upgraded worker until it accepts connections."""
 
@@ -120,10 +122,6 @@
         """Restart without any state, under the same id or a new one."""
         if self.proxy is not None:
             self.proxy.reset()
-        self._renew(same_id)
-
-    def _renew(self, same_id: bool) -> None:
-        """Become another incarnation and write its entry."""
         if not same_id:
             self._model.remove(TABLE, self._worker_id)
             self._worker_id = f"w{self._number}-{self._incarnation}"
@@ -132,6 +130,10 @@
         self._draining_at = None
         self._write_entry("ready")
 
+    @property
+    def _started_ms(self) -> int:
+        return 1_790_000_000_000 + self._incarnation
+
     @property
     def is_down(self) -> bool:
         """Whether the worker has crashed and its successor has not started."""
@@ -153,8 +155,10 @@
         assert self.proxy is not None
         with self._disruptions.span(WORKERS, "crash"):
             if kind is CrashKind.RESTARTS:
+                self._incarnation += 1
                 await asyncio.sleep(self._rng.uniform(*LISTED_SECONDS))
-                self._renew(same_id=True)
+                self._entry_sequence, self._draining_at = 0, None
+                self._write_entry("ready")
                 return
             if kind is CrashKind.REFUSES:
                 await self.proxy.stop()
@@ -183,7 +187,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": self._entry_sequence,
-            "born": 1_790_000_000_000 + self._incarnation,
+            "born": self._started_ms,
         }
         self._model.put(TABLE, self._worker_id, json.dumps(entry).encode())
 
@@ -194,7 +198,7 @@
         if request.headers.get("Expect-Instance") != self._worker_id:
             return web.Response(status=421, headers={**headers, "Instance": self._worker_id})
         if not request_id:
-            return web.Response(headers={"Instance": self._worker_id})
+            return self._report()
         self._check_drain(request_id)
         if self._rng.random() < self.faults.shed:
             return web.Response(status=503, headers={**headers, "Not-Run": "1"})
@@ -249,6 +253,11 @@
             await asyncio.sleep(0.005 if transport.get_write_buffer_size() else 0)
         return web.Response()
 
+    def _report(self) -> web.Response:
+        """Return the worker's report; the last worker's has no start."""
+        report = {} if self._number == NUMBER_WITHOUT_REPORT else {"born": self._started_ms}
+        return web.json_response(report, headers={"Instance": self._worker_id})
+
     def _check_drain(self, request_id: str) -> None:
         """Report a request of an undisrupted node that comes too long after the stored drain."""
         if self._draining_at is None:
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -54,6 +54,10 @@
     add = history.with_crash if isinstance(loss, Crash) else history.with_doubt
     assert add(loss, "n1/r1").claim is None
     assert add(loss, "n2/r1").claim == claim
+    # Guards against a late crash that frees the claim of the same request's next send.
+    other = CrashHistory(claim=SendClaim("n1/r1", "w9", 10))
+    add_other = other.with_crash if isinstance(loss, Crash) else other.with_doubt
+    assert add_other(loss, "n1/r1").claim == other.claim
 
 
 def test_the_stored_form_keeps_all_fields():
