Never send a second response behind one that has begun

Cause: the route's time limit passed while a complete response was being sent to a slow reader, and its rejection was written behind it.

At the ingress a begun response can only be continued, finished or aborted.

--- a/src/foxwinch/platform/ingress.py
+++ b/src/foxwinch/platform/ingress.py
@@ -1,5 +1,6 @@
 """HTTP server for callers on the platform: translates requests for the serving node."""
 
+import asyncio
 import json
 from collections.abc import Callable, Mapping
 from typing import Final
@@ -7,6 +8,7 @@
 from aiohttp import web
 
 from foxwinch.clock import Clock
+from foxwinch.log import EventLog
 from foxwinch.platform.names import (
     AFFINITY,
     CONNECTION_HEADERS,
@@ -45,6 +47,12 @@
     Rejection.LATE: 504,
 }
 DEFAULT_RETRY_AFTER_SECONDS = 0.25
+SMALL_BODY_BYTES = 16_384
+"""Size up to which a body is buffered by the connection, whether the caller reads it or not."""
+STALL_SECONDS = 3.0
+"""Time after which a caller that reads nothing of a complete response loses its connection."""
+STALL_POLL_SECONDS = 0.5
+log = EventLog("ingress")
 HEADERS_SET_BY_FOXWINCH: Final = frozenset({"host", DEADLINE_MS.lower(), LAST_EVENT_ID.lower()})
 
 
@@ -155,7 +163,11 @@
 
 
 class HttpCaller:
-    """The HTTP response to one caller; implements `foxwinch.serving.messages.Caller`."""
+    """The HTTP response to one caller; implements `foxwinch.serving.messages.Caller`.
+
+    A response that has begun can only be continued, finished or aborted: a second one would be
+    taken for that to the next request on the connection.
+    """
 
     def __init__(self, request: web.Request, should_close: Callable[[], bool]) -> None:
         """Respond to `request`; while `should_close()` is true, responses close the connection."""
@@ -213,9 +225,48 @@
             transport.close()
 
     async def _send(self, response: web.StreamResponse) -> None:
+        if self._response is not None:
+            log.warning(
+                "second_response",
+                request=self._request.headers.get(REQUEST_ID),
+                first=self._response.status,
+                second=response.status,
+            )
+            self.abort()
+            return
         if self._should_close():
             response.force_close()
         self._response = response
         await response.prepare(self._request)
-        if isinstance(response, web.Response):
+        if not isinstance(response, web.Response):
+            return
+        body = response.body
+        if not isinstance(body, bytes) or len(body) <= SMALL_BODY_BYTES:
             await response.write_eof()
+        else:
+            await self._write_large_body(response)
+
+    async def _write_large_body(self, response: web.Response) -> None:
+        """Send a complete body, and close the connection of a caller that stops to read."""
+        writing = asyncio.ensure_future(response.write_eof())
+        waiting_bytes, waited_seconds = None, 0.0
+        try:
+            while not (await asyncio.wait([writing], timeout=STALL_POLL_SECONDS))[0]:
+                transport = self._request.transport
+                if transport is None:
+                    break
+                remaining_bytes = transport.get_write_buffer_size()
+                is_stalled = remaining_bytes == waiting_bytes
+                waited_seconds = waited_seconds + STALL_POLL_SECONDS if is_stalled else 0.0
+                waiting_bytes = remaining_bytes
+                if waited_seconds >= STALL_SECONDS:
+                    log.info(
+                        "response_not_read",
+                        request=self._request.headers.get(REQUEST_ID),
+                        remaining_bytes=remaining_bytes,
+                    )
+                    transport.abort()
+                    break
+            await writing
+        finally:
+            writing.cancel()
