Count each lost send of a program's request

Its second send was made by a node that had just started and had no notice, 0.6 s after the first one was lost; both counted as one loss, as if they were of two callers. A request that names its program is one caller's, so its losses always count; those of requests without a program still count once within two seconds.

--- a/src/foxwinch/core/records/crash_history.py
+++ b/src/foxwinch/core/records/crash_history.py
@@ -19,7 +19,7 @@
 """Time from the end of a run until a doubt that no node has resolved counts as a crash."""
 COMMON_CAUSE_MS = 2_000
 """Time within which the losses of unsuspected sends count as one. A caller repeats a request only
-after its last send was lost, so losses at the same time are those of several callers."""
+after its last send was lost, so losses at the same time are mostly those of several callers."""
 
 
 class Crash(NamedTuple):
@@ -30,7 +30,8 @@
     recorded_ms: int
     """Time on the store's clock."""
     suspected: bool = True
-    """Whether a crash or a doubt was known of the request when it was sent."""
+    """Whether the request was certainly a repetition of the other sends, or the first one: its
+    program or an earlier loss was known when it was sent."""
 
     @property
     def lost_ms(self) -> int:
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -43,7 +43,8 @@
     ends_at: float
     """Time from which on the worker does not run the request any more."""
     suspected: bool
-    """Whether a crash or a doubt was known of the request when it was sent."""
+    """Whether a crash or a doubt was known of the request when it was sent, or its program tells
+    that all sends are repetitions of one caller."""
     checked_at: float = float("-inf")
     """Time of the last health check."""
 
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -139,7 +139,7 @@
             attempts.request.request_id,
             self._clock.monotonic(),
             ends_at,
-            attempts.is_suspected,
+            attempts.is_suspected or attempts.request.program is not None,
         )
 
     def on_response(self, attempts: Attempts) -> None:
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -16,6 +16,7 @@
     CallInterrupted,
     CallRefused,
     ProbeResult,
+    ProgramParameters,
     ResponseHead,
     ServiceRequest,
 )
@@ -357,7 +358,9 @@
         await asyncio.sleep(self.rng.random())
         self.nodes[number] = self._start_node(number)
 
-    async def send(self, request_id, origin, last_event, body=b"", path=STREAM, patience=None):
+    async def send(
+        self, request_id, origin, last_event, body=b"", path=STREAM, patience=None, program=None
+    ):
         """Send a request to a random running node and return what it delivered.
 
         The caller leaves after `patience` seconds, if given.
@@ -377,6 +380,7 @@
             body,
             self.clock.monotonic(),
             STREAM_DEADLINE_SECONDS,
+            program,
             last_event_id=last_event,
             resumed_request=origin,
         )
@@ -423,10 +427,11 @@
         for request in range(10_000):
             body = FATAL + b"%d-%d" % (number, request)
             path = self.rng.choice((STREAM, SAFE))
+            program = self.rng.choice((None, ProgramParameters(body.decode(), "c", None)))
             for attempt in range(FATAL_ATTEMPTS):
                 name = f"f{number}-{request}-{attempt}"
                 patience = self.rng.choice((None, self.rng.uniform(*PATIENCE_SECONDS)))
-                caller = await self.send(name, None, None, body, path, patience)
+                caller = await self.send(name, None, None, body, path, patience, program)
                 assert not caller.is_complete
                 await asyncio.sleep(RETURN_SECONDS)
             await asyncio.sleep(self.rng.uniform(*FATAL_PAUSE_SECONDS))
