--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -7,7 +7,7 @@
 about the next send.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import partial
 
 from foxwinch.clock import Clock
@@ -39,13 +39,6 @@
     is_stored: bool = False
 
 
-@dataclass(slots=True)
-class _OwnDoubts:
-    """The doubts of this node's sends of one request, by worker incarnation."""
-
-    by_worker: dict[str, _OwnDoubt] = field(default_factory=dict)
-
-
 class LostSends:
     """Tracks lost sends until it is known whether their workers have ended."""
 
@@ -71,8 +64,8 @@
         self._metrics = metrics
         self._tasks = tasks
         self._node = node
-        self._own: dict[str, _OwnDoubts] = {}
-        """Unresolved doubts of this node by fingerprint."""
+        self._own: dict[str, dict[str, _OwnDoubt]] = {}
+        """Unresolved doubts of this node by fingerprint and worker incarnation."""
         self._resolving: set[tuple[str, str]] = set()
         """Fingerprints and worker incarnations of the doubts that this node tries to resolve."""
         notices.on_notice = self._on_notice
@@ -110,7 +103,7 @@
         own = self._own.get(fingerprint)
         if own is None:
             return False
-        unshared = [each for each in own.by_worker.values() if not each.is_shared]
+        unshared = [each for each in own.values() if not each.is_shared]
         for each in unshared:
             each.is_shared = True
             self._notices.send(CrashNotice(fingerprint, each.doubt))
@@ -150,8 +143,8 @@
         doubt = Doubt(lost.worker.incarnation, now_ms, ends_ms, lost.suspected)
         if not self._records.add_doubt(lost.fingerprint, doubt):
             return
-        own = self._own.setdefault(lost.fingerprint, _OwnDoubts())
-        own.by_worker[doubt.worker] = _OwnDoubt(doubt, lost.request_id)
+        own = self._own.setdefault(lost.fingerprint, {})
+        own[doubt.worker] = _OwnDoubt(doubt, lost.request_id)
         self._metrics.crash_decisions.labels("doubted").inc()
 
     def _start_resolving(self, lost: LostSend) -> None:
@@ -171,14 +164,15 @@
             await self._record(lost)
         elif result is ProbeResult.LIVING:
             self._clear(lost)
-        elif self._is_open(lost):
+        else:
             self._drop_own(lost)
-            log.warning(
-                "doubt_unresolved",
-                request=lost.request_id,
-                fingerprint=lost.fingerprint,
-                worker=lost.worker.worker_id,
-            )
+            if self._is_open(lost):
+                log.warning(
+                    "doubt_unresolved",
+                    request=lost.request_id,
+                    fingerprint=lost.fingerprint,
+                    worker=lost.worker.worker_id,
+                )
 
     def _is_open(self, lost: LostSend) -> bool:
         return self._records.has_loss(lost.fingerprint, lost.worker.incarnation)
@@ -205,8 +199,8 @@
         own = self._own.get(lost.fingerprint)
         if own is None:
             return
-        own.by_worker.pop(lost.worker.incarnation, None)
-        if not own.by_worker:
+        own.pop(lost.worker.incarnation, None)
+        if not own:
             del self._own[lost.fingerprint]
 
     def _store_own(self, fingerprint: str) -> None:
@@ -214,7 +208,7 @@
         own = self._own.get(fingerprint)
         if own is None:
             return
-        for each in own.by_worker.values():
+        for each in own.values():
             if each.is_shared and not each.is_stored:
                 each.is_stored = True
                 holder = self.holder(each.request_id)
