Leave out a worker in doubt only if its successor may have its id

Workers that report no start have a new id at each start: sending there again ends no other worker, and it is avoided like any failing one.

A stand-in that was restarted meanwhile no longer crashes on a request of before, which counted two crashes for one.

--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -176,17 +176,13 @@
             attempts.tried_workers,
             self.guard.shared_workers(attempts),
         )
-        lost = self.guard.lost_workers(attempts)
         services, software_version = attempts.services, None
         if attempts.origin is not None:
             services = [service for service in services if service == attempts.origin.service]
             software_version = attempts.origin.software_version
         for service in services:
-            workers = [
-                worker
-                for worker in directory.eligible_workers(service, now, software_version)
-                if worker.incarnation not in lost
-            ]
+            eligible = directory.eligible_workers(service, now, software_version)
+            workers = self.guard.without_lost(attempts, eligible)
             choice = choose_worker(workers, self.loads, criteria, now, self._clock.uniform())
             if choice is not None:
                 log.info(
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -78,15 +78,22 @@
             return frozenset()
         return frozenset(self._records.claimed_workers(attempts.fingerprint))
 
-    def lost_workers(self, attempts: Attempts) -> frozenset[str]:
-        """Return the incarnations that have ended or may have ended under a request.
+    def without_lost(self, attempts: Attempts, workers: list[Worker]) -> list[Worker]:
+        """Return the workers that have not ended under a request.
 
-        The list may still have them; a worker that restarts under its id is then taken for them.
+        One that may have ended is left out if its successor may have its id, and be taken for it.
         """
         if self._records.is_empty:
-            return frozenset()
-        losses = self._records.history_of(attempts.fingerprint).losses
-        return frozenset(loss.worker for loss in losses)
+            return workers
+        history = self._records.history_of(attempts.fingerprint)
+        ended = {crash.worker for crash in history.crashes}
+        doubted = {doubt.worker for doubt in history.doubts}
+        return [
+            worker
+            for worker in workers
+            if worker.incarnation not in ended
+            and (worker.started_ms is None or worker.incarnation not in doubted)
+        ]
 
     async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return None if a request may be sent to a worker now, or why not."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -104,6 +104,8 @@
         """The requests that the worker crashed on."""
         self.crash_kind = CrashKind.REFUSES
         self.is_running = False
+        self.starts = 0
+        """Number of times that the worker has started."""
         self.started_ms: int | None = None
         """Time of the start that the worker reports, if any."""
         self.worker_id: str | None = None
@@ -123,6 +125,7 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         self.is_running = True
+        self.starts += 1
 
     def crash(self) -> None:
         """Lose all connections and stop listening, as a process that is killed."""
@@ -151,6 +154,7 @@
         self._hangs = False
         if self.crash_kind in (CrashKind.RESTARTS, CrashKind.HANGS):
             self.is_running = True
+            self.starts += 1
             return
         await self._listen(int(self.address.rpartition(":")[2]))
 
@@ -213,6 +217,10 @@
         if self.fatal_body is not None and self.fatal_body in body:
             response = replace(response, crash=True)
         if response.crash:
+            starts = self.starts
+            await asyncio.sleep(response.crash_after_seconds)
+            if starts != self.starts or not self.is_running:
+                return False
             self.crashes.append(received)
         disconnect = asyncio.ensure_future(reader.read(1)) if response.pause_seconds else None
         try:
@@ -261,8 +269,6 @@
             await asyncio.sleep(3600)
         if response.drop:
             return False
-        if response.crash and response.crash_after_seconds:
-            await asyncio.sleep(response.crash_after_seconds)
         if response.crash and (response.crash_after_seconds or not response.chunks):
             self.crash()
             return self.crash_kind is CrashKind.UNREACHABLE
