Take a claim for a program's next send as soon as one is in doubt

A node had one send in doubt and was killed during the next one, which needed no claim, so nobody knew of it. A request of a program now needs the claim from the first doubt on; one without a program is of many callers, and does not.

--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -114,7 +114,9 @@
             return self._reject(
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
-        if not history.crashes and history.weight == 1:
+        is_shared = attempts.request.program is None
+        if is_shared and not history.crashes and history.weight == 1:
+            # A claim would let the requests of many callers run one at a time only.
             return None
         return await self._claim(attempts, worker, history)
 
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -150,6 +150,30 @@
         assert 200 not in statuses
 
 
+# Guards against a second send that nobody knows of when its node is killed meanwhile.
+@pytest.mark.parametrize("path", [SAFE, STREAM])
+async def test_a_send_after_one_in_doubt_holds_a_claim(path):
+    async with fatal_platform(
+        FakeResponse(),
+        kind=CrashKind.UNREACHABLE,
+        attempts=2,
+        nodes=1,
+        restart_seconds=3 * SLOW_RESTART_SECONDS,
+    ) as platform:
+        (node,) = platform.nodes
+        sending = asyncio.ensure_future(platform.request_turn(node, "f", path=path, body=FATAL))
+        claims = 0
+        while not sending.done():
+            claims = max(claims, await count_claims(platform))
+            await asyncio.sleep(0.01)
+        assert claims == 1
+
+
+async def count_claims(platform):
+    """Return the number of claims for repetitions in the store."""
+    return len(await claims_in_store(platform))
+
+
 # Guards against the same when the worker falls silent in the middle of its stream.
 @pytest.mark.parametrize("path", [STREAM, RETAINED])
 async def test_workers_that_fall_silent_midway_count_as_crashed(path):
