Let an innocent request lose nothing to a claim or a doubt that is already over

Its log: a starting node had been told of a doubt that was still being checked; it kept it after the worker had proved to live, so the next repetition needed a claim, and the one after came before that claim was released.

Changes: doubts that are still being checked are not told to starting nodes; a node that clears a doubt tells the nodes that had its notice; a request waits 0.15 s for another one's claim; a worker in doubt is chosen only if there is no other. Lapsed doubts are dropped every 5 s, so that requests need no fingerprint for minutes.

crash_records.py has one job again: what a node knows is in crash_table.py.

--- a/src/foxwinch/records/crash_records.py
+++ b/src/foxwinch/records/crash_records.py
@@ -7,8 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 from google.protobuf.message import DecodeError
 
@@ -16,15 +15,13 @@
 from foxwinch.core.limits.backoff import Backoff
 from foxwinch.core.records.crash_history import (
     MAX_CRASHES,
-    Crash,
     CrashHistory,
-    Doubt,
     SendClaim,
 )
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
+from foxwinch.records.crash_table import CrashTable
 from foxwinch.records.ports import (
-    ABSENT_VERSION,
     Conflict,
     RowCondition,
     RowKey,
@@ -43,48 +40,20 @@
 """Time for which the store holds a watch call. The table rarely changes, and every node watches."""
 BATCH_ROWS = 50
 """Maximum number of histories that one transaction changes."""
-MAX_HISTORIES = 20_000
-"""Maximum number of histories in memory, the oldest evicted first."""
 MAX_UNSAVED = 2_000
 """Maximum number of histories that wait to be stored; further updates stay in memory only."""
 MIN_WAIT_SECONDS = 0.001
 SAVE_BACKOFF = Backoff(base_seconds=0.1, cap_seconds=0.4)
 CLEANUP_SECONDS = 60.0
 """Minimum interval between removals of expired rows; nodes vary it up to the double."""
+LAPSE_SECONDS = 5.0
+"""Interval at which lapsed doubts are dropped. While a loss is known, each request needs its
+fingerprint."""
 Change = Callable[[CrashHistory], CrashHistory | None]
 Update = Callable[[CrashHistory], CrashHistory]
 log = EventLog("crashes")
 
 
-@dataclass(slots=True)
-class _Known:
-    """What a node knows of one history."""
-
-    history: CrashHistory = field(default_factory=CrashHistory)
-    row_version: int = ABSENT_VERSION
-    seen_version: int = ABSENT_VERSION
-    """Store version as of which the history is known."""
-    reported: dict[str, Crash] = field(default_factory=dict)
-    """Crashes whose rows have not arrived, by worker incarnation."""
-    reported_doubts: dict[str, Doubt] = field(default_factory=dict)
-    """Doubts that are not stored, by worker incarnation; they lapse when they expire."""
-
-    def with_crashes(self) -> CrashHistory:
-        """Return the stored history with the reported crashes."""
-        history = self.history
-        for crash in self.reported.values():
-            history = history.with_crash(crash, "")
-        return history
-
-    def combined(self, now_ms: int) -> CrashHistory:
-        """Return the stored history with the reported crashes and doubts."""
-        history = self.with_crashes()
-        for doubt in self.reported_doubts.values():
-            if now_ms < doubt.expires_ms:
-                history = history.with_doubt(doubt, "")
-        return history
-
-
 class CrashRecords:
     """Reads and changes crash histories."""
 
@@ -93,97 +62,23 @@
         self._store = store
         self._clock = clock
         self._tasks = tasks
-        self._known: dict[str, _Known] = {}
-        self._claims: dict[str, SendClaim] = {}
-        """Claims of the known histories."""
         self._unsaved: dict[str, list[Update]] = {}
         self._saved = asyncio.Event()
         """Set and replaced after each batch."""
         self._is_saving = False
+        self.table = CrashTable(self.now_ms, self._unsaved.__contains__)
         self.watch = TableWatch(store, clock, CRASHES_TABLE, self._on_rows, WATCH_SECONDS)
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no crash and no doubt is known."""
-        return not self._known
-
     def now_ms(self) -> int:
         """Return a time that the store's clock has reached; 0 before its first response."""
         clock = self._store.store_clock
         return clock.earliest_ms(self._clock.monotonic()) if clock.is_known else 0
 
-    def history_of(self, fingerprint: str) -> CrashHistory:
-        """Return the current history of a request."""
-        known = self._known.get(fingerprint)
-        if known is None:
-            return CrashHistory()
-        now_ms = self.now_ms()
-        return known.combined(now_ms).current(now_ms)
-
-    def claimed_workers(self, without: str) -> Collection[str]:
-        """Return the incarnations at which other requests than `without` run under a claim."""
-        now_ms = self.now_ms()
-        claims = (claim for each, claim in self._claims.items() if each != without)
-        return {claim.worker for claim in claims if now_ms < claim.expires_ms}
-
-    def crashed_since(self, seconds: float) -> set[str]:
-        """Return the incarnations that have crashed in the last `seconds`."""
-        since_ms = self.now_ms() - int(1e3 * seconds)
-        return {
-            crash.worker
-            for known in self._known.values()
-            for crash in (*known.history.crashes, *known.reported.values())
-            if crash.recorded_ms > since_ms
-        }
-
-    def add_reported(self, fingerprint: str, crash: Crash) -> bool:
-        """Add a crash that is not stored yet; return whether it is new."""
-        known = self._get(fingerprint)
-        if any(each.worker == crash.worker for each in known.with_crashes().crashes):
-            return False
-        known.reported_doubts.pop(crash.worker, None)
-        known.reported[crash.worker] = crash
-        return True
-
-    def add_doubt(self, fingerprint: str, doubt: Doubt) -> bool:
-        """Add a doubt that is not stored; return whether it is new."""
-        known = self._get(fingerprint)
-        history = known.combined(self.now_ms())
-        if any(each.worker == doubt.worker for each in history.losses):
-            return False
-        known.reported_doubts[doubt.worker] = doubt
-        return True
-
-    def has_loss(self, fingerprint: str, worker: str) -> bool:
-        """Return whether a send to an incarnation is in doubt or counts as a crash."""
-        history = self.history_of(fingerprint)
-        return any(each.worker == worker for each in history.losses)
-
-    def unstored_losses(self, most: int) -> list[tuple[str, Crash | Doubt]]:
-        """Return at most `most` losses that are not known to be stored, by fingerprint."""
-        now_ms = self.now_ms()
-        unstored: list[tuple[str, Crash | Doubt]] = []
-        for fingerprint, known in self._known.items():
-            unstored += [(fingerprint, crash) for crash in known.reported.values()]
-            unstored += [
-                (fingerprint, doubt)
-                for doubt in known.reported_doubts.values()
-                if now_ms < doubt.expires_ms
-            ]
-            if len(unstored) >= most:
-                break
-        return unstored[:most]
-
     def remove_doubt(self, fingerprint: str, worker: str) -> None:
         """Forget the doubt of an incarnation that has proved to live, and remove a stored one."""
-        known = self._known.get(fingerprint)
-        if known is None:
-            return
-        known.reported_doubts.pop(worker, None)
-        is_stored = any(each.worker == worker for each in known.history.losses)
+        is_stored = self.table.forget_doubt(fingerprint, worker)
         if is_stored or fingerprint in self._unsaved:
             self.start_save(fingerprint, lambda history: history.without(worker))
-        self._drop_if_unknown(fingerprint)
 
     async def save(self, fingerprint: str, update: Update, wait_seconds: float) -> bool:
         """Apply an update to a stored history; return whether that is committed.
@@ -225,7 +120,7 @@
 
         def take(history: CrashHistory) -> CrashHistory | None:
             held = history.claim is not None and history.claim.holder != claim.holder
-            if held or self.history_of(fingerprint).weight >= MAX_CRASHES:
+            if held or self.table.history_of(fingerprint).weight >= MAX_CRASHES:
                 return None
             return history.with_claim(claim)
 
@@ -245,43 +140,27 @@
 
     async def clear(self, fingerprint: str, deadline_at: float) -> None:
         """Forget the crashes under a request that has succeeded."""
-        known = self._known.get(fingerprint)
-        if known is None:
-            return
-        known.reported.clear()
-        known.reported_doubts.clear()
-        is_stored = known.row_version != ABSENT_VERSION or fingerprint in self._unsaved
-        self._unsaved.pop(fingerprint, None)
-        if not is_stored:
-            self._drop_if_unknown(fingerprint)
+        is_unsaved = self._unsaved.pop(fingerprint, None) is not None
+        if not self.table.forget_reported(fingerprint) and not is_unsaved:
             return
         outcome = await self._change(fingerprint, lambda _: CrashHistory(), deadline_at)
         if isinstance(outcome, Refused):
             log.warning("crashes_not_cleared", fingerprint=fingerprint, detail=outcome.detail)
 
     async def run_cleanup(self) -> None:
-        """Remove expired rows until cancelled."""
+        """Drop lapsed doubts and remove expired rows until cancelled."""
         while True:
-            await self._clock.sleep(CLEANUP_SECONDS * (1 + self._clock.uniform()))
-            now_ms = self.now_ms()
-            self._drop_lapsed_doubts(now_ms)
-            expired = [
-                fingerprint
-                for fingerprint, known in self._known.items()
-                if known.combined(now_ms).current(now_ms) == CrashHistory()
-            ]
+            cleanup_at = now = self._clock.monotonic()
+            cleanup_at += CLEANUP_SECONDS * (1 + self._clock.uniform())
+            while now < cleanup_at:
+                await self._clock.sleep(LAPSE_SECONDS)
+                self.table.drop_lapsed_doubts()
+                now = self._clock.monotonic()
+            expired = self.table.expired()
             for start in range(0, len(expired), BATCH_ROWS):
                 batch = dict.fromkeys(expired[start : start + BATCH_ROWS], CrashHistory())
                 await self._transact(batch, CALL_TIMEOUT_SECONDS)
 
-    def _drop_lapsed_doubts(self, now_ms: int) -> None:
-        """Drop the reported doubts that have expired."""
-        for fingerprint, known in list(self._known.items()):
-            for worker, doubt in list(known.reported_doubts.items()):
-                if now_ms >= doubt.expires_ms:
-                    del known.reported_doubts[worker]
-            self._drop_if_unknown(fingerprint)
-
     async def _change(
         self, fingerprint: str, change: Change, deadline_at: float
     ) -> CrashHistory | Refused:
@@ -291,10 +170,10 @@
         """
         attempt = 0
         while True:
-            history = self._get(fingerprint).with_crashes().current(self.now_ms())
+            history = self.table.get(fingerprint).with_crashes().current(self.now_ms())
             changed = change(history)
             if changed is None:
-                self._drop_if_unknown(fingerprint)
+                self.table.drop_if_unknown(fingerprint)
                 return history
             remaining = deadline_at - self._clock.monotonic()
             timeout_seconds = min(CALL_TIMEOUT_SECONDS, max(MIN_CALL_SECONDS, remaining))
@@ -314,7 +193,7 @@
         while self._unsaved:
             batch = {}
             for fingerprint in list(self._unsaved)[:BATCH_ROWS]:
-                history = self._get(fingerprint).with_crashes().current(self.now_ms())
+                history = self.table.get(fingerprint).with_crashes().current(self.now_ms())
                 for update in self._unsaved[fingerprint]:
                     history = update(history)
                 batch[fingerprint] = (history, len(self._unsaved[fingerprint]))
@@ -345,7 +224,7 @@
         """Write histories under their known versions and adopt the result."""
         rows = {fingerprint: _row_key(fingerprint) for fingerprint in histories}
         conditions = tuple(
-            RowCondition(row, self._get(fingerprint).row_version)
+            RowCondition(row, self.table.get(fingerprint).row_version)
             for fingerprint, row in rows.items()
         )
         writes = tuple(
@@ -364,58 +243,21 @@
     def _on_rows(self, read: RowsRead, is_full: bool) -> None:
         if is_full:
             listed = {row.row.key for row in read.rows}
-            for fingerprint in [key for key in self._known if key not in listed]:
+            for fingerprint in [key for key in self.table.fingerprints() if key not in listed]:
                 self._adopt(StoredRow(_row_key(fingerprint), None, 0), read.version)
         for row in read.rows:
             self._adopt(row, row.version)
 
     def _adopt(self, stored: StoredRow, seen_version: int) -> None:
-        """Adopt a row as of a store version, unless a newer one is known."""
-        fingerprint = stored.row.key
-        known = self._get(fingerprint)
-        if seen_version < known.seen_version:
-            return
-        known.seen_version = seen_version
-        if stored.value is None:
-            if known.row_version != ABSENT_VERSION and fingerprint not in self._unsaved:
-                known.reported.clear()
-            known.history, known.row_version = CrashHistory(), ABSENT_VERSION
-            self._claims.pop(fingerprint, None)
-            self._drop_if_unknown(fingerprint)
-            return
-        try:
-            known.history = CrashHistory.decode(stored.value)
-        except DecodeError as error:
-            log.error("crash_history_malformed", fingerprint=fingerprint, detail=str(error))
-            known.history = CrashHistory()
-        known.row_version = stored.version
-        self._claims.pop(fingerprint, None)
-        if known.history.claim is not None:
-            self._claims[fingerprint] = known.history.claim
-        for crash in known.history.crashes:
-            known.reported.pop(crash.worker, None)
-            known.reported_doubts.pop(crash.worker, None)
-        for doubt in known.history.doubts:
-            known.reported_doubts.pop(doubt.worker, None)
-
-    def _get(self, fingerprint: str) -> _Known:
-        known = self._known.get(fingerprint)
-        if known is None:
-            while len(self._known) >= MAX_HISTORIES:
-                evicted = next(iter(self._known))
-                del self._known[evicted]
-                self._claims.pop(evicted, None)
-            known = self._known[fingerprint] = _Known()
-        return known
-
-    def _drop_if_unknown(self, fingerprint: str) -> None:
-        known = self._known.get(fingerprint)
-        if known is None or known.reported or known.reported_doubts:
-            return
-        if fingerprint in self._unsaved:
-            return
-        if known.row_version == ABSENT_VERSION:
-            del self._known[fingerprint]
+        """Adopt a row as of a store version; one that is malformed counts as empty."""
+        fingerprint, history = stored.row.key, None
+        if stored.value is not None:
+            try:
+                history = CrashHistory.decode(stored.value)
+            except DecodeError as error:
+                log.error("crash_history_malformed", fingerprint=fingerprint, detail=str(error))
+                history = CrashHistory()
+        self.table.adopt(fingerprint, history, stored.version, seen_version)
 
 
 def _row_key(fingerprint: str) -> RowKey:
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -31,6 +31,10 @@
 CLAIM_TIMEOUT_SECONDS = 0.9
 CLAIM_TIME_FRACTION = 0.35
 """Fraction of a request's remaining time that may be spent on its claim."""
+CLAIM_WAIT_SECONDS = 0.15
+"""Time for which a request waits for a claim of another one. A caller may return before the claim
+of its failed request has been released."""
+CLAIM_POLL_SECONDS = 0.02
 CLAIM_MARGIN_SECONDS = 1.0
 """Time from the end of a request to the expiry of its claim, within which it is released."""
 RELEASE_SECONDS = 5.0
@@ -74,33 +78,34 @@
 
     def shared_workers(self, attempts: Attempts) -> frozenset[str]:
         """Return the incarnations at which other suspected requests run."""
-        if self._records.is_empty:
+        if self._records.table.is_empty:
             return frozenset()
-        return frozenset(self._records.claimed_workers(attempts.fingerprint))
+        return frozenset(self._records.table.claimed_workers(attempts.fingerprint))
 
     def without_lost(self, attempts: Attempts, workers: list[Worker]) -> list[Worker]:
         """Return the workers that have not ended under a request.
 
-        One that may have ended is left out if its successor may have its id, and be taken for it.
+        Those that may have ended are a last resort, unless a successor may have their id and be
+        taken for them.
         """
-        if self._records.is_empty:
+        if self._records.table.is_empty:
             return workers
-        history = self._records.history_of(attempts.fingerprint)
+        history = self._records.table.history_of(attempts.fingerprint)
         ended = {crash.worker for crash in history.crashes}
         doubted = {doubt.worker for doubt in history.doubts}
-        return [
+        known_alive = [worker for worker in workers if worker.incarnation not in ended | doubted]
+        return known_alive or [
             worker
             for worker in workers
-            if worker.incarnation not in ended
-            and (worker.started_ms is None or worker.incarnation not in doubted)
+            if worker.incarnation not in ended and worker.started_ms is None
         ]
 
     async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return None if a request may be sent to a worker now, or why not."""
         attempts.is_suspected = False
-        if self._records.is_empty:
+        if self._records.table.is_empty:
             return None
-        history = self._records.history_of(attempts.fingerprint)
+        history = self._records.table.history_of(attempts.fingerprint)
         if not history.weight:
             return None
         attempts.is_suspected = True
@@ -153,7 +158,10 @@
 
     def on_response(self, attempts: Attempts) -> None:
         """Clear a request of suspicion, as its worker has completed it."""
-        if self._records.is_empty or not self._records.history_of(attempts.fingerprint).weight:
+        if (
+            self._records.table.is_empty
+            or not self._records.table.history_of(attempts.fingerprint).weight
+        ):
             return
         attempts.has_claim = False
         self._lost_sends.forget(attempts.fingerprint)
@@ -193,7 +201,7 @@
     def _release(self, attempts: Attempts) -> None:
         """Release a request's claim; its doubts take the place of it."""
         request_id, has_claim = attempts.request.request_id, attempts.has_claim
-        if not self._records.is_empty and self._lost_sends.share(
+        if not self._records.table.is_empty and self._lost_sends.share(
             attempts.fingerprint, request_id, has_claim
         ):
             attempts.has_claim = False
@@ -221,7 +229,7 @@
         if attempts.has_claim:
             self._log_decision("admitted", attempts, outcome, "claimed")
             return None
-        history = self._records.history_of(attempts.fingerprint)
+        history = self._records.table.history_of(attempts.fingerprint)
         if history.weight >= MAX_CRASHES:
             return self._reject_suspected(attempts, history)
         return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
@@ -234,7 +242,11 @@
         taken: "asyncio.Future[CrashHistory | Refused]",
     ) -> None:
         """Take a claim, and release it if the caller has left meanwhile."""
+        wait_until = min(deadline_at, self._clock.monotonic() + CLAIM_WAIT_SECONDS)
         outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
+        while _is_held_by_other(outcome, claim) and self._clock.monotonic() < wait_until:
+            await self._clock.sleep(CLAIM_POLL_SECONDS)
+            outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
         if isinstance(outcome, CrashHistory):
             holder = outcome.claim.holder if outcome.claim is not None else None
             attempts.has_claim = holder == claim.holder
@@ -263,7 +275,7 @@
         workers = {
             worker.incarnation for worker in directory.known_workers() if worker.service == service
         }
-        crashed = workers & self._records.crashed_since(PROTECTION_SECONDS)
+        crashed = workers & self._records.table.crashed_since(PROTECTION_SECONDS)
         if not crashed:
             return False
         eligible = directory.eligible_workers(service, self._clock.monotonic())
@@ -301,3 +313,10 @@
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
+
+
+def _is_held_by_other(outcome: CrashHistory | Refused, claim: SendClaim) -> bool:
+    """Return whether a claim could not be taken because another request has one."""
+    if isinstance(outcome, Refused) or outcome.claim is None:
+        return False
+    return outcome.claim.holder != claim.holder
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -46,10 +46,12 @@
 
 
 class CrashNotice(NamedTuple):
-    """A worker that ended, or may have ended, while it ran a request."""
+    """A worker that ended or may have ended under a request, or has proved to live after it."""
 
     fingerprint: str
     loss: Crash | Doubt
+    is_cleared: bool = False
+    """Whether the worker of a doubt has proved to live."""
 
 
 class CrashNotices(asyncio.DatagramProtocol):
@@ -127,7 +129,7 @@
             self._answer(f"{addr[0]}:{addr[1]}")
         for each in message.notices:
             loss = decode_doubt(each.doubt) if each.HasField("doubt") else decode_crash(each.crash)
-            notice = CrashNotice(each.fingerprint, loss)
+            notice = CrashNotice(each.fingerprint, loss, each.cleared)
             if self.on_notice(notice):
                 self.send(notice)
 
@@ -172,7 +174,7 @@
 def _encode(notices: list[CrashNotice]) -> bytes:
     message = CrashNoticesMessage()
     for notice in notices:
-        entry = message.notices.add(fingerprint=notice.fingerprint)
+        entry = message.notices.add(fingerprint=notice.fingerprint, cleared=notice.is_cleared)
         if isinstance(notice.loss, Doubt):
             entry.doubt.CopyFrom(encode_doubt(notice.loss))
         else:
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
+from cachetools import LRUCache
+
 from foxwinch.clock import Clock
 from foxwinch.core.records.crash_history import Crash, CrashHistory, Doubt
 from foxwinch.core.routing.directory import Worker
@@ -26,6 +28,8 @@
 SAVE_WAIT_SECONDS = 0.1
 """Maximum time that a failed call's caller waits for the crash to be stored. Notices tell the other
 nodes while the store is slow."""
+MAX_CLEARED = 4_096
+"""Number of cleared doubts that are kept."""
 log = EventLog("crashes")
 
 
@@ -68,6 +72,8 @@
         """Unresolved doubts of this node by fingerprint and worker incarnation."""
         self._resolving: set[tuple[str, str]] = set()
         """Fingerprints and worker incarnations of the doubts that this node tries to resolve."""
+        self._cleared: LRUCache[tuple[str, Crash | Doubt], bool] = LRUCache(MAX_CLEARED)
+        """Doubts that were cleared; their notices may still arrive."""
         notices.on_notice = self._on_notice
         notices.list_unstored = self._list_unstored
 
@@ -141,7 +147,7 @@
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
         ends_ms = now_ms + int(1e3 * max(0.0, lost.ends_at - now))
         doubt = Doubt(lost.worker.incarnation, now_ms, ends_ms, lost.suspected)
-        if not self._records.add_doubt(lost.fingerprint, doubt):
+        if not self._records.table.add_doubt(lost.fingerprint, doubt):
             return
         own = self._own.setdefault(lost.fingerprint, {})
         own[doubt.worker] = _OwnDoubt(doubt, lost.request_id)
@@ -167,41 +173,44 @@
         else:
             self._drop_own(lost)
             if self._is_open(lost):
-                log.warning(
-                    "doubt_unresolved",
-                    request=lost.request_id,
-                    fingerprint=lost.fingerprint,
-                    worker=lost.worker.worker_id,
-                )
+                log.warning("doubt_unresolved", **self._log_fields(lost))
 
     def _is_open(self, lost: LostSend) -> bool:
-        return self._records.has_loss(lost.fingerprint, lost.worker.incarnation)
+        return self._records.table.has_loss(lost.fingerprint, lost.worker.incarnation)
 
     def _is_needed(self, fingerprint: str) -> bool:
         """Return whether doubts of a request decide about its next send."""
-        return self._records.history_of(fingerprint).weight > 1
+        return self._records.table.history_of(fingerprint).weight > 1
 
     def _clear(self, lost: LostSend) -> None:
-        """Remove the doubt of a worker that has proved to live."""
-        self._drop_own(lost)
+        """Remove the doubt of a worker that has proved to live, at the other nodes too."""
+        own = self._drop_own(lost)
         self._records.remove_doubt(lost.fingerprint, lost.worker.incarnation)
+        if own is not None and own.is_shared:
+            self._cleared[lost.fingerprint, own.doubt] = True
+            self._notices.send(CrashNotice(lost.fingerprint, own.doubt, is_cleared=True))
         self._metrics.crash_decisions.labels("doubt_cleared").inc()
-        log.info(
-            "doubt_cleared",
-            request=lost.request_id,
-            fingerprint=lost.fingerprint,
-            worker=lost.worker.worker_id,
-            started_ms=lost.worker.started_ms,
-            age_ms=int(1e3 * (self._clock.monotonic() - lost.lost_at)),
-        )
+        log.info("doubt_cleared", **self._log_fields(lost))
+
+    def _log_fields(self, lost: LostSend) -> dict[str, object]:
+        """Return what the log lines of a lost send have in common."""
+        return {
+            "request": lost.request_id,
+            "fingerprint": lost.fingerprint,
+            "worker": lost.worker.worker_id,
+            "started_ms": lost.worker.started_ms,
+            "lost_ago_ms": int(1e3 * (self._clock.monotonic() - lost.lost_at)),
+        }
 
-    def _drop_own(self, lost: LostSend) -> None:
+    def _drop_own(self, lost: LostSend) -> _OwnDoubt | None:
+        """Drop this node's doubt of a send, if it has one, and return it."""
         own = self._own.get(lost.fingerprint)
         if own is None:
-            return
-        own.pop(lost.worker.incarnation, None)
+            return None
+        dropped = own.pop(lost.worker.incarnation, None)
         if not own:
             del self._own[lost.fingerprint]
+        return dropped
 
     def _store_own(self, fingerprint: str) -> None:
         """Store the shared doubts of this node for a request."""
@@ -219,7 +228,7 @@
         self._drop_own(lost)
         lost_ms = self._records.now_ms() - int(1e3 * (self._clock.monotonic() - lost.lost_at))
         crash = Crash(lost.worker.incarnation, max(0, lost_ms), lost.suspected)
-        is_new = self._records.add_reported(lost.fingerprint, crash)
+        is_new = self._records.table.add_crash(lost.fingerprint, crash)
         if is_new:
             self._notices.send(CrashNotice(lost.fingerprint, crash))
         started_at = self._clock.monotonic()
@@ -231,32 +240,41 @@
         self._metrics.crash_decisions.labels("recorded").inc()
         log.warning(
             "worker_ended",
-            request=lost.request_id,
-            fingerprint=lost.fingerprint,
-            worker=lost.worker.worker_id,
-            started_ms=lost.worker.started_ms,
-            lost_ago_ms=int(1e3 * (started_at - lost.lost_at)),
-            crashes=len(self._records.history_of(lost.fingerprint).crashes),
+            **self._log_fields(lost),
+            crashes=len(self._records.table.history_of(lost.fingerprint).crashes),
             new=is_new,
             stored=is_stored,
             waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
         )
 
     def _list_unstored(self, most: int) -> list[CrashNotice]:
-        """Return notices of known losses that are not stored, for a node that has just started."""
-        unstored = self._records.unstored_losses(most)
-        return [CrashNotice(fingerprint, loss) for fingerprint, loss in unstored]
+        """Return notices of known losses that are not stored, for a node that has just started.
+
+        Doubts that this node has not shared are still being checked.
+        """
+        return [
+            CrashNotice(fingerprint, loss)
+            for fingerprint, loss in self._records.table.unstored_losses(most)
+            if not self._is_unshared(fingerprint, loss)
+        ]
+
+    def _is_unshared(self, fingerprint: str, loss: Crash | Doubt) -> bool:
+        own = self._own.get(fingerprint, {}).get(loss.worker)
+        return own is not None and not own.is_shared
 
     def _on_notice(self, notice: CrashNotice) -> bool:
         """Add a notice of another node; return whether it was new."""
-        fingerprint, loss = notice
+        fingerprint, loss, is_cleared = notice
+        if is_cleared:
+            return self._on_cleared(notice)
         if isinstance(loss, Doubt):
-            is_new = self._records.add_doubt(fingerprint, loss)
+            is_cleared = (fingerprint, loss) in self._cleared
+            is_new = not is_cleared and self._records.table.add_doubt(fingerprint, loss)
         else:
-            is_new = self._records.add_reported(fingerprint, loss)
+            is_new = self._records.table.add_crash(fingerprint, loss)
         if not is_new:
             return False
-        history = self._records.history_of(fingerprint)
+        history = self._records.table.history_of(fingerprint)
         log.info(
             "crash_notice",
             fingerprint=fingerprint,
@@ -269,6 +287,17 @@
             self._store_own(fingerprint)
         return True
 
+    def _on_cleared(self, notice: CrashNotice) -> bool:
+        """Forget the doubt of another node whose worker has proved to live."""
+        key = (notice.fingerprint, notice.loss)
+        if key in self._cleared:
+            return False
+        self._cleared[key] = True
+        # A send of this node may have been lost later than the worker proved to live.
+        if notice.loss.worker not in self._own.get(notice.fingerprint, {}):
+            self._records.table.forget_doubt(notice.fingerprint, notice.loss.worker)
+        return True
+
 
 def _add(loss: Crash | Doubt, holder: str, history: CrashHistory) -> CrashHistory:
     """Return a history with a loss, and without the claim of its holder."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -72,6 +72,8 @@
     """Send no head before the endless bytes."""
     crash: bool = False
     """Crash in place of the last chunk, or of the whole response if it has no chunks."""
+    delay_seconds: float = 0.0
+    """Time from the receipt of the request to the start of the response."""
     crash_after_seconds: float = 0.0
     """Time from the receipt of the request to the crash without any response."""
 
@@ -115,6 +117,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._blockers: list[socket.socket] = []
         self._hangs = False
+        self._reserved: socket.socket | None = None
 
     async def __aenter__(self) -> "FakeWorker":
         await self._listen(0)
@@ -134,10 +137,14 @@
         self._hangs = self.crash_kind is CrashKind.HANGS
         if self.crash_kind in (CrashKind.REFUSES, CrashKind.UNREACHABLE):
             self._server.close()
+        port = int(self.address.rpartition(":")[2])
         if self.crash_kind is CrashKind.UNREACHABLE:
-            self._blockers = _block_port(int(self.address.rpartition(":")[2]))
+            self._blockers = _block_port(port)
         else:
             self.reset_connections()
+        if self.crash_kind is CrashKind.REFUSES:
+            # Keeps the port from being given to another socket until the successor listens.
+            self._reserved = _bind(port)
 
     def reset_connections(self) -> None:
         """Reset all connections while the worker lives on."""
@@ -157,12 +164,19 @@
             self.starts += 1
             return
         await self._listen(int(self.address.rpartition(":")[2]))
+        self._release_port()
+
+    def _release_port(self) -> None:
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
 
     async def __aexit__(self, *_: object) -> None:
         assert self._server is not None
         self._server.close()
         for blocker in self._blockers:
             blocker.close()
+        self._release_port()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -265,6 +279,7 @@
         request_id: str,
         disconnect: "asyncio.Future[bytes] | None",
     ) -> bool:
+        await asyncio.sleep(response.delay_seconds)
         if response.silent:
             await asyncio.sleep(3600)
         if response.drop:
@@ -300,11 +315,17 @@
     writer.transport.abort()
 
 
+def _bind(port: int) -> socket.socket:
+    """Return a socket that is bound to a loopback port and does not listen."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind(("127.0.0.1", port))
+    return bound
+
+
 def _block_port(port: int) -> list[socket.socket]:
     """Return sockets that keep a loopback port open without accepting connections."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(("127.0.0.1", port))
+    listener = _bind(port)
     listener.listen(0)
     blockers = [listener]
     # A queue of length 0 still holds one connection.
