Print the failure of a listed test that fails again

Change: after the list, the last 30 lines of each listed test's failure. It may be another failure than the listed one.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,9 +21,15 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the listed tests, so that their failures are not mistaken for passes."""
+    """Print the listed tests, so that their failures are not mistaken for passes.
+
+    Of those that failed in this run, print the failure too: it may not be the listed one.
+    """
     for entry in known_red.listed():
         terminalreporter.write_line(f"KNOWN-RED {entry.test}: {entry.seen} ({entry.issue})")
+    for report in terminalreporter.getreports("xfailed"):
+        for line in known_red.describe_failure(report.nodeid, report.longreprtext):
+            terminalreporter.write_line(line)
 
 
 @pytest.fixture
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -9,6 +9,8 @@
 
 LIST = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 FIELDS = 4
+MAX_FAILURE_LINES = 30
+"""Number of last lines that are printed of the failure of a listed test."""
 
 
 class KnownRed(NamedTuple):
@@ -47,3 +49,9 @@
         if test_id == entry.test or test_id.startswith(f"{entry.test}["):
             return entry
     return None
+
+
+def describe_failure(test_id: str, failure: str) -> list[str]:
+    """Return the lines to print of a listed test that failed in this run."""
+    lines = failure.splitlines()[-MAX_FAILURE_LINES:]
+    return [f"KNOWN-RED failed now: {test_id}", *(f"  {line}" for line in lines)]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -20,3 +20,10 @@
 def test_a_line_with_a_missing_field_is_rejected(line):
     with pytest.raises(ValueError, match="needs test"):
         known_red.parse(line)
+
+
+def test_the_end_of_a_failure_is_printed():
+    failure = "\n".join(f"line {number}" for number in range(40))
+    lines = known_red.describe_failure("tests/test_a.py::test_one", failure)
+    assert lines[0] == "KNOWN-RED failed now: tests/test_a.py::test_one"
+    assert lines[1:] == [f"  line {number}" for number in range(10, 40)]
