Name the refusal when a drain test gets one without a time to retry

What was seen once: the test ended with an error that a value was None. It sleeps for the time to retry of a refusal; one of unknown run state has none, so the error hid the refusal that the test looks for. It now fails with the refusal.

--- a/tests/test_drain_forwarding.py
+++ b/tests/test_drain_forwarding.py
@@ -75,6 +75,7 @@
                 last = [event async for event in node.execute(call_of(name, f"turn {turn}"))][-1]
                 ends.append((cluster.clock.monotonic(), last))
                 if isinstance(last, Refused):
+                    assert last.retry_after_seconds is not None, last
                     await cluster.clock.sleep(last.retry_after_seconds)
 
         conversations = [asyncio.create_task(converse(*item)) for item in enumerate(names)]
