--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
@@ -76,6 +77,8 @@
     """Time from the receipt of the request to the start of the response."""
     crash_after_seconds: float = 0.0
     """Time from the receipt of the request to the crash without any response."""
+    crash_after_reset_seconds: float | None = None
+    """Time from the reset of the connection, in place of a response, to the crash."""
 
 
 def raw_response(request_id: str, body: bytes = b"other") -> bytes:
@@ -105,6 +108,8 @@
         self.crashes: list[ReceivedRequest] = []
         """The requests that the worker crashed on."""
         self.crash_kind = CrashKind.REFUSES
+        self.on_crash: Callable[[], None] = lambda: None
+        """Called when the worker crashes on a request, before its callers can notice."""
         self.is_running = False
         self.starts = 0
         """Number of times that the worker has started."""
@@ -112,6 +117,8 @@
         """Time of the start that the worker reports, if any."""
         self.worker_id: str | None = None
         """Id that requests must expect; None accepts any."""
+        self.report: bytes | None = None
+        """Body of all health checks and reports in place of a proper one."""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -235,6 +242,8 @@
             if starts != self.starts or not self.is_running:
                 return False
             self.crashes.append(received)
+            if not response.chunks:
+                self.on_crash()
         disconnect = asyncio.ensure_future(reader.read(1)) if response.pause_seconds else None
         try:
             return await self._respond(writer, response, headers.get("request-id", ""), disconnect)
@@ -246,7 +255,9 @@
     def _answer_check(self, writer: asyncio.StreamWriter, headers: dict[str, str]) -> None:
         """Answer a health check or a request for a report, whichever worker it expects."""
         worker_id = self.worker_id or headers.get("expect-instance", "")
-        report = json.dumps({"born": self.started_ms} if self.started_ms else {}).encode()
+        report = self.report
+        if report is None:
+            report = json.dumps({"born": self.started_ms} if self.started_ms else {}).encode()
         head = f"HTTP/1.1 200 OK\r\nInstance: {worker_id}\r\nContent-Length: {len(report)}\r\n\r\n"
         writer.write(head.encode() + report)
 
@@ -290,6 +301,12 @@
             await asyncio.sleep(3600)
         if response.drop:
             return False
+        if response.crash and response.crash_after_reset_seconds is not None:
+            _reset(writer)
+            await asyncio.sleep(response.crash_after_reset_seconds)
+            if self.is_running:
+                self.crash()
+            return False
         if response.crash and (response.crash_after_seconds or not response.chunks):
             self.crash()
             return self.crash_kind is CrashKind.UNREACHABLE
@@ -300,6 +317,7 @@
             await self._send_endlessly(writer, response)
         await writer.drain()
         if response.crash:
+            self.on_crash()
             self.crash()
             return self.crash_kind is CrashKind.UNREACHABLE
         if response.reset:
--- a/tests/test_unseen_crashes.py
+++ b/tests/test_unseen_crashes.py
@@ -257,3 +257,16 @@
     """Return how many losses of the fatal requests a node knows of."""
     table = node.node.crash_records.table
     return sum(len(table.history_of(each).losses) for each in table.fingerprints())
+
+
+# Guards against a health check that is answered between the loss of a connection and the end of the
+# worker, which goes on with the request meanwhile (BUDGET).
+@pytest.mark.parametrize("kind", [CrashKind.REFUSES, CrashKind.UNREACHABLE])
+@pytest.mark.parametrize("path", [SAFE, STREAM, RETAINED, UNSAFE])
+@pytest.mark.parametrize("seconds", [0.02, 0.2])
+async def test_workers_that_end_after_their_connections_count(seconds, path, kind):
+    response = FakeResponse(crash_after_reset_seconds=seconds)
+    async with fatal_platform(response, workers=14, kind=kind, restart_seconds=1.0) as platform:
+        await send_repeatedly(platform, path)
+        await asyncio.sleep(2 * seconds)
+        assert crashes_of(platform) <= MAX_CRASHES, crash_log(platform)
