--- a/tests/test_sender_deaths.py
+++ b/tests/test_sender_deaths.py
@@ -17,7 +17,7 @@
     routes,
     wait_until,
 )
-from fake_worker import CrashKind, FakeResponse, FakeWorker
+from fake_worker import CrashKind, FakeWorker
 from fatal_platform import COMPLETE, FATAL, MAX_CRASHES, RETURN_SECONDS, crash_log, crashes_of
 from foxwinch.records.node_registry import NODES_TABLE
 from soak.disruptions import DisruptionLog
