Tell overlapping sends from repetitions by the time of each send

Losses of a request outside programs within two seconds counted as one, also where a caller had sent it again after the first loss. Losses now carry the time of their send, and only sends that overlap count as one. A node keeps its own doubt when it adopts that of another node, and a sender that was asked is presumed to have ended only when a third node sends the request.

--- a/src/foxwinch/core/records/crash_history.py
+++ b/src/foxwinch/core/records/crash_history.py
@@ -18,8 +18,8 @@
 DOUBT_MS = 10_000
 """Time from the end of a run until a doubt that no node has resolved counts as a crash."""
 COMMON_CAUSE_MS = 2_000
-"""Time within which the losses of unsuspected sends count as one. A caller repeats a request only
-after its last send was lost, so losses at the same time are mostly those of several callers."""
+"""Time within which the losses of unsuspected sends may count as one. A caller repeats a request
+only after its last send was lost, so sends that overlap are those of several callers."""
 
 
 class Crash(NamedTuple):
@@ -32,6 +32,8 @@
     suspected: bool = True
     """Whether the request was certainly a repetition of the other sends, or the first one: its
     program or an earlier loss was known when it was sent."""
+    sent_ms: int = 0
+    """Time of the send on the store's clock; 0 if it is not known."""
 
     @property
     def lost_ms(self) -> int:
@@ -48,6 +50,12 @@
     ends_ms: int
     """Time on the store's clock from which on the worker does not run the request any more."""
     suspected: bool = True
+    sent_ms: int = 0
+
+    @property
+    def crash(self) -> Crash:
+        """Return what the doubt becomes if nothing resolves it."""
+        return Crash(self.worker, self.lost_ms, self.suspected, self.sent_ms)
 
     @property
     def expires_ms(self) -> int:
@@ -85,8 +93,7 @@
         )
         for doubt in self.doubts:
             if doubt.expires_ms <= now_ms < doubt.lost_ms + RETENTION_MS:
-                crash = Crash(doubt.worker, doubt.lost_ms, doubt.suspected)
-                history = history.with_crash(crash, "")
+                history = history.with_crash(doubt.crash, "")
         claim = self.claim
         if claim is None or now_ms < claim.expires_ms:
             return history
@@ -115,7 +122,7 @@
         if not self.is_later(doubt):
             return CrashHistory(self.crashes, claim, self.doubts)
         if any(each.worker == doubt.worker for each in self.crashes):
-            return self.with_crash(Crash(doubt.worker, doubt.lost_ms, doubt.suspected), holder)
+            return self.with_crash(doubt.crash, holder)
         others = tuple(each for each in self.doubts if each.worker != doubt.worker)
         return CrashHistory(self.crashes, claim, (*others, doubt))
 
@@ -169,14 +176,18 @@
     def weight(self) -> int:
         """Return the number of losses that count against `MAX_CRASHES`.
 
-        Losses of unsuspected sends within `COMMON_CAUSE_MS` count as one.
+        Losses of unsuspected sends that overlap count as one if they are within `COMMON_CAUSE_MS`.
         """
-        unsuspected_ms = sorted(loss.lost_ms for loss in self.losses if not loss.suspected)
         weight = sum(loss.suspected for loss in self.losses)
-        first_ms: int | None = None
-        for lost_ms in unsuspected_ms:
-            if first_ms is None or lost_ms > first_ms + COMMON_CAUSE_MS:
-                first_ms = lost_ms
+        counted_ms: int | None = None
+        for loss in sorted(self.losses, key=lambda each: each.lost_ms):
+            if loss.suspected:
+                continue
+            is_common = counted_ms is not None and (
+                loss.sent_ms <= counted_ms and loss.lost_ms <= counted_ms + COMMON_CAUSE_MS
+            )
+            if not is_common:
+                counted_ms = loss.lost_ms
                 weight += 1
         return weight
 
@@ -223,13 +234,16 @@
 def encode_crash(crash: Crash) -> CrashMessage:
     """Return the message of a crash."""
     return CrashMessage(
-        worker=crash.worker, recorded_ms=crash.recorded_ms, unsuspected=not crash.suspected
+        worker=crash.worker,
+        recorded_ms=crash.recorded_ms,
+        unsuspected=not crash.suspected,
+        sent_ms=crash.sent_ms,
     )
 
 
 def decode_crash(message: CrashMessage) -> Crash:
     """Return the crash of a message."""
-    return Crash(message.worker, message.recorded_ms, not message.unsuspected)
+    return Crash(message.worker, message.recorded_ms, not message.unsuspected, message.sent_ms)
 
 
 def encode_doubt(doubt: Doubt) -> DoubtMessage:
@@ -239,9 +253,16 @@
         lost_ms=doubt.lost_ms,
         ends_ms=doubt.ends_ms,
         unsuspected=not doubt.suspected,
+        sent_ms=doubt.sent_ms,
     )
 
 
 def decode_doubt(message: DoubtMessage) -> Doubt:
     """Return the doubt of a message."""
-    return Doubt(message.worker, message.lost_ms, message.ends_ms, not message.unsuspected)
+    return Doubt(
+        message.worker,
+        message.lost_ms,
+        message.ends_ms,
+        not message.unsuspected,
+        message.sent_ms,
+    )
--- a/src/foxwinch/core/records/open_sends.py
+++ b/src/foxwinch/core/records/open_sends.py
@@ -54,8 +54,9 @@
         self._count = 0
         self._runs: dict[str, int] = {}
         """The latest known run by address."""
-        self._asked: dict[SenderRun, dict[str, None]] = {}
-        """Fingerprints for which a run was asked, until it responds or is found to have ended."""
+        self._asked: dict[SenderRun, dict[str, SenderRun]] = {}
+        """Requests for which a run was asked, until it responds or is found to have ended, and the
+        run on whose behalf it was."""
         self._presumed_lost: dict[SenderRun, list[OpenSend]] = {}
         """Sends of runs that did not respond in time; one that responds later takes them back."""
 
@@ -76,8 +77,8 @@
     def find(self, fingerprint: str, without: SenderRun) -> Findings:
         """Return the findings about the sends of a request by other runs than `without`.
 
-        A run that was asked before and has not responded yet is taken to have ended, as several
-        sends of one request in so short a time show that they were lost.
+        A run that was asked for one node and has not responded yet is taken to have ended when a
+        third node sends the request, as that shows that the earlier sends were lost.
         """
         lost: list[OpenSend] = []
         asked: list[SenderRun] = []
@@ -86,14 +87,14 @@
             if self._runs.get(sender.address) != sender.run:
                 self._remove(send)
                 lost.append(send)
-            elif fingerprint in self._asked.get(sender, ()):
+            elif self._asked.get(sender, {}).get(fingerprint, without) != without:
                 self._remove(send)
                 self._presumed_lost.setdefault(sender, []).append(send)
                 lost.append(send)
             else:
                 if sender not in self._asked:
                     asked.append(sender)
-                self._asked.setdefault(sender, {})[fingerprint] = None
+                self._asked.setdefault(sender, {})[fingerprint] = without
         return Findings(lost, asked)
 
     def is_undecided(self, fingerprint: str) -> bool:
--- a/src/foxwinch/records/crash_table.py
+++ b/src/foxwinch/records/crash_table.py
@@ -106,7 +106,7 @@
         if not history.is_later(doubt):
             return False
         if any(each.worker == doubt.worker for each in history.crashes):
-            known.reported[doubt.worker] = Crash(doubt.worker, doubt.lost_ms, doubt.suspected)
+            known.reported[doubt.worker] = doubt.crash
         else:
             known.reported_doubts[doubt.worker] = doubt
         return True
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -39,6 +39,7 @@
     worker: Worker
     fingerprint: str
     request_id: str
+    sent_at: float
     lost_at: float
     ends_at: float
     """Time from which on the worker does not run the request any more."""
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -118,9 +118,13 @@
         """Return None if a request may be sent to a worker now, or why not."""
         attempts.is_suspected, attempts.announced = False, None
         rejected = await self._admit_suspected(attempts, worker)
-        if rejected is None and attempts.announced is None and not attempts.has_claim:
+        if rejected is not None:
+            return rejected
+        if attempts.announced is None and not attempts.has_claim:
             self._witnesses.announce(attempts, worker)
-        return rejected
+        elif attempts.request.program is None:
+            self._witnesses.inquire(attempts.fingerprint)
+        return None
 
     async def _admit_suspected(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return why a request may not be sent; one that nothing is known of may."""
@@ -175,6 +179,7 @@
             worker,
             attempts.fingerprint,
             attempts.request.request_id,
+            attempts.sent_at,
             self._clock.monotonic(),
             ends_at,
             attempts.is_repetition,
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -125,7 +125,7 @@
             return None
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
         ends_ms = now_ms + int(1e3 * max(0.0, attempts.deadline_at - now))
-        doubt = Doubt(worker.incarnation, now_ms, ends_ms)
+        doubt = Doubt(worker.incarnation, now_ms, ends_ms, sent_ms=now_ms)
         if self._records.table.add_doubt(attempts.fingerprint, doubt):
             own = self._own.setdefault(attempts.fingerprint, {})
             own[doubt.worker] = _OwnDoubt(doubt, attempts.request.request_id, None, is_shared=True)
@@ -142,7 +142,9 @@
 
     def adopt(self, fingerprint: str, doubt: Doubt) -> None:
         """Put a send of a node that has ended in doubt, at all nodes, and try to resolve it."""
-        if not self._records.table.add_doubt(fingerprint, doubt):
+        doubt = doubt._replace(lost_ms=max(doubt.lost_ms, self._records.now_ms()))
+        is_doubted = doubt.worker in self._own.get(fingerprint, {})
+        if is_doubted or not self._records.table.add_doubt(fingerprint, doubt):
             return
         own = self._own.setdefault(fingerprint, {})
         own[doubt.worker] = _OwnDoubt(doubt, request_id="", lost=None, is_shared=True)
@@ -155,8 +157,14 @@
         if worker is not None:
             self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
 
+    def disown(self, fingerprint: str, worker: str) -> None:
+        """Remove the doubt of an adopted send whose node accounts for it after all."""
+        own = self._own.get(fingerprint, {}).get(worker)
+        if own is not None and not own.request_id:
+            self._remove(fingerprint, own.doubt)
+
     def withdraw(self, fingerprint: str, doubt: Doubt) -> None:
-        """Remove the doubt of an announced send that has got a response, or was not lost."""
+        """Remove the doubt of an announced send that has got a response."""
         self._remove(fingerprint, doubt)
 
     def share(self, fingerprint: str, request_id: str, has_claim: bool) -> bool:
@@ -189,6 +197,7 @@
             worker,
             fingerprint,
             request_id="",
+            sent_at=now + (doubt.sent_ms - now_ms) / 1e3,
             lost_at=now + (doubt.lost_ms - now_ms) / 1e3,
             ends_at=now + (doubt.ends_ms - now_ms) / 1e3,
             suspected=doubt.suspected,
@@ -199,7 +208,8 @@
         ends_ms = now_ms + int(1e3 * max(0.0, lost.ends_at - now))
         earlier = self._own.get(lost.fingerprint, {}).get(lost.worker.incarnation)
         lost_ms = now_ms if earlier is None else max(now_ms, earlier.doubt.lost_ms + 1)
-        doubt = Doubt(lost.worker.incarnation, lost_ms, ends_ms, lost.suspected)
+        sent_ms = self._store_ms(lost.sent_at)
+        doubt = Doubt(lost.worker.incarnation, lost_ms, ends_ms, lost.suspected, sent_ms)
         if self._records.table.add_doubt(lost.fingerprint, doubt):
             own = self._own.setdefault(lost.fingerprint, {})
             is_known = earlier is not None and earlier.is_known
@@ -287,10 +297,13 @@
 
     async def _record(self, lost: LostSend) -> None:
         """Tell the other nodes of a crash and store it."""
-        now_ms = self._records.now_ms()
-        self._drop_own(lost.fingerprint, lost.worker.incarnation, now_ms)
-        lost_ms = now_ms - int(1e3 * (self._clock.monotonic() - lost.lost_at))
-        crash = Crash(lost.worker.incarnation, max(0, lost_ms), lost.suspected)
+        self._drop_own(lost.fingerprint, lost.worker.incarnation, self._records.now_ms())
+        crash = Crash(
+            lost.worker.incarnation,
+            self._store_ms(lost.lost_at),
+            lost.suspected,
+            self._store_ms(lost.sent_at),
+        )
         is_new = self._records.table.add_crash(lost.fingerprint, crash)
         if is_new:
             self._notices.send(CrashNotice(lost.fingerprint, crash))
@@ -310,6 +323,10 @@
             waited_ms=int(1e3 * (self._clock.monotonic() - started_at)),
         )
 
+    def _store_ms(self, at: float) -> int:
+        """Return a monotonic time on the store's clock."""
+        return max(0, self._records.now_ms() - int(1e3 * (self._clock.monotonic() - at)))
+
     def _list_unstored(self, most: int) -> list[CrashNotice]:
         """Return notices of known losses that are not stored, for a node that has just started.
 
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -93,25 +93,28 @@
 
         One that does not respond is not waited for longer than `SETTLE_SECONDS`.
         """
-        addresses = self._registry.witnesses(fingerprint)
         give_up_at = self._clock.monotonic() + SETTLE_SECONDS
-        self._act(self._sends.find(fingerprint, self._own_run))
-        if addresses and fingerprint not in self._awaited:
-            self._awaited[fingerprint] = set(addresses)
-            question = CrashNoticesMessage(asks_about=bytes.fromhex(fingerprint), run=self._run)
-            self._notices.send_message(addresses, question)
+        if fingerprint not in self._awaited:
+            self._awaited[fingerprint] = set(self.inquire(fingerprint))
         while self._is_unsettled(fingerprint):
             if self._clock.monotonic() >= give_up_at:
                 log.info(
                     "witnesses_silent",
                     fingerprint=fingerprint,
-                    witnesses=len(addresses),
                     silent=len(self._awaited.get(fingerprint, ())),
                 )
                 break
             await self._clock.sleep(SETTLE_POLL_SECONDS)
         self._awaited.pop(fingerprint, None)
 
+    def inquire(self, fingerprint: str) -> list[str]:
+        """Let the witnesses of a request find its lost sends; return their addresses."""
+        self._act(self._sends.find(fingerprint, self._own_run))
+        addresses = self._registry.witnesses(fingerprint)
+        question = CrashNoticesMessage(asks_about=bytes.fromhex(fingerprint), run=self._run)
+        self._notices.send_message(addresses, question)
+        return addresses
+
     def _is_unsettled(self, fingerprint: str) -> bool:
         return bool(self._awaited.get(fingerprint)) or self._sends.is_undecided(fingerprint)
 
@@ -134,7 +137,8 @@
         """Keep a send of another node, and look for earlier ones of its request."""
         fingerprint = started.fingerprint.hex()
         ends_ms = started.sent_ms + started.lasts_ms
-        doubt = Doubt(started.worker, started.sent_ms, ends_ms, not started.unsuspected)
+        sent_ms = started.sent_ms
+        doubt = Doubt(started.worker, sent_ms, ends_ms, not started.unsuspected, sent_ms)
         send = OpenSend(fingerprint, sender, doubt, self._clock.monotonic())
         self._act(self._sends.add(send))
 
@@ -159,7 +163,7 @@
     def _on_run_told(self, sender: SenderRun) -> None:
         for send in self._sends.on_response(sender):
             log.info("sender_runs", sender=sender.address, fingerprint=send.fingerprint)
-            self._lost_sends.withdraw(send.fingerprint, send.doubt)
+            self._lost_sends.disown(send.fingerprint, send.doubt.worker)
 
     def _put_in_doubt(self, send: OpenSend) -> None:
         log.info(
