Let a doubt that is taken back remove no loss after its send

test_concurrent_repetitions_crash_three_workers_at_most failed once in a run of eight processes: four workers. An adopted doubt had the time of its adoption, so taking it back, as its sender responded late, removed the crash that the sender had recorded meanwhile. It has the time of the send again.

--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -141,8 +141,10 @@
             self._store_own(fingerprint)
 
     def adopt(self, fingerprint: str, doubt: Doubt) -> None:
-        """Put a send of a node that has ended in doubt, at all nodes, and try to resolve it."""
-        doubt = doubt._replace(lost_ms=max(doubt.lost_ms, self._records.now_ms()))
+        """Put a send of a node that has ended in doubt, at all nodes, and try to resolve it.
+
+        The doubt has the time of the send, so that taking it back removes no loss after that.
+        """
         is_doubted = doubt.worker in self._own.get(fingerprint, {})
         if is_doubted or not self._records.table.add_doubt(fingerprint, doubt):
             return
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -137,8 +137,7 @@
         """Keep a send of another node, and look for earlier ones of its request."""
         fingerprint = started.fingerprint.hex()
         ends_ms = started.sent_ms + started.lasts_ms
-        sent_ms = started.sent_ms
-        doubt = Doubt(started.worker, sent_ms, ends_ms, not started.unsuspected, sent_ms)
+        doubt = Doubt(started.worker, started.sent_ms, ends_ms, not started.unsuspected)
         send = OpenSend(fingerprint, sender, doubt, self._clock.monotonic())
         self._act(self._sends.add(send))
 
