Decode what other processes send in one module, and check the order of event ids

A worker's report of some thousand levels ended each node that read it: RecursionError is no ValueError, and the failed task of a health check stops the process.

JSON and numbers of workers, the store and callers are decoded in platform/decoding.py, whose outcomes are a value or MALFORMED. Events whose ids do not follow each other, or are no numbers, end a worker's response; another worker goes on after the last good one. A stream whose ids do not count is not resumed inside a response. An address of a node that is none costs one datagram.

--- a/src/foxwinch/platform/ingress.py
+++ b/src/foxwinch/platform/ingress.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
-from typing import Final
+from typing import Final, TypeVar
 
 from aiohttp import web
 
 from foxwinch.clock import Clock
 from foxwinch.log import EventLog
+from foxwinch.platform.decoding import Malformed, decode_number, decode_whole_number
 from foxwinch.platform.names import (
     AFFINITY,
     CONNECTION_HEADERS,
@@ -52,6 +53,7 @@
 STALL_SECONDS = 3.0
 """Time after which a caller that reads nothing of a complete response loses its connection."""
 STALL_POLL_SECONDS = 0.5
+Number = TypeVar("Number", int, float)
 log = EventLog("ingress")
 HEADERS_SET_BY_FOXWINCH: Final = frozenset({"host", DEADLINE_MS.lower(), LAST_EVENT_ID.lower()})
 
@@ -149,17 +151,24 @@
     for part in headers.get(PROMPT_PARTS, "").split(","):
         part_id, separator, size = part.partition(":")
         if separator:
-            parts.append((part_id, int(size)))
+            parts.append((part_id, _parse_int(size) or 0))
     hint = _parse_int(headers.get(LENGTH_HINT))
-    return ModelParameters(int(prompt), int(output or 0), hint, tuple(parts))
+    return ModelParameters(_parse_int(prompt) or 0, _parse_int(output) or 0, hint, tuple(parts))
 
 
 def _parse_float(value: str | None) -> float | None:
-    return float(value) if value else None
+    return _unless_malformed(decode_number(value)) if value else None
 
 
 def _parse_int(value: str | None) -> int | None:
-    return int(value) if value else None
+    return _unless_malformed(decode_whole_number(value)) if value else None
+
+
+def _unless_malformed(value: Number | Malformed) -> Number:
+    """Return a decoded value; raise ValueError if it is malformed."""
+    if isinstance(value, Malformed):
+        raise ValueError("malformed number")
+    return value
 
 
 class HttpCaller:
--- a/src/foxwinch/platform/store_client.py
+++ b/src/foxwinch/platform/store_client.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's store."""
 
 import asyncio
-import json
 import time
 from typing import Any
 
@@ -10,6 +9,7 @@
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Reason, Refused, not_run, outcome_unknown
 from foxwinch.platform.connections import ConnectionPool, open_session
+from foxwinch.platform.decoding import MALFORMED, decode_json
 from foxwinch.platform.names import (
     AFTER_VERSION,
     END_KEY,
@@ -194,7 +194,12 @@
                     ) as response,
                 ):
                     raw = await response.read()
-                    return StoreResponse(response.status, json.loads(raw) if raw else {})
+                    document = decode_json(raw) if raw else {}
+                    if document is MALFORMED:
+                        return outcome_unknown(
+                            Reason.STORE_UNAVAILABLE, "the store returned a malformed response"
+                        )
+                    return StoreResponse(response.status, document)
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
                 return not_run(Reason.STORE_UNAVAILABLE, "cannot connect to the store")
             except TimeoutError:
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import errno
-import json
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -21,6 +20,7 @@
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
 from foxwinch.platform.connections import open_session
+from foxwinch.platform.decoding import MALFORMED, decode_json, decode_number
 from foxwinch.platform.names import (
     CONNECTION_HEADERS,
     DEADLINE_MS,
@@ -55,6 +55,8 @@
 MAX_REPORT_BYTES = 64 * 1024
 """Maximum size of a worker's report; of a longer one, or of one that arrives in parts, nothing is
 concluded."""
+MAX_RETRY_AFTER_SECONDS = 60.0
+"""Maximum time to come back that is taken over from a worker."""
 KEEPALIVE_SECONDS = 3.0
 """Keep-alive time of idle connections; workers close idle connections later than that."""
 STATUS_SWITCHING_PROTOCOLS = 101
@@ -224,7 +226,10 @@
     ) -> HttpWorkerResponse | CallRefused | CallInterrupted:
         """Send a call and wait for the head of its response."""
         request = call.request
-        url = URL(f"http://{worker.address}{request.target}", encoded=True)
+        try:
+            url = URL(f"http://{worker.address}{request.target}", encoded=True)
+        except ValueError as error:
+            return CallRefused(CallFailure.UNREACHABLE, f"no valid address or target: {error}")
         try:
             response = await self._session.request(
                 request.method,
@@ -291,13 +296,10 @@
 
 async def _read_start(response: aiohttp.ClientResponse) -> int | None:
     """Return the start in milliseconds of Unix time that a worker's report names, if any."""
-    body = await response.content.read(MAX_REPORT_BYTES)
-    try:
-        report = json.loads(body)
-    except ValueError:
-        return None
+    report = decode_json(await response.content.read(MAX_REPORT_BYTES))
     started_ms = report.get(WORKER_STARTED_MS) if isinstance(report, dict) else None
-    return started_ms if isinstance(started_ms, int) else None
+    is_number = isinstance(started_ms, int) and not isinstance(started_ms, bool)
+    return started_ms if is_number else None
 
 
 def _headers(worker: Worker, call: OutgoingCall) -> CIMultiDict[str]:
@@ -318,9 +320,7 @@
         return CallRefused(CallFailure.WRONG_WORKER, "the address belongs to another worker")
     if NOT_RUN not in response.headers:
         return None
-    retry_after = response.headers.get(RETRY_AFTER)
-    try:
-        seconds = float(retry_after) if retry_after is not None else None
-    except ValueError:
-        seconds = None
+    seconds = decode_number(response.headers.get(RETRY_AFTER, ""))
+    if seconds is MALFORMED or not 0 <= seconds <= MAX_RETRY_AFTER_SECONDS:
+        return CallRefused(CallFailure.SHED, f"status {response.status}")
     return CallRefused(CallFailure.SHED, f"status {response.status}", seconds)
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -175,7 +175,11 @@
                 self._drop()
                 continue
             host, _, port = address.rpartition(":")
-            self._transport.sendto(payload, (host, int(port)))
+            try:
+                self._transport.sendto(payload, (host, int(port)))
+            except (ValueError, OverflowError, OSError) as error:
+                # Another writer may have registered an address that is none.
+                log.warning("notice_not_sent", address=address, detail=type(error).__name__)
 
     def _drop(self) -> None:
         """Count a datagram that was not sent; log the first and each hundredth one."""
--- a/src/foxwinch/serving/stream.py
+++ b/src/foxwinch/serving/stream.py
@@ -9,10 +9,11 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import StrEnum
+from itertools import takewhile
 
 from foxwinch.clock import Clock
 from foxwinch.core.records.turn import Turn, join_output
-from foxwinch.core.streams import EventFramer, StreamEvent
+from foxwinch.core.streams import EventFramer, EventSequence, StreamEvent
 from foxwinch.log import EventLog
 from foxwinch.records.turns import TurnRecords
 from foxwinch.serving.attempt_state import AcceptedCall, Attempts
@@ -48,6 +49,8 @@
     retained_bytes: int = 0
     last_received_id: int | None = None
     """Id of the last event that the caller received in an earlier request."""
+    sequence: EventSequence = field(default_factory=lambda: EventSequence(None))
+    """The order of the events that the worker is to send."""
 
     def was_received(self, event: StreamEvent) -> bool:
         """Return whether the caller received an event in an earlier request."""
@@ -100,6 +103,7 @@
             summary.last_received_id = attempts.request.last_event_id
         else:
             attempts.last_event_id = attempts.request.last_event_id
+        summary.sequence = EventSequence(attempts.last_event_id)
         try:
             async with asyncio.timeout(max(0.0, attempts.deadline_at - self._clock.monotonic())):
                 rejected = await self._serve_with_retries(attempts, prompt, caller, summary)
@@ -131,7 +135,7 @@
             if result is _StreamResult.COMPLETE:
                 return await self._finish_stream(accepted, attempts, prompt, caller, summary)
             await self._dispatcher.record_failure(accepted.worker, result, attempts)
-            if not self._dispatcher.may_retry(attempts):
+            if not self._dispatcher.may_retry(attempts) or not summary.sequence.is_resumable:
                 return RejectedRequest(Rejection.FAILED, result.failure.value)
             if summary.last_event_id is not None:
                 attempts.last_event_id = summary.last_event_id
@@ -148,15 +152,17 @@
         async for chunk in accepted.response.chunks():
             if isinstance(chunk, CallInterrupted):
                 return chunk
-            events = framer.feed(chunk)
+            received_events = framer.feed(chunk)
+            events = list(takewhile(summary.sequence.accept, received_events))
             if framer.is_too_large or summary.retained_bytes > MAX_RETAINED_BYTES:
                 return CallInterrupted(CallFailure.MALFORMED, "the stream exceeds its limits")
-            if not events:
-                continue
-            await self._begin(accepted, attempts, caller, summary)
-            unsent_events = self._count_events(events, attempts, summary)
-            if unsent_events:
-                await caller.send(b"".join(event.raw for event in unsent_events))
+            if events:
+                await self._begin(accepted, attempts, caller, summary)
+                unsent_events = self._count_events(events, attempts, summary)
+                if unsent_events:
+                    await caller.send(b"".join(event.raw for event in unsent_events))
+            if len(events) < len(received_events):
+                return CallInterrupted(CallFailure.MALFORMED, "an event is out of order")
         if framer.pending or not summary.has_started:
             return CallInterrupted(CallFailure.MALFORMED, "the stream ended within an event")
         return _StreamResult.COMPLETE
