Draw odd texts of every source, killed senders and late ends in tests and soak

Rows of other writers, datagrams, headers of callers and heads cut at any byte are read by real nodes. They found one fault: a notice whose time does not fit into 64 bits with others failed the task that stores it, which ends the process; times are bounded where they are decoded. Rows, headers and short heads hold. The soak kills the node that sent a fatal request as its worker ends, and resets connections before a worker ends.

--- a/src/foxwinch/core/records/crash_history.py
+++ b/src/foxwinch/core/records/crash_history.py
@@ -17,6 +17,9 @@
 """Time for which a crash counts. Programs that were stopped may return within a minute."""
 DOUBT_MS = 10_000
 """Time from the end of a run until a doubt that no node has resolved counts as a crash."""
+MAX_TIME_MS = 2**50
+"""Maximum time on the store's clock, above which a stored or received one is malformed. Sums of
+several such times still fit into 64 bits."""
 COMMON_CAUSE_MS = 2_000
 """Time within which the losses of unsuspected sends may count as one. A caller repeats a request
 only after its last send was lost, so sends that overlap are those of several callers."""
@@ -215,7 +218,8 @@
         claim = None
         if message.HasField("claim"):
             stored = message.claim
-            claim = SendClaim(stored.holder, stored.worker, stored.expires_ms)
+            expires_ms = min(stored.expires_ms, MAX_TIME_MS)
+            claim = SendClaim(stored.holder, stored.worker, expires_ms)
         return cls(
             tuple(decode_crash(each) for each in message.crashes),
             claim,
@@ -243,7 +247,12 @@
 
 def decode_crash(message: CrashMessage) -> Crash:
     """Return the crash of a message."""
-    return Crash(message.worker, message.recorded_ms, not message.unsuspected, message.sent_ms)
+    return Crash(
+        message.worker,
+        min(message.recorded_ms, MAX_TIME_MS),
+        not message.unsuspected,
+        min(message.sent_ms, MAX_TIME_MS),
+    )
 
 
 def encode_doubt(doubt: Doubt) -> DoubtMessage:
@@ -261,8 +270,8 @@
     """Return the doubt of a message."""
     return Doubt(
         message.worker,
-        message.lost_ms,
-        message.ends_ms,
+        min(message.lost_ms, MAX_TIME_MS),
+        min(message.ends_ms, MAX_TIME_MS),
         not message.unsuspected,
-        message.sent_ms,
+        min(message.sent_ms, MAX_TIME_MS),
     )
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -11,7 +11,7 @@
 from foxwinch._generated.crashes_pb2 import CrashNoticesMessage, StartedSendMessage
 from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.core.records.crash_history import Doubt
+from foxwinch.core.records.crash_history import MAX_TIME_MS, Doubt
 from foxwinch.core.records.open_sends import Findings, OpenSend, OpenSends, SenderRun
 from foxwinch.core.records.witness_ring import WITNESS_ZONES
 from foxwinch.core.routing.directory import Worker
@@ -136,8 +136,8 @@
     def _watch(self, started: StartedSendMessage, sender: SenderRun) -> None:
         """Keep a send of another node, and look for earlier ones of its request."""
         fingerprint = started.fingerprint.hex()
-        ends_ms = started.sent_ms + started.lasts_ms
-        doubt = Doubt(started.worker, started.sent_ms, ends_ms, not started.unsuspected)
+        sent_ms = min(started.sent_ms, MAX_TIME_MS)
+        doubt = Doubt(started.worker, sent_ms, sent_ms + started.lasts_ms, not started.unsuspected)
         send = OpenSend(fingerprint, sender, doubt, self._clock.monotonic())
         self._act(self._sends.add(send))
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -66,7 +66,7 @@
     silent: bool = False
     """Never respond."""
     drop: bool = False
-    """Close the connection without a response."""
+    """Close the connection without a response, after `extra_before`."""
     endless: bytes = b""
     """Bytes that are repeated after the head until the connection is closed."""
     headless: bool = False
@@ -289,6 +289,19 @@
             await writer.drain()
             self.endless_bytes += len(block)
 
+    async def _drop(self, writer: asyncio.StreamWriter, response: FakeResponse) -> None:
+        """Lose the connection, and crash after it if the response says so."""
+        writer.write(response.extra_before)
+        await writer.drain()
+        if response.crash_after_reset_seconds is not None:
+            _reset(writer)
+            await asyncio.sleep(response.crash_after_reset_seconds)
+            if response.crash and self.is_running:
+                self.crash()
+        elif response.reset:
+            await asyncio.sleep(0.02)
+            _reset(writer)
+
     async def _respond(
         self,
         writer: asyncio.StreamWriter,
@@ -299,13 +312,8 @@
         await asyncio.sleep(response.delay_seconds)
         if response.silent:
             await asyncio.sleep(3600)
-        if response.drop:
-            return False
-        if response.crash and response.crash_after_reset_seconds is not None:
-            _reset(writer)
-            await asyncio.sleep(response.crash_after_reset_seconds)
-            if self.is_running:
-                self.crash()
+        if response.drop or response.crash_after_reset_seconds is not None:
+            await self._drop(writer, response)
             return False
         if response.crash and (response.crash_after_seconds or not response.chunks):
             self.crash()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -84,6 +84,7 @@
         self.checker = InvariantChecker()
         self.disruptions = DisruptionLog()
         self.lag_seconds = 0.0
+        self._injects_faults = False
         self._folder = folder
         self._rng = random.Random(plan.seed)
         self._model = RecordStoreModel(SystemClock())
@@ -132,11 +133,23 @@
                 SoakNode(f"n{number}", zone, proxy, self._folder, self.checker, self.disruptions)
             )
         await asyncio.gather(*(node.start() for node in self.nodes))
+        for worker in self.workers:
+            worker.kill_node = self._kill_node
         self._start_task(self._lag_loop())
         for node in self.nodes:
             self._start_task(node.readiness_loop())
             self._start_task(self.operator.probe_loop(node))
 
+    def _kill_node(self, name: str) -> None:
+        """Kill a node and start it again, while faults are injected."""
+        node = next((each for each in self.nodes if each.name == name), None)
+        if node is not None and node.address is not None and self._injects_faults:
+            self._start_task(self._replace(node))
+
+    async def _replace(self, node: SoakNode) -> None:
+        await node.kill()
+        await node.start()
+
     async def run_faults(self) -> list[str]:
         """Inject faults while callers and the operator run; return the faults when all are over."""
         context = FaultContext(
@@ -145,6 +158,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         end_at = started_at + self.plan.seconds
+        self._injects_faults = True
         changes = asyncio.ensure_future(self.operator.change_loop())
         caller_tasks = [
             asyncio.ensure_future(self.callers.run_programs(lambda: loop.time() > end_at))
@@ -168,6 +182,7 @@
             while loop.time() < calm_phase_end:
                 await asyncio.sleep(self._rng.uniform(*BENIGN_INTERVAL_SECONDS))
                 inject(*choose_benign_fault(context))
+        self._injects_faults = False
         await asyncio.gather(*running, *caller_tasks)
         changes.cancel()
         await asyncio.gather(*(node.start() for node in self.nodes))
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -30,6 +31,10 @@
 """Range of the time from a restart under the same id to its entry."""
 RUN_SECONDS = (0.1, 1.5)
 """Range of the time that a request may run before it crashes its worker."""
+AFTER_RESET_SECONDS = (0.01, 0.4)
+"""Range of the time from the reset of its connection to the crash of a worker."""
+SENDER_KILL_PROBABILITY = 0.25
+"""Probability that the node which sent a fatal request is killed as its worker crashes."""
 DOWN_SECONDS = (0.5, 2.5)
 """Range of the time from a crash until the successor of the worker listens."""
 ENDLESS_BLOCK = b"x" * 65_536
@@ -69,6 +74,8 @@
         rng: random.Random,
     ) -> None:
         self.faults = WorkerFaults()
+        self.kill_node: Callable[[str], None] = lambda node: None
+        """Kills a node at once and starts it again."""
         self.proxy: FaultProxy | None = None
         self._number = number
         self._model = model
@@ -236,24 +243,37 @@
         return await self._crash_on(request_id) if self._rng.random() < 0.5 else None
 
     async def _crash_on(self, request_id: str) -> web.Response:
-        if self._rng.random() < 0.3:
+        chance = self._rng.random()
+        if chance < 0.3:
             # Such a worker ends although its caller has left.
-            crash = asyncio.ensure_future(self._crash_later(request_id))
-            self._late_crashes.add(crash)
-            crash.add_done_callback(self._late_crashes.discard)
+            self._start_crash(request_id, self._rng.uniform(*RUN_SECONDS))
+        elif chance < 0.45 and self.proxy is not None:
+            self._start_crash(request_id, self._rng.uniform(*AFTER_RESET_SECONDS))
+            self.proxy.reset()
         elif not self.is_down:
-            self._checker.record_crash(request_id)
-            self.crash()
+            self._crash_by(request_id)
         # The crash resets the connection, which cancels this handler.
         await asyncio.sleep(30)
         return web.Response()
 
-    async def _crash_later(self, request_id: str) -> None:
+    def _start_crash(self, request_id: str, seconds: float) -> None:
+        crash = asyncio.ensure_future(self._crash_later(request_id, seconds))
+        self._late_crashes.add(crash)
+        crash.add_done_callback(self._late_crashes.discard)
+
+    async def _crash_later(self, request_id: str, seconds: float) -> None:
         incarnation = self._incarnation
-        await asyncio.sleep(self._rng.uniform(*RUN_SECONDS))
+        await asyncio.sleep(seconds)
         if not self.is_down and self._incarnation == incarnation:
-            self._checker.record_crash(request_id)
-            self.crash()
+            self._crash_by(request_id)
+
+    def _crash_by(self, request_id: str) -> None:
+        """Crash on a request, and sometimes let the node be killed that sent it."""
+        self._checker.record_crash(request_id)
+        attempt = self._checker.attempts.get(request_id)
+        if attempt is not None and self._rng.random() < SENDER_KILL_PROBABILITY:
+            self.kill_node(attempt.node)
+        self.crash()
 
     async def _send_endlessly(self, request: web.Request) -> web.Response:
         transport = request.transport
--- a/tests/test_hostile_text.py
+++ b/tests/test_hostile_text.py
@@ -1,12 +1,26 @@
-"""Texts from workers that no sound one sends, read by real nodes."""
+"""Texts of other processes that no sound one sends, read by real nodes."""
 
 import asyncio
+import random
 from contextlib import asynccontextmanager
 
 import pytest
 
 from fake_platform import RETAINED, SAFE, STREAM, FakePlatform, configuration, wait_until
 from fake_worker import FakeResponse, FakeWorker, events
+from foxwinch._generated.crashes_pb2 import (
+    CrashHistoryMessage,
+    CrashMessage,
+    CrashNoticeMessage,
+    CrashNoticesMessage,
+    DoubtMessage,
+    NodeMessage,
+    SendClaimMessage,
+    StartedSendMessage,
+)
+from foxwinch.core.records.crash_history import MAX_CRASHES
+from foxwinch.records.crash_records import CRASHES_TABLE
+from foxwinch.records.node_registry import NODES_TABLE
 from foxwinch.service_tasks import FAILED_SERVICE
 
 START_MS = 1_790_000_000_000
@@ -130,3 +144,154 @@
 async def count_received(worker):
     """Return the number of requests that a worker received."""
     return len(worker.received)
+
+
+NUMBERS = (
+    "1e999",
+    "nan",
+    "-inf",
+    "-1",
+    "9" * 18,
+    "9" * 400,
+    "9" * 5_000,
+    "\u0664",
+    "1_0",
+    "0x1",
+    "1.5",
+    ",",
+    "four",
+)
+NUMERIC_HEADERS = (
+    "Deadline-Ms",
+    "Finish-Ms",
+    "Token-Budget",
+    "Token-Count",
+    "Length-Hint",
+    "Prompt-Prefix",
+    "Last-Event-Id",
+)
+TEXT_HEADERS = ("Program", "Session", "Previous-Turn", "Resumes", "Affinity", "Request-Id")
+TEXTS = ("x" * 300, "a/b", "..", "\u00e9" * 90, "a\tb", "%00", "/" * 250)
+
+
+# Guards against a header of a caller whose decoding or use fails: its request got 500, or a task of
+# the node failed.
+@pytest.mark.parametrize("path", [SAFE, STREAM, RETAINED])
+async def test_no_header_of_a_caller_fails_a_node(path):
+    response = FakeResponse() if path == SAFE else FakeResponse(body=None, chunks=events(1, 3))
+    async with two_workers(FakeWorker(response), FakeWorker(response)) as platform:
+        (node,) = platform.nodes
+        cases = [(name, value) for name in NUMERIC_HEADERS for value in NUMBERS]
+        cases += [(name, value) for name in TEXT_HEADERS for value in TEXTS]
+        for number, (name, value) in enumerate(cases):
+            values = {"Finish-Ms": "9000", "Token-Budget": "10000", "Token-Count": "1000,575"}
+            values |= {"Program": f"p{number}", "Session": "l1", name: value}
+            request_id = values.pop("Request-Id", f"r{number}")
+            reply = await platform.request(node, path, request_id, **values)
+            assert reply.status != 500, (name, value)
+        assert (await platform.request_turn(node, "last", path=path)).status == 200
+
+
+def odd_values(rng):
+    """Return stored values that no foxwinch node writes, some of them readable."""
+    most = 2**64 - 1
+    crash = CrashMessage(worker="w0", recorded_ms=most, sent_ms=most)
+    doubt = DoubtMessage(worker="\n" * 300, lost_ms=most, ends_ms=most, unsuspected=True)
+    claim = SendClaimMessage(holder="x", worker="w0", expires_ms=most)
+    history = CrashHistoryMessage(crashes=[crash] * 4, doubts=[doubt] * 4, claim=claim)
+    addresses = ("", "nowhere", "127.0.0.1:99999", "[::1]:x", "127.0.0.1:-1", "\u0661.0.0.1:80")
+    nodes = [NodeMessage(refreshed_ms=most, address=each, zone="z" * 300) for each in addresses]
+    values = [message.SerializeToString() for message in (history, *nodes)]
+    values += [b"", b"[" * 50_000, b'{"service":' * 5_000, b"\xff" * 40, b'{"slots": 1e999}']
+    return values + [rng.randbytes(rng.randrange(60)) for _ in range(20)]
+
+
+# Guards against a row of another writer that ends the nodes which read it, or stops them from
+# following the table.
+@pytest.mark.parametrize("table", ["servers", NODES_TABLE, CRASHES_TABLE, "op"])
+async def test_no_row_of_another_writer_fails_a_node(table):
+    rng = random.Random(table)
+    drop, sound = FakeWorker(FakeResponse(drop=True)), FakeWorker(FakeResponse())
+    async with two_workers(drop, sound) as platform:
+        for number, value in enumerate(odd_values(rng)):
+            platform.model.put(table, f"odd {number}", value)
+        await platform.start_node()
+        platform.list_worker(1)
+        for node in platform.nodes:
+            await wait_until(lambda node=node: count_workers(node), 2)
+        for number in range(MAX_CRASHES):
+            node = platform.nodes[number % 2]
+            await platform.request_turn(node, f"r{number}", path=SAFE, body=b"%d" % number)
+        platform.model.remove("servers", "w0")
+        for number, node in enumerate(platform.nodes):
+            await wait_until(lambda node=node: count_listed(node), 1)
+            reply = await platform.request(node, SAFE, f"s{number}")
+            assert reply.status == 200
+
+
+async def count_listed(node):
+    """Return the number of listed workers that a node knows."""
+    directory = node.node.routing.directory
+    ids = [each.worker_id for each in directory.known_workers()]
+    return sum(directory.listed_incarnation(each) is not None for each in ids)
+
+
+def odd_datagrams(rng):
+    """Return datagrams that no foxwinch node sends, some of them readable."""
+    most = 2**64 - 1
+    sends = [
+        StartedSendMessage(fingerprint=fingerprint, worker=worker, sent_ms=most, lasts_ms=2**32 - 1)
+        for fingerprint in (b"", b"f", b"f" * 40)
+        for worker in ("", "w0", "w" * 5_000)
+    ]
+    loss = DoubtMessage(worker="w0", lost_ms=most, ends_ms=most)
+    notices = [
+        CrashNoticeMessage(fingerprint=fingerprint, doubt=loss, cleared=cleared)
+        for fingerprint in ("", "f" * 32, "\n")
+        for cleared in (False, True)
+    ]
+    messages = [CrashNoticesMessage(sends=[send], run=run) for send in sends for run in (0, 7)]
+    messages += [CrashNoticesMessage(notices=[notice, CrashNoticeMessage()]) for notice in notices]
+    messages += [
+        CrashNoticesMessage(asks=True, asks_run=True, run=most >> 32),
+        CrashNoticesMessage(asks_about=b"f" * 900),
+        CrashNoticesMessage(told_about=b"x", run=1),
+    ]
+    datagrams = [message.SerializeToString() for message in messages]
+    return datagrams + [rng.randbytes(rng.randrange(80)) for _ in range(40)]
+
+
+# Guards against a datagram of another process that fails a task of the node, or its loop.
+async def test_no_datagram_fails_a_node():
+    rng = random.Random(40)
+    async with two_workers(FakeWorker(FakeResponse()), FakeWorker(FakeResponse())) as platform:
+        (node,) = platform.nodes
+        for repetition in range(2):
+            for payload in odd_datagrams(rng):
+                node.node.notices.datagram_received(payload, ("127.0.0.1", 9))
+            await asyncio.sleep(0.2)
+            reply = await platform.request_turn(node, f"r{repetition}", path=SAFE)
+            assert reply.status == 200
+
+
+HEADS = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+)
+
+
+# Guards against a head that is cut short and taken for a complete one: callers got 200 with a short
+# body (MIXED).
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("head", HEADS)
+async def test_a_response_that_is_cut_at_any_byte_is_not_taken_for_a_whole_one(head, reset):
+    worker = FakeWorker(FakeResponse())
+    async with two_workers(worker, FakeWorker(FakeResponse())) as platform:
+        (node,) = platform.nodes
+        for end in range(1, len(head) - 1, 3):
+            request_id = f"r{end}"
+            raw = (head % request_id.encode())[:end]
+            worker.responses = [FakeResponse(extra_before=raw, drop=True, reset=reset)]
+            reply = await platform.request(node, "/confirm/", request_id, body=request_id.encode())
+            assert reply.status == 502, (end, reply)
