--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -50,6 +50,7 @@
 """Time for which a worker may go on with a request whose connection was lost, and end under it.
 Most workers drop such a request at once."""
 DOUBT_POLL_SECONDS = 0.02
+"""Interval at which a request that waits for proofs of life looks for them."""
 PROTECTION_SECONDS = 10.0
 """Time for which a crash counts against the limits of a service, which hold for requests under
 which two workers have ended."""
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -3,7 +3,8 @@
 The shared store tells every node of a crash, but may be slow or down when the caller returns to
 another node, and most doubts are never stored. Each node that learns of one by a notice passes it
 on to a few random others, so that all nodes know it after a few steps and none sends to all. A node
-that starts asks a few others for the losses that are not stored yet.
+that starts asks a few others for the losses that are not stored yet. The same datagrams carry the
+announcements of sends (`send_witnesses.py`).
 """
 
 import asyncio
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -159,8 +159,8 @@
         if worker is not None:
             self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
 
-    def disown(self, fingerprint: str, worker: str) -> None:
-        """Remove the doubt of an adopted send whose node accounts for it after all."""
+    def retract(self, fingerprint: str, worker: str) -> None:
+        """Remove the doubt of an adopted send whose node still accounts for it."""
         own = self._own.get(fingerprint, {}).get(worker)
         if own is not None and not own.request_id:
             self._remove(fingerprint, own.doubt)
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -29,11 +29,15 @@
 RESPONSE_SECONDS = 0.05
 """Time in which a node responds that still runs: many round trips between zones."""
 ASK_AGAIN_SECONDS = 0.02
+"""Time after which a node is asked a second time, as datagrams may be lost."""
 LATE_RESPONSE_SECONDS = 5.0
 """Time in which a node that was paused may still respond."""
 SETTLE_SECONDS = 0.08
 """Time for which a suspected request waits for its witnesses."""
 SETTLE_POLL_SECONDS = 0.003
+"""Interval at which responses are looked for."""
+MAX_RUN_SECONDS = 3_600.0
+"""Maximum duration of a send in an announcement."""
 MAX_TOLD_LOSSES = 8
 """Maximum number of losses in a response; three already stop a request."""
 MAX_WORKER_BYTES = 256
@@ -76,7 +80,8 @@
         addresses = self._registry.witnesses(attempts.fingerprint)
         if not addresses:
             return
-        lasts_seconds = max(0.0, attempts.deadline_at - self._clock.monotonic())
+        left_seconds = attempts.deadline_at - self._clock.monotonic()
+        lasts_seconds = min(MAX_RUN_SECONDS, max(0.0, left_seconds))
         send = StartedSendMessage(
             fingerprint=bytes.fromhex(attempts.fingerprint),
             worker=worker.incarnation,
@@ -162,7 +167,7 @@
     def _on_run_told(self, sender: SenderRun) -> None:
         for send in self._sends.on_response(sender):
             log.info("sender_runs", sender=sender.address, fingerprint=send.fingerprint)
-            self._lost_sends.disown(send.fingerprint, send.doubt.worker)
+            self._lost_sends.retract(send.fingerprint, send.doubt.worker)
 
     def _put_in_doubt(self, send: OpenSend) -> None:
         log.info(
