--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -145,9 +145,12 @@
                 await worker.restart()
                 self.list_worker(number, born=1_790_000_000_000 + restarts)
 
-    async def start_node(self, wait=True, notice_ms=3_000):
-        """Start a node and return it, by default once it is ready."""
-        store = self.store_proxy.address
+    async def start_node(self, wait=True, notice_ms=3_000, store_proxy=None):
+        """Start a node and return it, by default once it is ready.
+
+        It reaches the store through `store_proxy`, if it has one of its own.
+        """
+        store = (store_proxy or self.store_proxy).address
         settings = ServeSettings.model_validate(
             {
                 "name": f"n{len(self.nodes)}",
--- /dev/null
+++ b/tests/test_outdated_nodes.py
@@ -0,0 +1,80 @@
+"""Nodes that are out of step with the store during a rollout: none joins two software versions."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from fake_platform import STREAM, wait_until
+from fake_worker import FakeResponse
+from foxwinch.bench.fault_proxy import FaultProxy
+from foxwinch.serving import stream_origins
+from test_stream_versions import ABORTED, ALL_EVENTS, REST, VersionedPlatform
+
+KNOWN_SECONDS = 0.3
+"""Time for which a node must know the worker list, in place of half a minute."""
+SLOW_SECONDS = 0.7
+"""Delay of each direction to a slow store."""
+UNAVAILABLE = FakeResponse(status=503, headers={"Not-Run": "1"}, signed=False)
+
+
+@asynccontextmanager
+async def rollout(monkeypatch, how):
+    """Provide two nodes of which the second cannot follow that a new version joins.
+
+    Streams begin at the new version.
+    """
+    monkeypatch.setattr(stream_origins, "EVICT_WORKERS_SECONDS", KNOWN_SECONDS)
+    async with VersionedPlatform("v1", "v1", "v2", "v2", attempts=1) as platform:
+        old, new = platform.workers[:2], platform.workers[2:]
+        for number in (2, 3):
+            platform.model.remove("servers", platform.worker_ids[number])
+        proxy = FaultProxy(platform.store_proxy.address)
+        await proxy.start()
+        try:
+            current = await platform.start_node()
+            outdated = await platform.start_node(store_proxy=proxy)
+            await asyncio.sleep(KNOWN_SECONDS)
+            isolate(proxy, how)
+            for number in (2, 3):
+                platform.list_worker(number)
+            await wait_until(lambda: platform.listed_versions(current), {"v1", "v2"})
+            for worker in old:
+                worker.responses = [UNAVAILABLE]
+            for worker in new:
+                worker.responses = [ABORTED]
+            begun = await platform.request(current, STREAM, "a")
+            assert begun.body == b"".join(ALL_EVENTS[:2])
+            for worker in platform.workers:
+                worker.responses = [REST]
+            yield platform, outdated
+        finally:
+            await proxy.stop()
+
+
+def isolate(proxy, how):
+    """Let the connections of a node to the store fail."""
+    if how == "stalled":
+        proxy.stall()
+    elif how == "refused":
+        proxy.set_faults(refuse=True)
+        proxy.reset()
+    elif how == "silent":
+        proxy.set_faults(block_to_target=True, block_to_client=True)
+    else:
+        proxy.set_faults(delay_seconds=SLOW_SECONDS)
+
+
+# Guards against a stream that is resumed at a node which does not know yet that a version joined
+# with which the stream began (ORDER).
+@pytest.mark.parametrize("how", ["stalled", "refused", "silent", "slow"])
+@pytest.mark.parametrize("named", [True, False])
+async def test_a_stream_is_not_resumed_at_another_version_by_an_outdated_node(
+    monkeypatch, named, how
+):
+    async with rollout(monkeypatch, how) as (platform, outdated):
+        assert await platform.listed_versions(outdated) == {"v1"}
+        resumes = {"Resumes": "a"} if named else {}
+        reply = await platform.request(outdated, STREAM, "b", Last_Event_Id=2, **resumes)
+        assert set(platform.versions_of("b")) <= {"v2"}
+        assert reply.status in (200, 503)
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -73,6 +73,21 @@
         return self._rng.random()
 
 
+def list_virtual_worker(model, worker_id, address, zone, **changes):
+    """Write a worker's entry to the worker list."""
+    entry = {
+        "service": "s",
+        "address": address,
+        "zone": zone,
+        "version": VERSIONS[0],
+        "slots": 4,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+    }
+    model.put("servers", worker_id, json.dumps({**entry, **changes}).encode())
+
+
 class Worker:
     """A worker that streams events naming its version, and may shed, abort or crash."""
 
@@ -89,18 +104,15 @@
         self.list_entry()
 
     def list_entry(self, state="ready"):
-        entry = {
-            "service": "s",
-            "address": self.address,
-            "zone": f"z{self.incarnation % 2}",
-            "version": self.version,
-            "slots": 4,
-            "state": state,
-            "cold_left_ms": 0,
-            "seq": 1,
-            "born": 1_790_000_000_000 + self.incarnation,
-        }
-        self._world.model.put("servers", self.worker_id, json.dumps(entry).encode())
+        list_virtual_worker(
+            self._world.model,
+            self.worker_id,
+            self.address,
+            f"z{self.incarnation % 2}",
+            version=self.version,
+            state=state,
+            born=1_790_000_000_000 + self.incarnation,
+        )
 
     async def restart(self, version, new_id):
         """Crash, then serve again as another incarnation, perhaps of another version."""
@@ -272,12 +284,17 @@
         self._world = world
         self._number = number
         self.is_killed = False
+        self.is_paused = False
+        """Whether its datagrams arrive neither here nor elsewhere."""
 
     def sendto(self, payload, address):
-        if self.is_killed:
+        if self.is_killed or self.is_paused:
+            return
+        number = int(address[1])
+        node = self._world.nodes[number]
+        if node is None or self._world.transports[number].is_paused:
             return
-        node = self._world.nodes[int(address[1])]
-        if node is not None and self._world.rng.random() >= NOTICE_LOSS:
+        if self._world.rng.random() >= self._world.notice_loss:
             asyncio.get_running_loop().call_later(
                 NOTICE_SECONDS, node.notices.datagram_received, payload, ("node", self._number)
             )
@@ -321,35 +338,41 @@
         return [(int(first[4:]), second[6:]) for first, second in blocks]
 
 
-class World:
-    """Nodes, workers, callers and the store of one run."""
+class Cluster:
+    """Nodes and the store of one run; subclasses add workers and callers."""
 
-    def __init__(self, seed, kills_all_senders=False):
-        self.kills_all_senders = kills_all_senders
-        """Whether the senders of fatal requests outside programs are killed too."""
+    nodes_count = NODES
+    zones = 2
+
+    def __init__(self, seed):
         self.rng = random.Random(seed)
         self.clock = RandomClock(self.rng)
         self.model = RecordStoreModel(self.clock)
         self.model.put("op", "config", configuration(routes=routes()))
-        self.workers = [Worker(self, number) for number in range(WORKERS)]
+        self.notice_loss = NOTICE_LOSS
         self.stores = {}
         self.transports = {}
-        self.nodes = [self._start_node(number) for number in range(NODES)]
-        self.requests = [{} for _ in range(NODES)]
+        self.nodes = [None] * self.nodes_count
+        self.requests = [{} for _ in range(self.nodes_count)]
         """Running requests of each node, which end when it is killed."""
-        self.counts = Counter()
-        self.mixed = []
-        self.crashes = Counter()
-        """Number of workers that crashed by the body of the fatal request."""
         self._tasks = set()
 
     def start(self, coroutine):
-        """Run a coroutine as a task of the world."""
+        """Run a coroutine as a task of the cluster."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _start_node(self, number):
+    def worker_calls(self, number):
+        """Return the port through which node `number` calls the workers."""
+        raise NotImplementedError
+
+    def running_nodes(self):
+        """Return the numbers of the nodes that run."""
+        return [number for number, node in enumerate(self.nodes) if node is not None]
+
+    def start_node(self, number):
+        """Start a node process."""
         metrics = ServingMetrics()
         self.stores[number] = KillableStore(self.model)
         store = ObservedStore(self.stores[number], self.clock)
@@ -365,9 +388,9 @@
         )
         node = ServingNode(
             name=f"n{number}",
-            zone=f"z{number % 2}",
+            zone=f"z{number % self.zones}",
             store=store,
-            workers=WorkerCalls(self, number),
+            workers=self.worker_calls(number),
             routing=routing,
             clock=self.clock,
             metrics=metrics,
@@ -376,27 +399,66 @@
         self.transports[number] = NoticeTransport(self, number)
         node.notices.connection_made(self.transports[number])
         node.start(f"node:{number}")
-        return node
-
-    def kill_sender(self, number):
-        """Kill a node at once, unless it is the last one; nothing that it does is seen any more."""
-        running = [each for each in range(NODES) if self.nodes[each] is not None]
-        if number in running and len(running) > 1 and not self.stores[number].is_killed:
-            self.silence_node(number)
-            self.start(self.kill_node(number))
+        self.nodes[number] = node
 
     def silence_node(self, number):
         """Let nothing that a node sends arrive any more."""
         self.stores[number].is_killed = self.transports[number].is_killed = True
 
     async def kill_node(self, number):
+        """Kill a node, and start it again within a second."""
         self.silence_node(number)
         for request in list(self.requests[number]):
             request.cancel()
         await self.nodes[number].close()
         self.nodes[number] = None
         await asyncio.sleep(self.rng.random())
-        self.nodes[number] = self._start_node(number)
+        self.start_node(number)
+
+    async def handle(self, number, request, caller, patience=None):
+        """Let a node handle a request, until it is killed or the caller leaves after `patience`."""
+        task = asyncio.ensure_future(self.nodes[number].handle(request, caller))
+        self.requests[number][task] = request
+        await asyncio.wait([task], timeout=patience)
+        if not task.done():
+            task.cancel()
+            await asyncio.wait([task])
+        del self.requests[number][task]
+        if not task.cancelled():
+            task.result()
+
+    async def stop(self):
+        """Wait for the tasks of the cluster and stop its nodes."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+        for node in self.nodes:
+            await node.close()
+
+
+class World(Cluster):
+    """Nodes, workers, callers and the store of one run."""
+
+    def __init__(self, seed, kills_all_senders=False):
+        self.kills_all_senders = kills_all_senders
+        """Whether the senders of fatal requests outside programs are killed too."""
+        super().__init__(seed)
+        self.workers = [Worker(self, number) for number in range(WORKERS)]
+        for number in range(NODES):
+            self.start_node(number)
+        self.counts = Counter()
+        self.mixed = []
+        self.crashes = Counter()
+        """Number of workers that crashed by the body of the fatal request."""
+
+    def worker_calls(self, number):
+        return WorkerCalls(self, number)
+
+    def kill_sender(self, number):
+        """Kill a node at once, unless it is the last one; nothing that it does is seen any more."""
+        running = self.running_nodes()
+        if number in running and len(running) > 1 and not self.stores[number].is_killed:
+            self.silence_node(number)
+            self.start(self.kill_node(number))
 
     async def send(
         self, request_id, origin, last_event, body=b"", path=STREAM, patience=None, program=None
@@ -406,7 +468,7 @@
         The caller leaves after `patience` seconds, if given.
         """
         caller = Caller()
-        running = [number for number in range(NODES) if self.nodes[number] is not None]
+        running = self.running_nodes()
         if not running:
             return caller
         number = self.rng.choice(running)
@@ -424,15 +486,7 @@
             last_event_id=last_event,
             resumed_request=origin,
         )
-        task = asyncio.ensure_future(self.nodes[number].handle(request, caller))
-        self.requests[number][task] = request
-        await asyncio.wait([task], timeout=patience)
-        if not task.done():
-            task.cancel()
-            await asyncio.wait([task])
-        del self.requests[number][task]
-        if not task.cancelled():
-            task.result()
+        await self.handle(number, request, caller, patience)
         return caller
 
     async def run_stream(self, name):
@@ -503,7 +557,7 @@
         faults.fault, faults.delay_seconds = StoreFault.NONE, 0.0
 
     async def kill_some_node(self):
-        running = [number for number in range(NODES) if self.nodes[number] is not None]
+        running = self.running_nodes()
         if len(running) > 1:
             await self.kill_node(self.rng.choice(running))
 
@@ -527,6 +581,4 @@
             if not isinstance(result, asyncio.CancelledError):
                 raise result
         await asyncio.gather(*injected)
-        await asyncio.gather(*self._tasks)
-        for node in self.nodes:
-            await node.close()
+        await self.stop()
