Count a send without a response until no worker can run it any more

Callers saw a request sent on after three workers had ended under it: a worker went on with it although the connection was gone, and ended seconds later. Half a second after the loss a health check had ended the doubt.

Cause: a time after the connection's loss was taken for the end of the run. A worker need not notice that its connection is closed, nor a deadline. Change: a send is over once its worker has answered or is gone, or has proved to live after the route's time-out, four seconds and the deadline. Until then it counts; a refusal names the time at which enough doubts may end.

--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -8,6 +8,10 @@
 from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.serving.messages import ServiceRequest, WorkerResponse
 
+MIN_RUN_SECONDS = 4.0
+"""Time from a send without a response for which its worker may run it at least, and end under it. A
+worker may notice neither that the connection is gone nor that the deadline has passed."""
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -51,6 +55,12 @@
         """Whether all sends of the request are known to be those of one caller."""
         return self.is_suspected or self.request.program is not None
 
+    @property
+    def over_at(self) -> float:
+        """Monotonic time from which on no worker runs the last send any more."""
+        run_seconds = max(self.route.timeout_seconds, MIN_RUN_SECONDS)
+        return max(self.deadline_at, self.sent_at + run_seconds)
+
     @property
     def fingerprint(self) -> str:
         """Return the fingerprint of the request, which is computed when it is first needed."""
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -26,6 +26,8 @@
 RESOLVE_SECONDS = 120.0
 """Time for which a lost send is watched; during an outage the worker list does not tell."""
 CHECK_INTERVAL_SECONDS = 0.3
+RUNNING_CHECK_INTERVAL_SECONDS = 1.0
+"""Interval of health checks while a worker may still run the request, as none then proves life."""
 POLL_SECONDS = 0.25
 FIRST_POLL_SECONDS = 0.02
 """Poll interval of the first quarter of a second; a worker that restarts at once is listed then."""
@@ -108,7 +110,9 @@
             unlisted_since = None if listed is not None else unlisted_since or now
             is_unlisted = unlisted_since is not None and now - unlisted_since > RESTORE_SECONDS
             is_first_proof = checked_at < lost.ends_at <= now
-            is_due = now - checked_at >= CHECK_INTERVAL_SECONDS
+            is_over = now >= lost.ends_at
+            interval = CHECK_INTERVAL_SECONDS if is_over else RUNNING_CHECK_INTERVAL_SECONDS
+            is_due = now - checked_at >= interval
             if ((is_needed() or is_unlisted) and is_due) or is_first_proof:
                 checked_at = now
                 result = await self.check(lost.worker, lost.request_id, lost.fingerprint)
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -44,11 +44,10 @@
 CLAIMED_RETRY_AFTER_SECONDS = 0.3
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
-DOUBT_RETRY_AFTER_SECONDS = 0.5
-"""About the time in which health checks or heartbeats resolve a doubt."""
-DISCONNECTED_RUN_SECONDS = 0.5
-"""Time for which a worker may go on with a request whose connection was lost, and end under it.
-Most workers drop such a request at once."""
+DOUBT_RETRY_AFTER_SECONDS = 0.1
+"""About the time in which health checks resolve a doubt about a send that is over."""
+PROOF_WAIT_SECONDS = 0.5
+"""Time for which a request waits for proofs of life that may come soon."""
 DOUBT_POLL_SECONDS = 0.02
 """Interval at which a request that waits for proofs of life looks for them."""
 PROTECTION_SECONDS = 10.0
@@ -127,14 +126,8 @@
     async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
         """Wait for proofs of life without which a request is rejected, if they may come soon."""
         now = self._clock.monotonic()
-        give_up_at = min(now + DISCONNECTED_RUN_SECONDS, attempts.deadline_at) + PROBE_SECONDS
-        store_ms = self._records.now_ms()
-        pending = [
-            doubt
-            for doubt in history.doubts
-            if doubt.ends_ms > store_ms + 1e3 * DISCONNECTED_RUN_SECONDS
-        ]
-        if replace(history, doubts=tuple(pending)).weight >= MAX_CRASHES:
+        give_up_at = min(now + PROOF_WAIT_SECONDS, attempts.deadline_at) + PROBE_SECONDS
+        if self._undecided_seconds(history) > PROOF_WAIT_SECONDS:
             return
         self._lost_sends.resolve(attempts.fingerprint, history)
         while self._clock.monotonic() < give_up_at:
@@ -142,9 +135,19 @@
             if self._records.table.history_of(attempts.fingerprint).weight < MAX_CRASHES:
                 return
 
+    def _undecided_seconds(self, history: CrashHistory) -> float:
+        """Return the time until so many doubts may be resolved that a request may be sent."""
+        now_ms = self._records.now_ms()
+        for ends_ms in sorted(doubt.ends_ms for doubt in history.doubts):
+            pending = tuple(doubt for doubt in history.doubts if doubt.ends_ms > ends_ms)
+            if replace(history, doubts=pending).weight < MAX_CRASHES:
+                return max(0.0, (ends_ms - now_ms) / 1e3)
+        return float("inf")
+
     async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return None if a request may be sent to a worker now, or why not."""
         attempts.is_suspected, attempts.announced = False, None
+        attempts.sent_at = self._clock.monotonic()
         rejected = await self._admit_suspected(attempts, worker)
         if rejected is not None:
             return rejected
@@ -190,12 +193,11 @@
         for its slow response, or that has lost the connection, may still run the call, so only
         later checks can prove its life.
         """
+        lost = self._lost_send(worker, attempts)
         if interrupted.failure is CallFailure.UNRESPONSIVE:
-            self._lost_sends.add(self._lost_send(worker, attempts, attempts.deadline_at))
+            self._lost_sends.add(lost)
             return
         is_claimed, attempts.has_claim = attempts.has_claim, False
-        ends_at = min(attempts.deadline_at, self._clock.monotonic() + DISCONNECTED_RUN_SECONDS)
-        lost = self._lost_send(worker, attempts, ends_at)
         await asyncio.shield(self._tasks.start(self._settle(lost, attempts, is_claimed)))
 
     async def _settle(self, lost: LostSend, attempts: Attempts, is_claimed: bool) -> None:
@@ -204,14 +206,14 @@
         if attempts.has_ended:
             self._release(attempts)
 
-    def _lost_send(self, worker: Worker, attempts: Attempts, ends_at: float) -> LostSend:
+    def _lost_send(self, worker: Worker, attempts: Attempts) -> LostSend:
         return LostSend(
             worker,
             attempts.fingerprint,
             attempts.request.request_id,
             attempts.sent_at,
             self._clock.monotonic(),
-            ends_at,
+            attempts.over_at,
             attempts.is_repetition,
         )
 
@@ -281,7 +283,7 @@
             sent_ago_ms=int(1e3 * (now - attempts.sent_at)),
             left_ms=int(1e3 * (attempts.deadline_at - now)),
         )
-        self._lost_sends.add(self._lost_send(worker, attempts, max(now, attempts.deadline_at)))
+        self._lost_sends.add(self._lost_send(worker, attempts))
 
     def _release(self, attempts: Attempts) -> None:
         """Release a request's claim; its doubts take the place of it."""
@@ -371,7 +373,8 @@
     def _reject_suspected(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
         """Reject a request until its crashes expire, or some of its doubts are resolved."""
         if replace(history, doubts=()).weight < MAX_CRASHES:
-            return self._reject(attempts, history, "workers_in_doubt", DOUBT_RETRY_AFTER_SECONDS)
+            retry_after = self._undecided_seconds(history) + DOUBT_RETRY_AFTER_SECONDS
+            return self._reject(attempts, history, "workers_in_doubt", retry_after)
         left_ms = max(0, history.retained_until_ms - self._records.now_ms())
         return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
 
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -124,7 +124,7 @@
         if not self._notices.has_receivers:
             return None
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
-        ends_ms = now_ms + int(1e3 * max(0.0, attempts.deadline_at - now))
+        ends_ms = now_ms + int(1e3 * max(0.0, attempts.over_at - now))
         doubt = Doubt(worker.incarnation, now_ms, ends_ms, sent_ms=now_ms)
         if self._records.table.add_doubt(attempts.fingerprint, doubt):
             own = self._own.setdefault(attempts.fingerprint, {})
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -80,7 +80,7 @@
         addresses = self._registry.witnesses(attempts.fingerprint)
         if not addresses:
             return
-        left_seconds = attempts.deadline_at - self._clock.monotonic()
+        left_seconds = attempts.over_at - self._clock.monotonic()
         lasts_seconds = min(MAX_RUN_SECONDS, max(0.0, left_seconds))
         send = StartedSendMessage(
             fingerprint=bytes.fromhex(attempts.fingerprint),
--- a/tests/fatal_platform.py
+++ b/tests/fatal_platform.py
@@ -14,6 +14,8 @@
 from fake_worker import CrashKind, FakeResponse, FakeWorker, events
 from foxwinch.core.records.crash_history import CrashHistory
 from foxwinch.records.crash_records import CRASHES_TABLE
+from foxwinch.serving.attempt_state import MIN_RUN_SECONDS
+from foxwinch.serving.crash_guard import DOUBT_RETRY_AFTER_SECONDS
 
 MAX_CRASHES = 3
 """Number of workers that may crash on repetitions of one request."""
@@ -148,3 +150,17 @@
 async def count_claims(platform):
     """Return the number of claims for repetitions in the store."""
     return len(await claims_in_store(platform))
+
+
+async def return_as_told(platform, node, request_id, path, body):
+    """Send a request, again after the time that a refusal names; return the last response.
+
+    A refusal must not have run, and must be over once no worker can run the lost sends any more.
+    """
+    reply = await platform.request_turn(node, request_id, path=path, body=body)
+    if reply.status == 503:
+        retry_after = float(reply.headers["Retry-After"])
+        assert retry_after <= MIN_RUN_SECONDS + RETURN_SECONDS + DOUBT_RETRY_AFTER_SECONDS
+        await asyncio.sleep(retry_after)
+        reply = await platform.request_turn(node, f"{request_id}-again", path=path, body=body)
+    return reply
