Count each send by itself, and those of several callers by one rule

Callers saw a request sent on after three workers had ended under it: outside programs four to fifteen ended, and four where a worker was back under its id before it was listed.

Cause: two exceptions and a key. Requests outside programs were sent beside a doubt without limit and did not wait for witnesses; overlapping losses counted once, however many, and a send that a witness told of had no time of its own and overlapped everything. Losses were kept by worker, so that the later of two ends took the place of the earlier one.

Change: a loss is known by its send, the worker and the time on the store's clock. Losses of one worker that one end explains count once. Overlapping losses of several callers count two at most, so that the next send decides. From the first loss on each send outside programs waits for the witnesses and needs the claim; without the store it waits. A success of such a request now clears its doubts too, at all nodes, so that innocents wait one round trip.

For callers at once the check is that no send begins after the third end is known, and that each further caller adds one end at most: overlapping sends cannot know of each other.

--- a/src/foxwinch/core/records/open_sends.py
+++ b/src/foxwinch/core/records/open_sends.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from foxwinch.core.records.crash_history import Doubt
+from foxwinch.core.records.crash_history import Doubt, SendKey
 
 KEPT_SECONDS = 60.0
 """Time for which a witness keeps a send. Programs that were stopped may return within a minute."""
@@ -78,7 +78,7 @@
         """Return the findings about the sends of a request by other runs than `without`.
 
         A run that was asked for one node and has not responded yet is taken to have ended when a
-        third node sends the request, as that shows that the earlier sends were lost.
+        third node sends a program's request, as that shows that the earlier sends were lost.
         """
         lost: list[OpenSend] = []
         asked: list[SenderRun] = []
@@ -87,7 +87,7 @@
             if self._runs.get(sender.address) != sender.run:
                 self._remove(send)
                 lost.append(send)
-            elif self._asked.get(sender, {}).get(fingerprint, without) != without:
+            elif send.doubt.suspected and self._is_asked_for_other(send, without):
                 self._remove(send)
                 self._presumed_lost.setdefault(sender, []).append(send)
                 lost.append(send)
@@ -97,6 +97,10 @@
                 self._asked.setdefault(sender, {})[fingerprint] = without
         return Findings(lost, asked)
 
+    def _is_asked_for_other(self, send: OpenSend, without: SenderRun) -> bool:
+        """Return whether the sender was asked about the request for another run than `without`."""
+        return self._asked.get(send.sender, {}).get(send.fingerprint, without) != without
+
     def is_undecided(self, fingerprint: str) -> bool:
         """Return whether a run was asked about a request and has not responded yet."""
         return any(fingerprint in fingerprints for fingerprints in self._asked.values())
@@ -161,6 +165,6 @@
             self._count -= len(sends)
 
 
-def _identity(send: OpenSend) -> tuple[SenderRun, str]:
-    """Return what a later send of the same node to the same worker replaces."""
-    return send.sender, send.doubt.worker
+def _identity(send: OpenSend) -> tuple[SenderRun, SendKey]:
+    """Return what identifies a send that is announced twice."""
+    return send.sender, send.doubt.send
--- a/src/foxwinch/records/crash_records.py
+++ b/src/foxwinch/records/crash_records.py
@@ -138,8 +138,8 @@
         if isinstance(outcome, Refused):
             log.warning("claim_not_released", fingerprint=fingerprint, detail=outcome.detail)
 
-    def clear_crashes(self, fingerprint: str, before_ms: int, holder: str) -> None:
-        """Forget the crashes under a request before `before_ms`, and release the claim of `holder`.
+    def clear_losses(self, fingerprint: str, before_ms: int, holder: str) -> None:
+        """Forget the losses under a request before `before_ms`, and release the claim of `holder`.
 
         Updates that wait to be stored are applied before.
         """
@@ -147,7 +147,7 @@
         if is_stored or fingerprint in self._unsaved:
             self.start_save(
                 fingerprint,
-                lambda history: history.without_crashes(before_ms).without_claim_of(holder),
+                lambda history: history.without_losses(before_ms).without_claim_of(holder),
             )
 
     async def run_cleanup(self) -> None:
--- a/src/foxwinch/records/crash_table.py
+++ b/src/foxwinch/records/crash_table.py
@@ -9,6 +9,7 @@
     CrashHistory,
     Doubt,
     SendClaim,
+    SendKey,
 )
 from foxwinch.log import EventLog
 from foxwinch.records.ports import ABSENT_VERSION
@@ -27,10 +28,10 @@
     row_version: int = ABSENT_VERSION
     seen_version: int = ABSENT_VERSION
     """Store version as of which the history is known."""
-    reported: dict[str, Crash] = field(default_factory=dict)
-    """Crashes whose rows have not arrived, by worker incarnation."""
-    reported_doubts: dict[str, Doubt] = field(default_factory=dict)
-    """Doubts that are not stored, by worker incarnation."""
+    reported: dict[SendKey, Crash] = field(default_factory=dict)
+    """Crashes whose rows have not arrived."""
+    reported_doubts: dict[SendKey, Doubt] = field(default_factory=dict)
+    """Doubts that are not stored."""
 
     def with_crashes(self) -> CrashHistory:
         """Return the stored history with the reported crashes."""
@@ -95,8 +96,8 @@
         known = self.get(fingerprint)
         if not known.with_crashes().is_later(crash):
             return False
-        known.reported_doubts.pop(crash.worker, None)
-        known.reported[crash.worker] = crash
+        known.reported_doubts.pop(crash.send, None)
+        known.reported[crash.send] = crash
         return True
 
     def add_doubt(self, fingerprint: str, doubt: Doubt) -> bool:
@@ -106,9 +107,9 @@
         if not history.is_later(doubt):
             return False
         if any(each.worker == doubt.worker for each in history.crashes):
-            known.reported[doubt.worker] = doubt.crash
+            known.reported[doubt.send] = doubt.crash
         else:
-            known.reported_doubts[doubt.worker] = doubt
+            known.reported_doubts[doubt.send] = doubt
         return True
 
     def has_loss(self, fingerprint: str, worker: str) -> bool:
@@ -136,9 +137,9 @@
         known = self._known.get(fingerprint)
         if known is None:
             return False
-        reported = known.reported_doubts.get(doubt.worker)
-        if reported is not None and reported.lost_ms <= doubt.lost_ms:
-            del known.reported_doubts[doubt.worker]
+        for reported in list(known.reported_doubts.values()):
+            if reported.worker == doubt.worker and reported.lost_ms <= doubt.lost_ms:
+                del known.reported_doubts[reported.send]
         self.drop_if_unknown(fingerprint)
         return any(each.worker == doubt.worker for each in known.history.losses)
 
@@ -149,7 +150,7 @@
             return False
         for crash in list(known.reported.values()):
             if crash.recorded_ms < before_ms:
-                del known.reported[crash.worker]
+                del known.reported[crash.send]
         self.drop_if_unknown(fingerprint)
         return known.row_version != ABSENT_VERSION
 
@@ -170,9 +171,9 @@
         """Drop the reported doubts that do not count as crashes any more."""
         now_ms = self._now_ms()
         for fingerprint, known in list(self._known.items()):
-            for worker, doubt in list(known.reported_doubts.items()):
+            for send, doubt in list(known.reported_doubts.items()):
                 if now_ms >= doubt.lost_ms + RETENTION_MS:
-                    del known.reported_doubts[worker]
+                    del known.reported_doubts[send]
             self.drop_if_unknown(fingerprint)
 
     def adopt(
@@ -191,12 +192,12 @@
         known.history, known.row_version = history, row_version
         if history.claim is not None:
             self._claims[fingerprint] = history.claim
-        for worker, crash in list(known.reported.items()):
+        for send, crash in list(known.reported.items()):
             if not history.is_later(crash):
-                del known.reported[worker]
-        for worker, doubt in list(known.reported_doubts.items()):
+                del known.reported[send]
+        for send, doubt in list(known.reported_doubts.items()):
             if not history.is_later(doubt):
-                del known.reported_doubts[worker]
+                del known.reported_doubts[send]
 
     def get(self, fingerprint: str) -> KnownHistory:
         """Return what is known of a history; an unknown one is added."""
--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -32,6 +32,8 @@
     """The worker that runs the request as far as this node knows."""
     sent_at: float = 0.0
     """Time of the last send on the monotonic clock."""
+    sent_ms: int = 0
+    """The same on the store's clock; with the worker, it identifies the send at all nodes."""
     last_event_id: int | None = None
     origin: StreamOrigin | None = None
     """Service and software version that the stream is bound to; None while any may begin it."""
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -36,12 +36,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LostSend:
-    """A send without a response, whose worker may have ended under it; times are monotonic."""
+    """A send without a response, whose worker may have ended under it.
+
+    Times are monotonic but for the one that identifies the send, which is on the store's clock.
+    """
 
     worker: Worker
     fingerprint: str
     request_id: str
-    sent_at: float
+    sent_ms: int
     lost_at: float
     ends_at: float
     """Time from which on the worker does not run the request any more."""
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -111,16 +111,14 @@
     async def settle(self, attempts: Attempts) -> None:
         """Wait until it is known which sends of a suspected request were lost with their nodes.
 
-        A request that has too many doubts waits for proofs of life that may come soon. Requests
-        outside programs do not wait for witnesses, as those of many callers would hold each other
-        up.
+        A request that has too many doubts waits for proofs of life that may come soon.
         """
         if self._records.table.is_empty:
             return
         history = self._records.table.history_of(attempts.fingerprint)
         if history.weight >= MAX_CRASHES:
             await self._wait_for_proofs(attempts, history)
-        elif history.weight and attempts.request.program is not None:
+        elif history.weight:
             await self._witnesses.settle(attempts.fingerprint)
 
     async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
@@ -147,16 +145,19 @@
     async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return None if a request may be sent to a worker now, or why not."""
         attempts.is_suspected, attempts.announced = False, None
-        attempts.sent_at = self._clock.monotonic()
+        self._note_send(attempts)
         rejected = await self._admit_suspected(attempts, worker)
         if rejected is not None:
             return rejected
-        if attempts.announced is None and not attempts.has_claim:
-            self._witnesses.announce(attempts, worker)
-        elif attempts.request.program is None:
-            self._witnesses.inquire(attempts.fingerprint)
+        if attempts.announced is None:
+            self._note_send(attempts)
+            if not attempts.has_claim:
+                self._witnesses.announce(attempts, worker)
         return None
 
+    def _note_send(self, attempts: Attempts) -> None:
+        attempts.sent_at, attempts.sent_ms = self._clock.monotonic(), self._records.now_ms()
+
     async def _admit_suspected(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
         """Return why a request may not be sent; one that nothing is known of may."""
         if self._records.table.is_empty:
@@ -171,14 +172,13 @@
             self._lost_sends.resolve(attempts.fingerprint, history)
         if history.weight >= MAX_CRASHES:
             return self._reject_suspected(attempts, history)
-        if len(history.crashes) > 1 and history.weight > 1 and self._must_spare(worker.service):
+        is_repeated = len(history.crashes) > 1 and history.cause_count > 1
+        if is_repeated and self._must_spare(worker.service):
             return self._reject(
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
-        if not history.crashes and history.weight == 1:
-            if attempts.request.program is None:
-                # The requests of many callers would hold each other up.
-                return None
+        is_single_doubt = not history.crashes and history.weight == 1
+        if is_single_doubt and attempts.request.program is not None:
             attempts.announced = self._lost_sends.announce(attempts, worker)
             if attempts.announced is not None:
                 return None
@@ -211,18 +211,18 @@
             worker,
             attempts.fingerprint,
             attempts.request.request_id,
-            attempts.sent_at,
+            attempts.sent_ms,
             self._clock.monotonic(),
             attempts.over_at,
             attempts.is_repetition,
         )
 
     def on_response(self, attempts: Attempts, is_success: bool) -> None:
-        """Clear a request of earlier crashes if its success proves that it can run.
+        """Clear a request of earlier losses if its success proves that it can run.
 
         A failure proves nothing: the worker may not have run the request. Neither does a success
-        about sends in doubt, or about crashes after its send. A program repeats a request only if
-        its response was lost, so its crashes stay and cost nothing.
+        about losses after its send. A program repeats a request only if its response was lost, so
+        its losses stay and cost nothing.
         """
         self._withdraw(attempts)
         if self._records.table.is_empty:
@@ -230,7 +230,7 @@
         history = self._records.table.history_of(attempts.fingerprint)
         if not history.weight:
             return
-        is_cleared = is_success and attempts.request.program is None and bool(history.crashes)
+        is_cleared = is_success and attempts.request.program is None
         log.info(
             "suspected_response",
             request=attempts.request.request_id,
@@ -244,11 +244,8 @@
             return
         attempts.has_claim = False
         self._metrics.crash_decisions.labels("cleared").inc()
-        sent_ago_ms = int(1e3 * (self._clock.monotonic() - attempts.sent_at))
-        self._records.clear_crashes(
-            attempts.fingerprint,
-            self._records.now_ms() - sent_ago_ms,
-            self._lost_sends.holder(attempts.request.request_id),
+        self._lost_sends.clear(
+            attempts.fingerprint, attempts.sent_ms, attempts.request.request_id, history
         )
 
     def on_refusal(self, attempts: Attempts) -> None:
@@ -344,10 +341,13 @@
     def _admit_without_store(
         self, attempts: Attempts, history: CrashHistory
     ) -> RejectedRequest | None:
-        """Admit a request with one crash, once at a time; another one must wait for the store."""
+        """Admit a program's request with one crash, once at a time; others wait for the store.
+
+        The repetitions of a program are sent by one caller, those of other requests by several.
+        """
         fingerprint = attempts.fingerprint
         is_running = fingerprint in self._unclaimed and not attempts.runs_unclaimed
-        if history.weight > 1 or is_running:
+        if history.weight > 1 or is_running or attempts.request.program is None:
             return self._reject(
                 attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -13,7 +13,7 @@
 from cachetools import LRUCache
 
 from foxwinch.clock import Clock
-from foxwinch.core.records.crash_history import Crash, CrashHistory, Doubt
+from foxwinch.core.records.crash_history import Crash, CrashHistory, Doubt, SendKey
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
 from foxwinch.records.crash_records import CrashRecords
@@ -47,7 +47,7 @@
     is_shared: bool = False
     is_stored: bool = False
     is_earlier_shared: bool = False
-    """Whether the other nodes know of an earlier doubt about the worker."""
+    """Whether the other nodes know of an earlier doubt about the send."""
 
     @property
     def is_known(self) -> bool:
@@ -80,10 +80,10 @@
         self._metrics = metrics
         self._tasks = tasks
         self._node = node
-        self._own: dict[str, dict[str, _OwnDoubt]] = {}
-        """Unresolved doubts of this node by fingerprint and worker incarnation."""
-        self._resolving: set[tuple[str, str]] = set()
-        """Fingerprints and worker incarnations of the doubts that this node tries to resolve."""
+        self._own: dict[str, dict[SendKey, _OwnDoubt]] = {}
+        """Unresolved doubts of this node by fingerprint and send."""
+        self._resolving: set[tuple[str, SendKey]] = set()
+        """Fingerprints and sends of the doubts that this node tries to resolve."""
         self._cleared: LRUCache[tuple[str, Crash | Doubt], bool] = LRUCache(MAX_CLEARED)
         """Doubts that were cleared; their notices may still arrive."""
         notices.on_notice = self._on_notice
@@ -125,10 +125,10 @@
             return None
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
         ends_ms = now_ms + int(1e3 * max(0.0, attempts.over_at - now))
-        doubt = Doubt(worker.incarnation, now_ms, ends_ms, sent_ms=now_ms)
+        doubt = Doubt(worker.incarnation, now_ms, ends_ms, sent_ms=attempts.sent_ms)
         if self._records.table.add_doubt(attempts.fingerprint, doubt):
             own = self._own.setdefault(attempts.fingerprint, {})
-            own[doubt.worker] = _OwnDoubt(doubt, attempts.request.request_id, None, is_shared=True)
+            own[doubt.send] = _OwnDoubt(doubt, attempts.request.request_id, None, is_shared=True)
             self._notices.send(CrashNotice(attempts.fingerprint, doubt))
             self._tasks.start(self._store_if_running(attempts.fingerprint, doubt))
         return doubt
@@ -136,7 +136,7 @@
     async def _store_if_running(self, fingerprint: str, doubt: Doubt) -> None:
         """Store the doubt of an announced send that lasts, as all nodes may lose power at once."""
         await self._clock.sleep(STORE_AFTER_SECONDS)
-        own = self._own.get(fingerprint, {}).get(doubt.worker)
+        own = self._own.get(fingerprint, {}).get(doubt.send)
         if own is not None and own.doubt == doubt:
             self._store_own(fingerprint)
 
@@ -145,11 +145,11 @@
 
         The doubt has the time of the send, so that taking it back removes no loss after that.
         """
-        is_doubted = doubt.worker in self._own.get(fingerprint, {})
+        is_doubted = doubt.send in self._own.get(fingerprint, {})
         if is_doubted or not self._records.table.add_doubt(fingerprint, doubt):
             return
         own = self._own.setdefault(fingerprint, {})
-        own[doubt.worker] = _OwnDoubt(doubt, request_id="", lost=None, is_shared=True)
+        own[doubt.send] = _OwnDoubt(doubt, request_id="", lost=None, is_shared=True)
         self._metrics.crash_decisions.labels("adopted").inc()
         self._notices.send(CrashNotice(fingerprint, doubt))
         if self._is_needed(fingerprint):
@@ -159,9 +159,9 @@
         if worker is not None:
             self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
 
-    def retract(self, fingerprint: str, worker: str) -> None:
+    def retract(self, fingerprint: str, send: SendKey) -> None:
         """Remove the doubt of an adopted send whose node still accounts for it."""
-        own = self._own.get(fingerprint, {}).get(worker)
+        own = self._own.get(fingerprint, {}).get(send)
         if own is not None and not own.request_id:
             self._remove(fingerprint, own.doubt)
 
@@ -169,6 +169,21 @@
         """Remove the doubt of an announced send that has got a response."""
         self._remove(fingerprint, doubt)
 
+    def clear(
+        self, fingerprint: str, before_ms: int, request_id: str, history: CrashHistory
+    ) -> None:
+        """Forget the losses of a request before `before_ms`, at all nodes, as it can run.
+
+        The claim that the request has is released.
+        """
+        for doubt in history.doubts:
+            if doubt.lost_ms < before_ms:
+                self._drop_own(fingerprint, doubt.worker, doubt.lost_ms)
+                self._records.table.forget_doubt(fingerprint, doubt)
+                self._cleared[fingerprint, doubt] = True
+                self._notices.send(CrashNotice(fingerprint, doubt, is_cleared=True))
+        self._records.clear_losses(fingerprint, before_ms, self.holder(request_id))
+
     def share(self, fingerprint: str, request_id: str, has_claim: bool) -> bool:
         """Tell the other nodes of this node's doubts; return whether that releases the claim."""
         own = self._own.get(fingerprint)
@@ -189,7 +204,7 @@
         workers = {each.incarnation: each for each in self._routing.directory.known_workers()}
         for doubt in history.doubts:
             worker = workers.get(doubt.worker)
-            if worker is not None and (fingerprint, doubt.worker) not in self._resolving:
+            if worker is not None and (fingerprint, doubt.send) not in self._resolving:
                 self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
 
     def _lost_send(self, fingerprint: str, doubt: Doubt, worker: Worker) -> LostSend:
@@ -199,7 +214,7 @@
             worker,
             fingerprint,
             request_id="",
-            sent_at=now + (doubt.sent_ms - now_ms) / 1e3,
+            sent_ms=doubt.sent_ms,
             lost_at=now + (doubt.lost_ms - now_ms) / 1e3,
             ends_at=now + (doubt.ends_ms - now_ms) / 1e3,
             suspected=doubt.suspected,
@@ -208,19 +223,19 @@
     def _add_doubt(self, lost: LostSend) -> Doubt:
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
         ends_ms = now_ms + int(1e3 * max(0.0, lost.ends_at - now))
-        earlier = self._own.get(lost.fingerprint, {}).get(lost.worker.incarnation)
+        send = SendKey(lost.worker.incarnation, lost.sent_ms)
+        earlier = self._own.get(lost.fingerprint, {}).get(send)
         lost_ms = now_ms if earlier is None else max(now_ms, earlier.doubt.lost_ms + 1)
-        sent_ms = self._store_ms(lost.sent_at)
-        doubt = Doubt(lost.worker.incarnation, lost_ms, ends_ms, lost.suspected, sent_ms)
+        doubt = Doubt(lost.worker.incarnation, lost_ms, ends_ms, lost.suspected, lost.sent_ms)
         if self._records.table.add_doubt(lost.fingerprint, doubt):
             own = self._own.setdefault(lost.fingerprint, {})
             is_known = earlier is not None and earlier.is_known
-            own[doubt.worker] = _OwnDoubt(doubt, lost.request_id, lost, is_earlier_shared=is_known)
+            own[send] = _OwnDoubt(doubt, lost.request_id, lost, is_earlier_shared=is_known)
             self._metrics.crash_decisions.labels("doubted").inc()
         return doubt
 
     def _start_resolving(self, lost: LostSend, doubt: Doubt) -> None:
-        key = (lost.fingerprint, lost.worker.incarnation)
+        key = (lost.fingerprint, doubt.send)
         if key not in self._resolving:
             self._resolving.add(key)
             self._tasks.start(self._resolve(lost, doubt))
@@ -231,19 +246,15 @@
             is_open=lambda: self._is_open(lost),
             is_needed=lambda: self._is_needed(lost.fingerprint),
         )
-        self._resolving.discard((lost.fingerprint, lost.worker.incarnation))
+        self._resolving.discard((lost.fingerprint, doubt.send))
         if result is ProbeResult.ENDED:
             await self._record(lost)
-            return
-        later = self._own.get(lost.fingerprint, {}).get(doubt.worker)
-        if result is ProbeResult.LIVING:
+        elif result is ProbeResult.LIVING:
             self._clear(lost, doubt)
         else:
             self._drop_own(lost.fingerprint, doubt.worker, doubt.lost_ms)
             if self._is_open(lost):
                 log.warning("doubt_unresolved", **self._log_fields(lost))
-        if later is not None and later.lost is not None and later.doubt.lost_ms > doubt.lost_ms:
-            self._start_resolving(later.lost, later.doubt)
 
     def _is_open(self, lost: LostSend) -> bool:
         return self._records.table.has_loss(lost.fingerprint, lost.worker.incarnation)
@@ -259,11 +270,12 @@
         log.info("doubt_cleared", **self._log_fields(lost))
 
     def _remove(self, fingerprint: str, doubt: Doubt) -> None:
-        own = self._drop_own(fingerprint, doubt.worker, doubt.lost_ms)
+        dropped = self._drop_own(fingerprint, doubt.worker, doubt.lost_ms)
         self._records.remove_doubt(fingerprint, doubt)
-        if own is not None and own.is_known:
-            self._cleared[fingerprint, own.doubt] = True
-            self._notices.send(CrashNotice(fingerprint, own.doubt, is_cleared=True))
+        for own in dropped:
+            if own.is_known:
+                self._cleared[fingerprint, own.doubt] = True
+                self._notices.send(CrashNotice(fingerprint, own.doubt, is_cleared=True))
 
     def _log_fields(self, lost: LostSend) -> dict[str, object]:
         """Return what the log lines of a lost send have in common."""
@@ -275,17 +287,24 @@
             "lost_ago_ms": int(1e3 * (self._clock.monotonic() - lost.lost_at)),
         }
 
-    def _drop_own(self, fingerprint: str, worker: str, until_ms: int) -> _OwnDoubt | None:
-        """Drop this node's doubt of a worker if it is not later than a time, and return it."""
+    def _drop_own(self, fingerprint: str, worker: str, until_ms: int) -> list[_OwnDoubt]:
+        """Drop this node's doubts of a worker that are not later than a time, and return them."""
         own = self._own.get(fingerprint, {})
-        dropped = own.get(worker)
-        if dropped is None or dropped.doubt.lost_ms > until_ms:
-            return None
-        del own[worker]
-        if not own:
-            del self._own[fingerprint]
+        dropped = [
+            each
+            for each in own.values()
+            if each.doubt.worker == worker and each.doubt.lost_ms <= until_ms
+        ]
+        for each in dropped:
+            self._drop_send(fingerprint, each.doubt.send)
         return dropped
 
+    def _drop_send(self, fingerprint: str, send: SendKey) -> None:
+        own = self._own.get(fingerprint, {})
+        own.pop(send, None)
+        if not own:
+            self._own.pop(fingerprint, None)
+
     def _store_own(self, fingerprint: str) -> None:
         """Store the shared doubts of this node for a request."""
         own = self._own.get(fingerprint)
@@ -299,13 +318,13 @@
 
     async def _record(self, lost: LostSend) -> None:
         """Tell the other nodes of a crash and store it."""
-        self._drop_own(lost.fingerprint, lost.worker.incarnation, self._records.now_ms())
         crash = Crash(
             lost.worker.incarnation,
             self._store_ms(lost.lost_at),
             lost.suspected,
-            self._store_ms(lost.sent_at),
+            lost.sent_ms,
         )
+        self._drop_send(lost.fingerprint, crash.send)
         is_new = self._records.table.add_crash(lost.fingerprint, crash)
         if is_new:
             self._notices.send(CrashNotice(lost.fingerprint, crash))
@@ -341,7 +360,7 @@
         ]
 
     def _is_unshared(self, fingerprint: str, loss: Crash | Doubt) -> bool:
-        own = self._own.get(fingerprint, {}).get(loss.worker)
+        own = self._own.get(fingerprint, {}).get(loss.send)
         return own is not None and not own.is_shared
 
     def _on_notice(self, notice: CrashNotice) -> bool:
@@ -376,6 +395,7 @@
             return False
         self._cleared[key] = True
         if isinstance(notice.loss, Doubt):
+            self._drop_own(notice.fingerprint, notice.loss.worker, notice.loss.lost_ms)
             self._records.table.forget_doubt(notice.fingerprint, notice.loss)
         return True
 
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -85,7 +85,7 @@
         send = StartedSendMessage(
             fingerprint=bytes.fromhex(attempts.fingerprint),
             worker=worker.incarnation,
-            sent_ms=self._records.now_ms(),
+            sent_ms=attempts.sent_ms,
             lasts_ms=int(1e3 * lasts_seconds),
             unsuspected=not attempts.is_repetition,
         )
@@ -142,7 +142,8 @@
         """Keep a send of another node, and look for earlier ones of its request."""
         fingerprint = started.fingerprint.hex()
         sent_ms = min(started.sent_ms, MAX_TIME_MS)
-        doubt = Doubt(started.worker, sent_ms, sent_ms + started.lasts_ms, not started.unsuspected)
+        ends_ms = sent_ms + started.lasts_ms
+        doubt = Doubt(started.worker, sent_ms, ends_ms, not started.unsuspected, sent_ms)
         send = OpenSend(fingerprint, sender, doubt, self._clock.monotonic())
         self._act(self._sends.add(send))
 
@@ -167,7 +168,7 @@
     def _on_run_told(self, sender: SenderRun) -> None:
         for send in self._sends.on_response(sender):
             log.info("sender_runs", sender=sender.address, fingerprint=send.fingerprint)
-            self._lost_sends.retract(send.fingerprint, send.doubt.worker)
+            self._lost_sends.retract(send.fingerprint, send.doubt.send)
 
     def _put_in_doubt(self, send: OpenSend) -> None:
         log.info(
