Find the origin of a stream by the content of its request

Callers that resumed a stream without the name of its first request got events of two software versions from a node that was out of step during a release, and 503 for half a minute after a node's start or beside any rollout.

Cause: that only one version serves was read from a worker list of up to three seconds of age. Between that time and now a version may have joined, served and lost a stream.

Change: origins are stored by the fingerprint that all repetitions of a request share, still one write a stream, under the row's version. A node that resumes reads it by a transaction; several origins are told apart by the name only. If none is stored, the worker list decides after a call that confirms it as of now. A node that cannot reach the store refuses at once.

Unnamed resumptions at new nodes go on now, which is tested too. Rows that earlier versions stored by request id are not read any more: during an upgrade such a stream is refused.

--- a/src/foxwinch/records/stream_origins.py
+++ b/src/foxwinch/records/stream_origins.py
@@ -1,23 +1,49 @@
-"""Origins of streams in the shared store, by the id of the request that delivered the first event.
+"""Origins of streams in the shared store, by the fingerprint of the request that began them.
 
-An origin is written once and never changed, so a write that is applied late is harmless.
+All repetitions of a request share one row, so that any node finds how a stream began, whether its
+caller names the request that delivered the first event or not. The row is changed only under its
+version, and origins are only added, so a write that is applied late is harmless.
 """
 
+from typing import NamedTuple
+
 from google.protobuf.message import DecodeError
 
-from foxwinch._generated.records_pb2 import StreamOriginMessage
+from foxwinch._generated.records_pb2 import BegunStreamsMessage, StreamOriginMessage
 from foxwinch.clock import Clock
 from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
 from foxwinch.records.partitions import partition_of
-from foxwinch.records.ports import Conflict, RecordStore, RowCondition, RowKey, RowWrite, Written
+from foxwinch.records.ports import (
+    ABSENT_VERSION,
+    Conflict,
+    RecordStore,
+    RowCondition,
+    RowKey,
+    RowWrite,
+    Written,
+)
 from foxwinch.records.retry import retry_until
 
 STREAM_ORIGINS_TABLE = "streams"
+MAX_ORIGINS = 16
+"""Maximum number of origins in a row; a request is repeated a few times only."""
 log = EventLog("stream_origins")
 
 
+class BegunStream(NamedTuple):
+    """A stream that a request has begun."""
+
+    request_id: str
+    origin: StreamOrigin
+
+
+class _Row(NamedTuple):
+    version: int
+    streams: tuple[BegunStream, ...]
+
+
 class StreamOriginRecords:
     """Reads and writes the origins of streams."""
 
@@ -26,26 +52,41 @@
         self._clock = clock
 
     async def write(
-        self, request_id: str, origin: StreamOrigin, deadline_at: float
+        self, fingerprint: str, stream: BegunStream, deadline_at: float
     ) -> Refused | None:
-        """Store an origin and return None once it is committed."""
-        value = StreamOriginMessage(
-            service=origin.service, software_version=origin.software_version
-        ).SerializeToString()
-        writes = (RowWrite(_row_key(request_id), value),)
-        outcome = await retry_until(
-            self._clock,
-            deadline_at,
-            lambda timeout_seconds: self._store.transact((), writes, timeout_seconds),
-        )
-        return outcome if isinstance(outcome, Refused) else None
-
-    async def find(self, request_id: str, deadline_at: float) -> StreamOrigin | Refused | None:
-        """Return the origin of a stream, or None if it is certainly not stored.
-
-        A transaction reads it, since a plain read may be stale.
+        """Add a stream to those of its request, and return None once that is committed."""
+        known = _Row(ABSENT_VERSION, ())
+        while True:
+            row = known
+            outcome = await retry_until(
+                self._clock,
+                deadline_at,
+                lambda timeout_seconds, row=row: self._put(  # type: ignore[misc]
+                    fingerprint, row, stream, timeout_seconds
+                ),
+            )
+            if isinstance(outcome, Refused):
+                return outcome
+            if isinstance(outcome, Written):
+                return None
+            known = _decode(fingerprint, outcome)
+            if stream in known.streams:
+                return None
+
+    async def _put(
+        self, fingerprint: str, known: _Row, stream: BegunStream, timeout_seconds: float
+    ) -> Written | Conflict | Refused:
+        streams = (*known.streams, stream)[-MAX_ORIGINS:]
+        condition = RowCondition(_row_key(fingerprint), known.version)
+        write = RowWrite(_row_key(fingerprint), _encode(streams))
+        return await self._store.transact((condition,), (write,), timeout_seconds)
+
+    async def find(self, fingerprint: str, deadline_at: float) -> tuple[BegunStream, ...] | Refused:
+        """Return the streams that repetitions of a request have begun, as far as they are stored.
+
+        A transaction reads them, since a plain read may be stale.
         """
-        condition = RowCondition(_row_key(request_id), 0)
+        condition = RowCondition(_row_key(fingerprint), ABSENT_VERSION)
 
         async def read(timeout_seconds: float) -> Written | Conflict | Refused:
             return await self._store.transact((condition,), (), timeout_seconds)
@@ -53,21 +94,38 @@
         outcome = await retry_until(self._clock, deadline_at, read)
         if isinstance(outcome, Refused):
             return outcome
-        return _decode(request_id, outcome) if isinstance(outcome, Conflict) else None
+        return _decode(fingerprint, outcome).streams if isinstance(outcome, Conflict) else ()
+
 
+def _row_key(fingerprint: str) -> RowKey:
+    return RowKey(STREAM_ORIGINS_TABLE, partition_of(fingerprint), fingerprint)
 
-def _row_key(request_id: str) -> RowKey:
-    return RowKey(STREAM_ORIGINS_TABLE, partition_of(request_id), request_id)
+
+def _encode(streams: tuple[BegunStream, ...]) -> bytes:
+    origins = [
+        StreamOriginMessage(
+            request=request_id,
+            service=origin.service,
+            software_version=origin.software_version,
+        )
+        for request_id, origin in streams
+    ]
+    return BegunStreamsMessage(origins=origins).SerializeToString()
 
 
-def _decode(request_id: str, conflict: Conflict) -> StreamOrigin | None:
+def _decode(fingerprint: str, conflict: Conflict) -> _Row:
+    """Return the current row; one that is malformed counts as without streams."""
     for row in conflict.rows:
-        if row.row.key != request_id or row.value is None:
+        if row.row.key != fingerprint or row.value is None:
             continue
         try:
-            message = StreamOriginMessage.FromString(row.value)
+            message = BegunStreamsMessage.FromString(row.value)
         except DecodeError as error:
-            log.error("stream_origin_malformed", request=request_id, detail=str(error))
-            return None
-        return StreamOrigin(message.service, message.software_version)
-    return None
+            log.error("stream_origins_malformed", fingerprint=fingerprint, detail=str(error))
+            return _Row(row.version, ())
+        streams = tuple(
+            BegunStream(each.request, StreamOrigin(each.service, each.software_version))
+            for each in message.origins
+        )
+        return _Row(row.version, streams)
+    return _Row(ABSENT_VERSION, ())
--- a/src/foxwinch/records/watch.py
+++ b/src/foxwinch/records/watch.py
@@ -134,6 +134,20 @@
             return self._clock.monotonic()
         return float("-inf") if self._confirmed_at is None else self._confirmed_at
 
+    async def confirm(self) -> bool:
+        """Apply the changes until now; return whether the table is known as of now.
+
+        A held call tells of a change at once, unless its connection is interrupted.
+        """
+        if self._confirmed_at is None or self._history_lost_at is not None:
+            return False
+        received = await self._store.changes(self._table, self._version, 0.0)
+        if not isinstance(received, RowsRead) or received.version < self._version:
+            return False
+        self._version = received.version
+        self._apply_changes(received)
+        return True
+
     async def run(self) -> None:
         """Watch the table until cancelled."""
         attempt = 0
--- a/src/foxwinch/serving/handler.py
+++ b/src/foxwinch/serving/handler.py
@@ -107,9 +107,7 @@
         if attempts.route.kind is not RouteKind.STREAM:
             return await serve_plain(self._dispatcher, attempts, caller, self._clock)
         if attempts.request.resumes_stream:
-            origin = await self._origins.resolve(
-                attempts.request, attempts.services, self._store_deadline_at(attempts)
-            )
+            origin = await self._origins.resolve(attempts, self._store_deadline_at(attempts))
             if isinstance(origin, RejectedRequest):
                 await caller.reject(origin)
                 return origin.reason
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -57,6 +57,10 @@
         """Return the time since the worker list was first known, after the start of the node."""
         ...
 
+    async def confirm_workers(self) -> bool:
+        """Return whether the worker list is known as of a time after the call."""
+        ...
+
     def workers_watched_since(self) -> float:
         """Return the monotonic time since which the worker list is watched without a gap."""
         ...
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -95,6 +95,10 @@
         """Return the time since the worker list was first known, after the start of the node."""
         return self.workers_watch.known_seconds()
 
+    async def confirm_workers(self) -> bool:
+        """Return whether the worker list is known as of a time after the call."""
+        return await self.workers_watch.confirm()
+
     def workers_watched_since(self) -> float:
         """Return the monotonic time since which the worker list is watched without a gap."""
         return self.workers_watch.uninterrupted_since
--- a/src/foxwinch/serving/stream_origins.py
+++ b/src/foxwinch/serving/stream_origins.py
@@ -1,11 +1,14 @@
 """Recording of the origins of streams, and resolution of the origin of a resumed stream.
 
 A caller whose connection broke resumes its stream at any node. The node that began the stream may
-have been killed, so it stores the origin before it forwards the first event. A stream whose origin
-is not known is not resumed: a guess could join the output of two software versions.
+have been killed, so it stores the origin before it forwards the first event, by the fingerprint
+that all repetitions of the request share. A stream whose origin is not known is not resumed: a
+guess could join the output of two software versions. Neither is one of several that began at
+different versions, if the caller does not say which.
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from cachetools import LRUCache
 
@@ -15,7 +18,7 @@
 from foxwinch.log import EventLog, age_ms
 from foxwinch.outcomes import Refused
 from foxwinch.records.store_state import ObservedStore
-from foxwinch.records.stream_origins import StreamOriginRecords
+from foxwinch.records.stream_origins import BegunStream, StreamOriginRecords
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import AcceptedCall, Attempts
 from foxwinch.serving.messages import RejectedRequest, Rejection, ServiceRequest
@@ -29,8 +32,6 @@
 """Time after which the attempt to store an origin ends; most streams have ended by then."""
 UNKNOWN_ORIGIN_RETRY_AFTER_SECONDS = 0.3
 """Retry time for a stream of unknown origin; the record of a slow store may still arrive."""
-MAX_LIST_AGE_SECONDS = 3.0
-"""Age of the worker list up to which it tells whether several versions serve."""
 MAX_RECENT_ORIGINS = 4_096
 """Number of origins of this node's streams that are kept in memory."""
 log = EventLog("stream_origins")
@@ -96,22 +97,27 @@
         )
 
     async def resolve(
-        self, request: ServiceRequest, services: list[str], deadline_at: float
+        self, attempts: Attempts, deadline_at: float
     ) -> StreamOrigin | RejectedRequest:
         """Return the origin of the stream that a request resumes, or why it is not resumed."""
+        request = attempts.request
         resumed = request.resumed_request
-        if resumed is None:
-            source, origin = "workers", self._only_recent_origin(services)
-        elif resumed in self._recent:
-            source, origin = "memory", self._recent[resumed]
-        else:
-            found = await self._records.find(resumed, deadline_at)
-            if isinstance(found, Refused):
-                self._log_resolution(request, "store", None, found.detail)
-                return RejectedRequest(
-                    Rejection.NOT_RUN, "stream_origin_unavailable", found.retry_after_seconds
-                )
-            source, origin = "store", found
+        if resumed is not None and resumed in self._recent:
+            return self._resolved(request, "memory", self._recent[resumed])
+        found = await self._records.find(attempts.fingerprint, deadline_at)
+        if isinstance(found, Refused):
+            self._log_resolution(request, "store", None, found.detail)
+            return RejectedRequest(
+                Rejection.NOT_RUN, "stream_origin_unavailable", found.retry_after_seconds
+            )
+        if resumed is not None or found:
+            return self._resolved(request, "store", _origin_among(found, resumed))
+        origin = await self._only_recent_origin(attempts.services)
+        return self._resolved(request, "workers", origin)
+
+    def _resolved(
+        self, request: ServiceRequest, source: str, origin: StreamOrigin | None
+    ) -> StreamOrigin | RejectedRequest:
         self._log_resolution(request, source, origin, None)
         if origin is None:
             return RejectedRequest(
@@ -124,18 +130,19 @@
         attempts.origin = origin
         if attempts.route.resumable:
             self._recent[request_id] = origin
-            writing = self._tasks.start(self._write(request_id, origin))
+            stream = BegunStream(request_id, origin)
+            writing = self._tasks.start(self._write(attempts.fingerprint, stream))
             self._writing[request_id] = writing
             writing.add_done_callback(lambda _: self._writing.pop(request_id, None))
 
-    async def _write(self, request_id: str, origin: StreamOrigin) -> None:
+    async def _write(self, fingerprint: str, stream: BegunStream) -> None:
         deadline_at = self._clock.monotonic() + RECORD_SECONDS
-        refused = await self._records.write(request_id, origin, deadline_at)
+        refused = await self._records.write(fingerprint, stream, deadline_at)
         self._metrics.stream_origins.labels("unstored" if refused else "stored").inc()
         if refused is not None:
             log.warning(
                 "stream_origin_not_stored",
-                request=request_id,
+                request=stream.request_id,
                 reason=refused.reason.value,
                 detail=refused.detail,
             )
@@ -149,14 +156,17 @@
         }
         return origins.pop() if len(origins) == 1 else None
 
-    def _only_recent_origin(self, services: list[str]) -> StreamOrigin | None:
+    async def _only_recent_origin(self, services: list[str]) -> StreamOrigin | None:
         """Return the only origin of all workers that may have begun a running stream.
 
-        A node that has just started does not know the workers that have left before.
+        A node that has just started does not know the workers that have left before. A list of any
+        age lacks workers that have joined since, so it is confirmed first.
         """
         knows_left = self._routing.workers_known_seconds() >= EVICT_WORKERS_SECONDS
-        is_recent = self._routing.workers_age_seconds() <= MAX_LIST_AGE_SECONDS
-        return self._only_origin(services) if knows_left and is_recent else None
+        if not knows_left or self._only_origin(services) is None:
+            return None
+        is_current = await self._routing.confirm_workers()
+        return self._only_origin(services) if is_current else None
 
     def _log_resolution(
         self, request: ServiceRequest, source: str, origin: StreamOrigin | None, detail: str | None
@@ -174,3 +184,9 @@
             list_age_ms=age_ms(self._routing.workers_age_seconds()),
             detail=detail,
         )
+
+
+def _origin_among(streams: Iterable[BegunStream], resumed: str | None) -> StreamOrigin | None:
+    """Return the origin of the resumed one of a request's streams, if there is only one."""
+    origins = {stream.origin for stream in streams if resumed in (None, stream.request_id)}
+    return origins.pop() if len(origins) == 1 else None
--- a/tests/test_outdated_nodes.py
+++ b/tests/test_outdated_nodes.py
@@ -8,6 +8,7 @@
 from fake_platform import STREAM, wait_until
 from fake_worker import FakeResponse
 from foxwinch.bench.fault_proxy import FaultProxy
+from foxwinch.records.stream_origins import STREAM_ORIGINS_TABLE
 from foxwinch.serving import stream_origins
 from test_stream_versions import ABORTED, ALL_EVENTS, REST, VersionedPlatform
 
@@ -69,10 +70,14 @@
 # with which the stream began (ORDER).
 @pytest.mark.parametrize("how", ["stalled", "refused", "silent", "slow"])
 @pytest.mark.parametrize("named", [True, False])
+@pytest.mark.parametrize("stored", [True, False])
 async def test_a_stream_is_not_resumed_at_another_version_by_an_outdated_node(
-    monkeypatch, named, how
+    monkeypatch, stored, named, how
 ):
     async with rollout(monkeypatch, how) as (platform, outdated):
+        if not stored:
+            for row in platform.model.rows_of(STREAM_ORIGINS_TABLE):
+                platform.model.remove(row.table, row.key, row.partition)
         assert await platform.listed_versions(outdated) == {"v1"}
         resumes = {"Resumes": "a"} if named else {}
         reply = await platform.request(outdated, STREAM, "b", Last_Event_Id=2, **resumes)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 from fake_platform import STREAM, FakePlatform, configuration, routes, wait_until
 from fake_worker import FakeResponse, FakeWorker, events
+from foxwinch._generated.records_pb2 import BegunStreamsMessage
 from foxwinch.emulator.record_store import StoreFault
 from foxwinch.records.stream_origins import STREAM_ORIGINS_TABLE
 from foxwinch.serving import stream_origins
@@ -140,7 +141,9 @@
         async with platform.open_turn(node, "r1") as response:
             await response.content.readany()
             stored = platform.model.rows_of(STREAM_ORIGINS_TABLE)
-        assert [row.key for row in stored] == ["r1"]
+        (value,) = stored.values()
+        (origin,) = BegunStreamsMessage.FromString(value).origins
+        assert (origin.request, origin.software_version) == ("r1", "v1")
 
 
 # Guards against a node that cannot resume streams for some time after its start (LOST).
@@ -324,3 +327,41 @@
             assert platform.versions_of(f"b{number}") == []
             begun_anew = await platform.request(node, STREAM, f"c{number}")
             assert begun_anew.status == 200
+
+
+# Guards against refusing every caller that does not name the request whose stream it resumes, at a
+# node that has just started or beside a rollout (LOST).
+async def test_a_stream_resumed_without_its_first_request_is_found_by_its_content():
+    async with VersionedPlatform("v1", "v2", attempts=1) as platform:
+        first = await platform.start_node()
+        for number in range(STREAMS):
+            platform.set_responses(ABORTED)
+            await platform.request_turn(first, f"a{number}", Program=f"p{number}")
+            platform.set_responses(REST)
+            second = await platform.start_node()
+            resumed = await platform.request_turn(
+                second, f"b{number}", Program=f"p{number}", Last_Event_Id=2
+            )
+            assert (resumed.status, resumed.is_complete) == (200, True)
+            one, other = platform.versions_of(f"a{number}", f"b{number}")
+            assert one == other
+
+
+# Guards against a guess between two streams of one request that began at two versions (ORDER).
+async def test_a_stream_is_not_resumed_that_is_one_of_two_versions():
+    async with VersionedPlatform("v1", "v2", attempts=1) as platform:
+        node = await platform.start_node()
+        platform.set_responses(ABORTED)
+        begun = {}
+        for number in range(2 * STREAMS):
+            await platform.request_turn(node, f"a{number}")
+            begun |= dict.fromkeys(platform.versions_of(f"a{number}"), f"a{number}")
+            if len(begun) > 1:
+                break
+        platform.set_responses(REST)
+        refused = await platform.request_turn(node, "b", Last_Event_Id=2)
+        assert refused.status == 503
+        for version, name in begun.items():
+            resumed = await platform.request_turn(node, f"c{name}", Last_Event_Id=2, Resumes=name)
+            assert resumed.is_complete
+            assert platform.versions_of(f"c{name}") == [version]
