Let an answered question to a sender end none that is asked later

Requests outside programs were refused for some milliseconds, or put in doubt at all nodes: a witness found that a sender had ended one millisecond after it had asked it. Cause: the task that waits for the response to an earlier question, which had been answered, ended the later one to the same run. Change: a question has a number, and its time-out ends that one only.

--- a/src/foxwinch/core/records/open_sends.py
+++ b/src/foxwinch/core/records/open_sends.py
@@ -57,6 +57,9 @@
         self._asked: dict[SenderRun, dict[str, SenderRun]] = {}
         """Requests for which a run was asked, until it responds or is found to have ended, and the
         run on whose behalf it was."""
+        self._questions: dict[SenderRun, int] = {}
+        """Numbers of the questions to the asked runs."""
+        self._question_count = 0
         self._presumed_lost: dict[SenderRun, list[OpenSend]] = {}
         """Sends of runs that did not respond in time; one that responds later takes them back."""
 
@@ -94,6 +97,8 @@
             else:
                 if sender not in self._asked:
                     asked.append(sender)
+                    self._question_count += 1
+                    self._questions[sender] = self._question_count
                 self._asked.setdefault(sender, {})[fingerprint] = without
         return Findings(lost, asked)
 
@@ -112,15 +117,21 @@
         """
         self._note_run(sender)
         self._asked.pop(sender, None)
+        self._questions.pop(sender, None)
         restored = self._presumed_lost.pop(sender, [])
         for send in restored:
             self._sends.setdefault(send.fingerprint, []).append(send)
             self._count += 1
         return restored
 
+    def open_question(self, sender: SenderRun) -> int | None:
+        """Return the number of the question that a run has not responded to; None without one."""
+        return self._questions.get(sender)
+
     def on_timeout(self, sender: SenderRun) -> list[OpenSend]:
         """Return the sends that are lost as a run that was asked about them did not respond."""
         fingerprints = self._asked.pop(sender, {})
+        self._questions.pop(sender, None)
         lost = [
             send
             for fingerprint in fingerprints
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -155,13 +155,16 @@
 
     async def _ask(self, sender: SenderRun) -> None:
         """Ask a run whether it still accounts for its sends; put them in doubt if it does not."""
-        question = CrashNoticesMessage(asks_run=True, run=self._run)
-        self._notices.send_message([sender.address], question)
+        message = CrashNoticesMessage(asks_run=True, run=self._run)
+        self._notices.send_message([sender.address], message)
+        question = self._sends.open_question(sender)
         await self._clock.sleep(ASK_AGAIN_SECONDS)
-        self._notices.send_message([sender.address], question)
+        self._notices.send_message([sender.address], message)
         await self._clock.sleep(RESPONSE_SECONDS - ASK_AGAIN_SECONDS)
-        for send in self._sends.on_timeout(sender):
-            self._put_in_doubt(send)
+        # The run may have responded, and have been asked again since.
+        if question is not None and self._sends.open_question(sender) == question:
+            for send in self._sends.on_timeout(sender):
+                self._put_in_doubt(send)
         await self._clock.sleep(LATE_RESPONSE_SECONDS)
         self._sends.forget_presumed(sender)
 
--- a/tests/test_open_sends.py
+++ b/tests/test_open_sends.py
@@ -109,3 +109,16 @@
         first, second, *_ = ring.choose(f"{number:032x}", "n0")
         zones = {int(address[1]) % 3 for address in (first, second)}
         assert len(zones) == 2
+
+
+# Guards against a run that is taken to have ended as an earlier question to it is over, to which it
+# has responded.
+def test_a_response_ends_its_question_and_no_later_one():
+    sends, sender, other = OpenSends(), SenderRun("a", 1), SenderRun("b", 1)
+    sends.add(OpenSend("f", sender, Doubt("w0", 1, 2), 0.0))
+    assert sends.find("f", other).asked == [sender]
+    first = sends.open_question(sender)
+    sends.on_response(sender)
+    assert sends.open_question(sender) is None
+    assert sends.find("f", other).asked == [sender]
+    assert sends.open_question(sender) not in (None, first)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -256,14 +256,15 @@
         for number in range(STREAMS):
             _, resumed = await begin_and_resume(platform, first, second, number)
             assert (resumed.status, resumed.is_complete) == (200, True)
-        failing = platform.workers[0]
-        failing.responses = [FakeResponse(drop=True)]
+        slow = FakeResponse(body=None, chunks=ALL_EVENTS, pause_seconds=0.5)
         for number in range(STREAMS, 2 * STREAMS):
-            platform.workers[1].responses = [ABORTED]
-            platform.workers[2].responses = platform.workers[3].responses = [ABORTED]
-            await platform.request(first, STREAM, f"a{number}")
+            for worker in platform.workers:
+                worker.responses = [slow]
+            async with platform.open_turn(first, f"a{number}") as response:
+                await response.content.readany()
             for worker in platform.workers[1:]:
                 worker.responses = [REST]
+            platform.workers[0].responses = [FakeResponse(drop=True)]
             resumed = await platform.request(
                 second, STREAM, f"b{number}", Last_Event_Id=2, Resumes=f"a{number}"
             )
