Presume sends lost whose witnesses have lost their memory

Callers saw a request sent on after three workers had ended under it: a send was forgotten when its node was killed together with all of its witnesses, or all nodes were, and up to ten workers ended.

Cause: a witness that starts knows nothing and answered like one that was told of nothing. Change: a node keeps the times of its starts in its row; a witness says in its answer how often it has lately begun without memory. If none of the witnesses that all senders tell remembers, one send is presumed lost for each interruption, once a loss of the request is known. A first send waits for nobody, and nothing is written or sent more.

--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -1,12 +1,13 @@
 """The nodes that take notices from other nodes, registered in the shared store by name."""
 
+from math import isfinite
 from typing import NamedTuple
 
 from google.protobuf.message import DecodeError
 
 from foxwinch._generated.crashes_pb2 import NodeMessage
 from foxwinch.clock import Clock
-from foxwinch.core.records.witness_ring import Peer, WitnessRing
+from foxwinch.core.records.witness_ring import WITNESS_ZONES, Peer, WitnessRing
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
 from foxwinch.records.ports import RowKey, RowsRead, RowWrite
@@ -26,6 +27,12 @@
 CLOCK_POLL_SECONDS = 0.05
 """Interval at which a starting node checks whether the store's clock is known."""
 REGISTER_RETRY_SECONDS = 1.0
+RECENT_START_MS = 60_000
+"""Age up to which a start counts as recent: the time for which witnesses keep sends."""
+SIMULTANEOUS_MS = 10_000
+"""Time within which all nodes start when the system first starts."""
+MAX_STARTS = 4
+"""Maximum number of starts in a row."""
 UNREGISTER_SECONDS = 0.3
 """Timeout of the removal of the row during a shutdown."""
 log = EventLog("nodes")
@@ -35,6 +42,8 @@
     peer: Peer
     refreshed_ms: int
     """Time of the last refresh on the store's clock."""
+    starts_ms: tuple[int, ...] = ()
+    """Times at which the node began without the memory that nodes had, on the store's clock."""
 
 
 class NodeRegistry:
@@ -49,6 +58,8 @@
         self._nodes: dict[str, _Node] = {}
         self._ring = WitnessRing({})
         self._is_registered = False
+        self._starts_ms: tuple[int, ...] | None = None
+        """This node's own starts; None until the former ones are known."""
         self.watch = TableWatch(store, clock, NODES_TABLE, self._on_rows, WATCH_SECONDS)
 
     @property
@@ -60,15 +71,44 @@
         """Return the addresses of the witnesses of a request that this node sends."""
         return self._ring.choose(fingerprint, self._name)
 
+    def recent_starts(self) -> int | None:
+        """Return how often this node has lately begun without memory; None if not known yet."""
+        if self._starts_ms is None:
+            return None
+        now_ms = self._store.store_clock.earliest_ms(self._clock.monotonic())
+        return sum(now_ms < start_ms + RECENT_START_MS for start_ms in self._starts_ms)
+
+    def first_witnesses(self, fingerprint: str) -> list[str]:
+        """Return the addresses of the nodes that all senders of a request tell, but for itself."""
+        return self._ring.choose(fingerprint, "")[:WITNESS_ZONES]
+
+    def is_first_witness(self, fingerprint: str) -> bool:
+        """Return whether all senders of a request tell this node, but for itself."""
+        own = self._nodes.get(self._name)
+        return own is not None and own.peer.address in self.first_witnesses(fingerprint)
+
+    def _starts(self, now_ms: int) -> tuple[int, ...]:
+        """Return the starts of this node including this one.
+
+        At the first start of the system there is no memory that it could lack.
+        """
+        former = self._nodes.get(self._name)
+        others = (node for name, node in self._nodes.items() if name != self._name)
+        is_late = any(node.refreshed_ms + SIMULTANEOUS_MS < now_ms for node in others)
+        if former is None and not is_late:
+            return ()
+        return (*(former.starts_ms if former is not None else ()), now_ms)[-MAX_STARTS:]
+
     async def run(self, address: str) -> None:
         """Keep this node registered with `address` until cancelled."""
         clock = self._store.store_clock
-        while not clock.is_known:
+        while not clock.is_known or not isfinite(self.watch.age_seconds()):
             await self._clock.sleep(CLOCK_POLL_SECONDS)
+        self._starts_ms = self._starts(clock.earliest_ms(self._clock.monotonic()))
         while True:
             now_ms = clock.earliest_ms(self._clock.monotonic())
             value = NodeMessage(
-                refreshed_ms=now_ms, address=address, zone=self._zone
+                refreshed_ms=now_ms, address=address, zone=self._zone, starts_ms=self._starts_ms
             ).SerializeToString()
             writes = [RowWrite(_row_key(self._name), value)]
             writes += [RowWrite(_row_key(name), None) for name in self._expired(now_ms)]
@@ -107,7 +147,8 @@
             except DecodeError as error:
                 log.warning("node_row_malformed", name=name, detail=str(error))
                 continue
-            self._nodes[name] = _Node(Peer(message.address, message.zone), message.refreshed_ms)
+            peer = Peer(message.address, message.zone)
+            self._nodes[name] = _Node(peer, message.refreshed_ms, tuple(message.starts_ms))
         self._ring = WitnessRing({name: node.peer for name, node in self._nodes.items()})
         log.info("nodes_listed", count=len(self._nodes), full=is_full)
 
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -16,6 +16,7 @@
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
 from foxwinch.records.crash_records import CrashRecords
+from foxwinch.records.node_registry import RECENT_START_MS
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import Attempts
 from foxwinch.serving.crash_detection import PROBE_SECONDS, LostSend
@@ -119,7 +120,7 @@
         if history.weight >= MAX_CRASHES:
             await self._wait_for_proofs(attempts, history)
         elif history.weight:
-            await self._witnesses.settle(attempts.fingerprint)
+            attempts.forgotten_sends = await self._witnesses.settle(attempts.fingerprint)
 
     async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
         """Wait for proofs of life without which a request is rejected, if they may come soon."""
@@ -133,12 +134,12 @@
             if self._records.table.history_of(attempts.fingerprint).weight < MAX_CRASHES:
                 return
 
-    def _undecided_seconds(self, history: CrashHistory) -> float:
+    def _undecided_seconds(self, history: CrashHistory, forgotten_sends: int = 0) -> float:
         """Return the time until so many doubts may be resolved that a request may be sent."""
         now_ms = self._records.now_ms()
         for ends_ms in sorted(doubt.ends_ms for doubt in history.doubts):
             pending = tuple(doubt for doubt in history.doubts if doubt.ends_ms > ends_ms)
-            if replace(history, doubts=pending).weight < MAX_CRASHES:
+            if replace(history, doubts=pending).weight + forgotten_sends < MAX_CRASHES:
                 return max(0.0, (ends_ms - now_ms) / 1e3)
         return float("inf")
 
@@ -170,7 +171,7 @@
         self._lost_sends.share(attempts.fingerprint, attempts.request.request_id, has_claim=False)
         if history.weight > 1:
             self._lost_sends.resolve(attempts.fingerprint, history)
-        if history.weight >= MAX_CRASHES:
+        if history.weight + attempts.forgotten_sends >= MAX_CRASHES:
             return self._reject_suspected(attempts, history)
         is_repeated = len(history.crashes) > 1 and history.cause_count > 1
         if is_repeated and self._must_spare(worker.service):
@@ -372,9 +373,13 @@
 
     def _reject_suspected(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
         """Reject a request until its crashes expire, or some of its doubts are resolved."""
-        if replace(history, doubts=()).weight < MAX_CRASHES:
-            retry_after = self._undecided_seconds(history) + DOUBT_RETRY_AFTER_SECONDS
+        crash_weight = replace(history, doubts=()).weight
+        if crash_weight + attempts.forgotten_sends < MAX_CRASHES:
+            undecided_seconds = self._undecided_seconds(history, attempts.forgotten_sends)
+            retry_after = undecided_seconds + DOUBT_RETRY_AFTER_SECONDS
             return self._reject(attempts, history, "workers_in_doubt", retry_after)
+        if crash_weight < MAX_CRASHES:
+            return self._reject(attempts, history, "sends_forgotten", RECENT_START_MS / 1e3)
         left_ms = max(0, history.retained_until_ms - self._records.now_ms())
         return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
 
@@ -398,6 +403,7 @@
             crashes=len(history.crashes),
             doubts=len(history.doubts),
             weight=history.weight,
+            forgotten=attempts.forgotten_sends,
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -5,7 +5,9 @@
 announced to its witnesses (`core/records/witness_ring.py`), one datagram each, without waiting.
 When the request is sent again by another node, its witnesses ask the earlier sender whether it
 still runs; if it does not, they put its send in doubt at all nodes. Requests that are already
-suspected wait until their witnesses have found that out.
+suspected wait until their witnesses have found that out. If none of the witnesses that all senders
+tell has a memory that reaches back, sends may be forgotten, and one is presumed lost for each time
+that the memory was interrupted.
 """
 
 from foxwinch._generated.crashes_pb2 import CrashNoticesMessage, StartedSendMessage
@@ -71,6 +73,8 @@
         self._extra_sends = TokenBucket.full(EXTRA_WITNESS_SENDS, EXTRA_WITNESS_SENDS, 0.0)
         self._awaited: dict[str, set[str]] = {}
         """Addresses of the witnesses that have not responded yet, by fingerprint."""
+        self._starts: dict[str, dict[str, int]] = {}
+        """Recent starts of the first witnesses that have responded, by fingerprint and address."""
         notices.on_message = self._on_message
 
     def announce(self, attempts: Attempts, worker: Worker) -> None:
@@ -93,13 +97,15 @@
             addresses = addresses[:WITNESS_ZONES]
         self._notices.send_message(addresses, CrashNoticesMessage(sends=[send], run=self._run))
 
-    async def settle(self, fingerprint: str) -> None:
+    async def settle(self, fingerprint: str) -> int:
         """Wait until the witnesses of a request have told of the sends that were lost with nodes.
 
-        One that does not respond is not waited for longer than `SETTLE_SECONDS`.
+        One that does not respond is not waited for longer than `SETTLE_SECONDS`. Return the number
+        of sends that the witnesses may have forgotten.
         """
         give_up_at = self._clock.monotonic() + SETTLE_SECONDS
         if fingerprint not in self._awaited:
+            self._starts[fingerprint] = {}
             self._awaited[fingerprint] = set(self.inquire(fingerprint))
         while self._is_unsettled(fingerprint):
             if self._clock.monotonic() >= give_up_at:
@@ -111,6 +117,17 @@
                 break
             await self._clock.sleep(SETTLE_POLL_SECONDS)
         self._awaited.pop(fingerprint, None)
+        return self._count_forgotten(fingerprint)
+
+    def _count_forgotten(self, fingerprint: str) -> int:
+        """Return how often the memory of the best of the first witnesses was interrupted."""
+        known = list(self._starts.get(fingerprint, {}).values())
+        own_starts = self._registry.recent_starts()
+        if self._registry.is_first_witness(fingerprint) and own_starts is not None:
+            known.append(own_starts)
+        if known:
+            return min(known)
+        return 1 if self._registry.others else 0
 
     def inquire(self, fingerprint: str) -> list[str]:
         """Let the witnesses of a request find its lost sends; return their addresses."""
@@ -134,7 +151,7 @@
         elif message.asks_about:
             self._tasks.start(self._tell(message.asks_about.hex(), sender))
         elif message.told_about:
-            self._awaited.get(message.told_about.hex(), set()).discard(address)
+            self._on_told(message, address)
         elif message.run and not message.sends:
             self._on_run_told(sender)
 
@@ -168,6 +185,12 @@
         await self._clock.sleep(LATE_RESPONSE_SECONDS)
         self._sends.forget_presumed(sender)
 
+    def _on_told(self, message: CrashNoticesMessage, address: str) -> None:
+        fingerprint = message.told_about.hex()
+        self._awaited.get(fingerprint, set()).discard(address)
+        if message.starts and address in self._registry.first_witnesses(fingerprint):
+            self._starts.get(fingerprint, {})[address] = message.starts - 1
+
     def _on_run_told(self, sender: SenderRun) -> None:
         for send in self._sends.on_response(sender):
             log.info("sender_runs", sender=sender.address, fingerprint=send.fingerprint)
@@ -191,7 +214,12 @@
         while self._sends.is_undecided(fingerprint) and self._clock.monotonic() < give_up_at:
             await self._clock.sleep(SETTLE_POLL_SECONDS)
         losses = self._records.table.history_of(fingerprint).losses[-MAX_TOLD_LOSSES:]
-        message = CrashNoticesMessage(told_about=bytes.fromhex(fingerprint), run=self._run)
+        starts = self._registry.recent_starts()
+        message = CrashNoticesMessage(
+            told_about=bytes.fromhex(fingerprint),
+            run=self._run,
+            starts=0 if starts is None else starts + 1,
+        )
         for loss in losses:
             add_notice(message, CrashNotice(fingerprint, loss))
         self._notices.send_message([asker.address], message)
--- a/tests/test_node_registry.py
+++ b/tests/test_node_registry.py
@@ -3,7 +3,12 @@
 import pytest
 
 from foxwinch.emulator.record_store import RecordStoreModel
-from foxwinch.records.node_registry import NODES_TABLE, NodeRegistry
+from foxwinch.records.node_registry import (
+    NODES_TABLE,
+    RECENT_START_MS,
+    SIMULTANEOUS_MS,
+    NodeRegistry,
+)
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.service_tasks import ServiceTasks
 from virtual_clock import VirtualClock
@@ -28,3 +33,30 @@
     assert {row.key for row in model.rows_of(NODES_TABLE)} == set(NAMES)
     assert sorted(registries[0].others) == ["b:1", "c:1"]
     await tasks.stop()
+
+
+# Guards against a node that vouches for sends of which it was told before it was killed, or before
+# it joined (BUDGET).
+async def test_a_node_counts_the_starts_at_which_it_lacked_memory():
+    clock = VirtualClock()
+    model = RecordStoreModel(clock)
+    tasks = ServiceTasks("test")
+
+    async def start(name):
+        registry = NodeRegistry(ObservedStore(model, clock), clock, name)
+        assert registry.recent_starts() is None
+        tasks.start(registry.run(f"{name}:1"))
+        tasks.start(registry.watch.run())
+        await clock.sleep(1.0)
+        return registry
+
+    first = [await start(name) for name in NAMES]
+    assert [registry.recent_starts() for registry in first] == [0, 0, 0]
+    assert (await start("a")).recent_starts() == 1
+    assert (await start("a")).recent_starts() == 2
+    await clock.sleep(SIMULTANEOUS_MS / 1e3)
+    late = await start("d")
+    assert late.recent_starts() == 1
+    await clock.sleep(RECENT_START_MS / 1e3)
+    assert late.recent_starts() == 0
+    await tasks.stop()
