Refuse identifiers that are not text, and statuses that are none

Callers with an odd Request-Id or Program got our own 500, or 502 after the request had run; a status such as 000 or 101 of a worker ended in a 500 or was passed on (MIXED). Cause: what a caller or worker sends was used as text or as a status without a look. Change: identifiers that are not UTF-8 get 400 before anything runs, other headers pass unchanged; a status outside 200 to 599 is no response. A node's stored starts of the future and large counts in a datagram are bounded.

--- a/src/foxwinch/platform/decoding.py
+++ b/src/foxwinch/platform/decoding.py
@@ -48,3 +48,12 @@
     except ValueError:
         return MALFORMED
     return number if math.isfinite(number) and abs(number) <= MAX_NUMBER else MALFORMED
+
+
+def is_utf8(text: str) -> bool:
+    """Return whether a text was sent as UTF-8, so that it can be sent on unchanged."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/src/foxwinch/platform/ingress.py
+++ b/src/foxwinch/platform/ingress.py
@@ -9,7 +9,7 @@
 
 from foxwinch.clock import Clock
 from foxwinch.log import EventLog
-from foxwinch.platform.decoding import Malformed, decode_number, decode_whole_number
+from foxwinch.platform.decoding import Malformed, decode_number, decode_whole_number, is_utf8
 from foxwinch.platform.names import (
     AFFINITY,
     CONNECTION_HEADERS,
@@ -55,6 +55,8 @@
 STALL_POLL_SECONDS = 0.5
 Number = TypeVar("Number", int, float)
 log = EventLog("ingress")
+IDENTIFIER_HEADERS: Final = (REQUEST_ID, PROGRAM, CONVERSATION, PREVIOUS_TURN, RESUMES, AFFINITY)
+"""Headers whose values foxwinch stores and logs; the others are only passed on."""
 HEADERS_SET_BY_FOXWINCH: Final = frozenset({"host", DEADLINE_MS.lower(), LAST_EVENT_ID.lower()})
 
 
@@ -99,8 +101,10 @@
         return caller.response
 
     def _parse_request(self, request: web.Request, body: bytes) -> ServiceRequest | None:
-        """Build the service request; None if a numeric header is malformed."""
+        """Build the service request; None if a header is malformed."""
         headers = request.headers
+        if not all(is_utf8(headers.get(name, "")) for name in IDENTIFIER_HEADERS):
+            return None
         try:
             deadline_ms = _parse_float(headers.get(DEADLINE_MS))
             return ServiceRequest(
@@ -201,7 +205,7 @@
             seconds = rejected.retry_after_seconds or DEFAULT_RETRY_AFTER_SECONDS
             response.headers[RETRY_AFTER] = f"{seconds:.3f}"
         request_id = self._request.headers.get(REQUEST_ID)
-        if request_id:
+        if request_id and is_utf8(request_id):
             response.headers[REQUEST_ID] = request_id
         await self._send(response)
 
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -60,6 +60,8 @@
 KEEPALIVE_SECONDS = 3.0
 """Keep-alive time of idle connections; workers close idle connections later than that."""
 STATUS_SWITCHING_PROTOCOLS = 101
+FINAL_STATUSES = range(200, 600)
+"""Status codes of a complete response; others are no response to the request."""
 STATUS_WRONG_WORKER = 421
 STATUS_UNAVAILABLE = 503
 SKIPPED_AUTO_HEADERS = frozenset(
@@ -244,6 +246,9 @@
             return CallInterrupted(CallFailure.MALFORMED, type(error).__name__)
         except CONNECTION_ERRORS as error:
             return CallInterrupted(CallFailure.CONNECTION_LOST, type(error).__name__)
+        if response.status not in FINAL_STATUSES:
+            response.close()
+            return CallInterrupted(CallFailure.MALFORMED, f"status {response.status}")
         refused = _refusal(response)
         if refused is not None:
             response.release()
--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -76,7 +76,7 @@
         if self._starts_ms is None:
             return None
         now_ms = self._store.store_clock.earliest_ms(self._clock.monotonic())
-        return sum(now_ms < start_ms + RECENT_START_MS for start_ms in self._starts_ms)
+        return sum(each <= now_ms < each + RECENT_START_MS for each in self._starts_ms)
 
     def first_witnesses(self, fingerprint: str) -> list[str]:
         """Return the addresses of the nodes that all senders of a request tell, but for itself."""
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -13,7 +13,7 @@
 from foxwinch._generated.crashes_pb2 import CrashNoticesMessage, StartedSendMessage
 from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.core.records.crash_history import MAX_TIME_MS, Doubt
+from foxwinch.core.records.crash_history import MAX_CRASHES, MAX_TIME_MS, Doubt
 from foxwinch.core.records.open_sends import Findings, OpenSend, OpenSends, SenderRun
 from foxwinch.core.records.witness_ring import WITNESS_ZONES
 from foxwinch.core.routing.directory import Worker
@@ -40,6 +40,8 @@
 """Interval at which responses are looked for."""
 MAX_RUN_SECONDS = 3_600.0
 """Maximum duration of a send in an announcement."""
+MAX_FORGOTTEN = MAX_CRASHES - 1
+"""Maximum number of sends that are presumed lost; a request of which nothing is known is sent."""
 MAX_TOLD_LOSSES = 8
 """Maximum number of losses in a response; three already stop a request."""
 MAX_WORKER_BYTES = 256
@@ -126,7 +128,7 @@
         if self._registry.is_first_witness(fingerprint) and own_starts is not None:
             known.append(own_starts)
         if known:
-            return min(known)
+            return min(MAX_FORGOTTEN, *known)
         return 1 if self._registry.others else 0
 
     def inquire(self, fingerprint: str) -> list[str]:
--- a/tests/test_hostile_text.py
+++ b/tests/test_hostile_text.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fake_platform import RETAINED, SAFE, STREAM, FakePlatform, configuration, wait_until
+from fake_platform import HOST, RETAINED, SAFE, STREAM, FakePlatform, configuration, wait_until
 from fake_worker import FakeResponse, FakeWorker, events
 from foxwinch._generated.crashes_pb2 import (
     CrashHistoryMessage,
@@ -192,6 +192,39 @@
         assert (await platform.request_turn(node, "last", path=path)).status == 200
 
 
+# Guards against an identifier that is not text, whose request got 500 or ran without an answer.
+@pytest.mark.parametrize(
+    ("name", "status"),
+    [("Request-Id", b"400"), ("Program", b"400"), ("Affinity", b"400"), ("Accept", b"200")],
+)
+async def test_an_identifier_that_is_not_text_is_refused_and_not_run(name, status):
+    worker = FakeWorker(FakeResponse())
+    async with two_workers(worker, FakeWorker(FakeResponse())) as platform:
+        (node,) = platform.nodes
+        host, _, port = node.address_of("callers").rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"GET {SAFE} HTTP/1.1\r\nHost: {HOST}\r\n{name}: a".encode()
+        writer.write(head + b"\xff\xe9b\r\n\r\n")
+        assert (await reader.readline()).split()[1] == status
+        writer.close()
+        received = sum(len(each.received) for each in platform.workers)
+        assert received == (status == b"200")
+
+
+# Guards against a status that is none, which was passed on to the caller (MIXED).
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("path", ["/confirm/", STREAM])
+async def test_a_status_that_is_none_is_not_passed_on(path, status):
+    worker = FakeWorker(FakeResponse())
+    async with two_workers(worker, FakeWorker(FakeResponse())) as platform:
+        (node,) = platform.nodes
+        raw = b"HTTP/1.1 %s Odd\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n" % status
+        for each in platform.workers:
+            each.responses = [FakeResponse(extra_before=raw, drop=True)]
+        reply = await platform.request(node, path, "r", body=b"x")
+        assert reply.status == 502
+
+
 def odd_values(rng):
     """Return stored values that no foxwinch node writes, some of them readable."""
     most = 2**64 - 1
