Take the claims of sends into a module of their own, and look at the deadline again

Two jobs stood in crash_guard.py: admission, and the claim in the store. The claim is moved without a change, but for one fault found while reading: a node that stood still between the admission of a request and its send went on after the deadline, when its claim may be another's. It looks at the deadline again now. The new test of test_fatal_requests.py failed before (one send).

--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -79,7 +79,7 @@
         wait_for_capacity_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
         last_refusal: CallRefused | None = None
         while True:
-            if attempts.deadline_at - self._clock.monotonic() < MIN_CALL_SECONDS:
+            if self._is_too_late(attempts):
                 return _deadline_exceeded(attempts)
             await self.guard.settle(attempts)
             worker = self._choose_worker(attempts, last_worker)
@@ -88,7 +88,7 @@
                     return _not_dispatched(attempts, last_refusal)
                 dispatches = 0
                 continue
-            rejected = await self.guard.admit(attempts, worker)
+            rejected = await self._admit(attempts, worker)
             if rejected is not None:
                 return rejected
             dispatches += 1
@@ -107,6 +107,17 @@
                 attempts.possibly_ran_on.add(worker.worker_id)
                 return AcceptedCall(worker, outcome)
 
+    async def _admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
+        rejected = await self.guard.admit(attempts, worker)
+        if rejected is None and self._is_too_late(attempts):
+            # The process may have stood still since: the claim may have expired meanwhile.
+            self.guard.on_refusal(attempts)
+            return _deadline_exceeded(attempts)
+        return rejected
+
+    def _is_too_late(self, attempts: Attempts) -> bool:
+        return attempts.deadline_at - self._clock.monotonic() < MIN_CALL_SECONDS
+
     async def _wait_for_capacity(self, attempts: Attempts, wait_until: float) -> bool:
         """Let a begun stream try full workers again after a pause, as no others may continue it.
 
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from foxwinch.clock import Clock
-from foxwinch.core.records.crash_history import MAX_CRASHES, CrashHistory, SendClaim
+from foxwinch.core.records.crash_history import MAX_CRASHES, CrashHistory
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
@@ -29,19 +29,9 @@
 )
 from foxwinch.serving.metrics import ServingMetrics
 from foxwinch.serving.ports import RoutingView
+from foxwinch.serving.send_claims import SendClaims
 from foxwinch.serving.send_witnesses import SendWitnesses
 
-CLAIM_TIMEOUT_SECONDS = 0.9
-CLAIM_TIME_FRACTION = 0.35
-"""Fraction of a request's remaining time that may be spent on its claim."""
-CLAIM_WAIT_SECONDS = 0.15
-"""Time for which a request waits for a claim of another one. A caller may return before the claim
-of its failed request has been released."""
-CLAIM_POLL_SECONDS = 0.02
-CLAIM_MARGIN_SECONDS = 1.0
-"""Time from the end of a request to the expiry of its claim, within which it is released."""
-RELEASE_SECONDS = 5.0
-"""Time for which the release of a claim is tried."""
 CLAIMED_RETRY_AFTER_SECONDS = 0.3
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
@@ -82,6 +72,7 @@
         self._clock = clock
         self._metrics = metrics
         self._tasks = tasks
+        self._claims = SendClaims(records, lost_sends, clock, tasks)
         self._unclaimed: set[str] = set()
         """Fingerprints of suspected requests that run here without a claim."""
 
@@ -205,7 +196,7 @@
         has_ended = await self._lost_sends.settle(lost)
         attempts.has_claim = is_claimed and not has_ended
         if attempts.has_ended:
-            self._release(attempts)
+            self._claims.release(attempts)
 
     def _lost_send(self, worker: Worker, attempts: Attempts) -> LostSend:
         return LostSend(
@@ -266,7 +257,7 @@
             self._give_up(attempts, attempts.running_on)
         if attempts.runs_unclaimed:
             self._unclaimed.discard(attempts.fingerprint)
-        self._release(attempts)
+        self._claims.release(attempts)
 
     def _give_up(self, attempts: Attempts, worker: Worker) -> None:
         """Put the send of a request in doubt that ends while its worker may run it."""
@@ -283,32 +274,10 @@
         )
         self._lost_sends.add(self._lost_send(worker, attempts))
 
-    def _release(self, attempts: Attempts) -> None:
-        """Release a request's claim; its doubts take the place of it."""
-        request_id, has_claim = attempts.request.request_id, attempts.has_claim
-        if not self._records.table.is_empty and self._lost_sends.share(
-            attempts.fingerprint, request_id, has_claim
-        ):
-            attempts.has_claim = False
-        if not attempts.has_claim:
-            return
-        attempts.has_claim = False
-        deadline_at = self._clock.monotonic() + RELEASE_SECONDS
-        holder = self._lost_sends.holder(request_id)
-        self._tasks.start(self._records.release(attempts.fingerprint, holder, deadline_at))
-
     async def _claim(
         self, attempts: Attempts, worker: Worker, history: CrashHistory
     ) -> RejectedRequest | None:
-        now = self._clock.monotonic()
-        left = attempts.deadline_at - now
-        holder = self._lost_sends.holder(attempts.request.request_id)
-        expires_ms = self._records.now_ms() + int(1e3 * (left + CLAIM_MARGIN_SECONDS))
-        claim = SendClaim(holder, worker.incarnation, expires_ms)
-        deadline_at = now + min(CLAIM_TIMEOUT_SECONDS, CLAIM_TIME_FRACTION * left)
-        taken: asyncio.Future[CrashHistory | Refused] = asyncio.get_running_loop().create_future()
-        self._tasks.start(self._take_claim(attempts, claim, deadline_at, taken))
-        outcome = await asyncio.shield(taken)
+        outcome = await self._claims.take(attempts, worker)
         if isinstance(outcome, Refused):
             return self._admit_without_store(attempts, history)
         if attempts.has_claim:
@@ -319,26 +288,6 @@
             return self._reject_suspected(attempts, history)
         return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
 
-    async def _take_claim(
-        self,
-        attempts: Attempts,
-        claim: SendClaim,
-        deadline_at: float,
-        taken: "asyncio.Future[CrashHistory | Refused]",
-    ) -> None:
-        """Take a claim, and release it if the caller has left meanwhile."""
-        wait_until = min(deadline_at, self._clock.monotonic() + CLAIM_WAIT_SECONDS)
-        outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
-        while _is_held_by_other(outcome, claim) and self._clock.monotonic() < wait_until:
-            await self._clock.sleep(CLAIM_POLL_SECONDS)
-            outcome = await self._records.claim(attempts.fingerprint, claim, deadline_at)
-        if isinstance(outcome, CrashHistory):
-            holder = outcome.claim.holder if outcome.claim is not None else None
-            attempts.has_claim = holder == claim.holder
-        taken.set_result(outcome)
-        if attempts.has_ended:
-            self._release(attempts)
-
     def _admit_without_store(
         self, attempts: Attempts, history: CrashHistory
     ) -> RejectedRequest | None:
@@ -407,10 +356,3 @@
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
-
-
-def _is_held_by_other(outcome: CrashHistory | Refused, claim: SendClaim) -> bool:
-    """Return whether a claim could not be taken because another request has one."""
-    if isinstance(outcome, Refused) or outcome.claim is None:
-        return False
-    return outcome.claim.holder != claim.holder
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -249,3 +249,22 @@
             worker.crash()
         served = await asyncio.gather(*calls)
         assert all(served), served.count(True)
+
+
+# Guards against a send by a node that stood still after it was admitted, and whose claim may have
+# expired since (BUDGET).
+async def test_a_request_is_not_sent_after_its_deadline_by_a_node_that_stood_still(monkeypatch):
+    async with fatal_platform(FakeResponse(), nodes=1) as platform:
+        (node,) = platform.nodes
+        guard = node.node.dispatcher.guard
+        admit = guard.admit
+
+        async def stand_still(attempts, worker):
+            rejected = await admit(attempts, worker)
+            attempts.deadline_at = guard._clock.monotonic()
+            return rejected
+
+        monkeypatch.setattr(guard, "admit", stand_still)
+        reply = await platform.request_turn(node, "r", path=SAFE, body=b"sound")
+        assert reply.status == 503
+        assert not any(worker.received for worker in platform.workers)
