Let workers of the soak end up to three seconds after their connections

The soak drew ends of up to 0.4 s after the reset, below the half second that the code then counted: it could not find a late end. It draws 0 to 3 s now.

--- a/src/foxwinch/bench/fault_proxy.py
+++ b/src/foxwinch/bench/fault_proxy.py
@@ -312,6 +312,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    # The peer may have closed the connection already.
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     writer.transport.abort()
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -31,7 +31,7 @@
 """Range of the time from a restart under the same id to its entry."""
 RUN_SECONDS = (0.1, 1.5)
 """Range of the time that a request may run before it crashes its worker."""
-AFTER_RESET_SECONDS = (0.01, 0.4)
+AFTER_RESET_SECONDS = (0.0, 3.0)
 """Range of the time from the reset of its connection to the crash of a worker."""
 SENDER_KILL_PROBABILITY = 0.25
 """Probability that the node which sent a fatal request is killed as its worker crashes."""
