Presume two losses where no witness remembers, and none heard means the store

Callers saw four workers end where all nodes were killed once: a doubt that all know of is stored only beside a second one, and a send may run meanwhile, so two losses can be forgotten at once, not one. And a node that is cut off from the others sent again after a single doubt, as its notice counted for told although nobody could hear it.

Change: a witness says whether it has been running for a minute; if none of the first ones has, two losses are presumed. The row of a node keeps no starts, the count is gone. A node that no witness answers takes the claim in place of a notice, and leaves the request to others if the store is away too.

--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -27,12 +27,10 @@
 CLOCK_POLL_SECONDS = 0.05
 """Interval at which a starting node checks whether the store's clock is known."""
 REGISTER_RETRY_SECONDS = 1.0
-RECENT_START_MS = 60_000
-"""Age up to which a start counts as recent: the time for which witnesses keep sends."""
+MEMORY_MS = 60_000
+"""Time after its start from which on a node remembers: that for which witnesses keep sends."""
 SIMULTANEOUS_MS = 10_000
 """Time within which all nodes start when the system first starts."""
-MAX_STARTS = 4
-"""Maximum number of starts in a row."""
 UNREGISTER_SECONDS = 0.3
 """Timeout of the removal of the row during a shutdown."""
 log = EventLog("nodes")
@@ -42,8 +40,6 @@
     peer: Peer
     refreshed_ms: int
     """Time of the last refresh on the store's clock."""
-    starts_ms: tuple[int, ...] = ()
-    """Times at which the node began without the memory that nodes had, on the store's clock."""
 
 
 class NodeRegistry:
@@ -58,8 +54,8 @@
         self._nodes: dict[str, _Node] = {}
         self._ring = WitnessRing({})
         self._is_registered = False
-        self._starts_ms: tuple[int, ...] | None = None
-        """This node's own starts; None until the former ones are known."""
+        self._started_ms: int | None = None
+        """Start of this node on the store's clock; 0 among the first nodes, None if not known."""
         self.watch = TableWatch(store, clock, NODES_TABLE, self._on_rows, WATCH_SECONDS)
 
     @property
@@ -71,12 +67,16 @@
         """Return the addresses of the witnesses of a request that this node sends."""
         return self._ring.choose(fingerprint, self._name)
 
-    def recent_starts(self) -> int | None:
-        """Return how often this node has lately begun without memory; None if not known yet."""
-        if self._starts_ms is None:
-            return None
+    @property
+    def remembers(self) -> bool:
+        """Whether this node knows what nodes were told in the last `MEMORY_MS`.
+
+        When the system first starts, there is nothing that its nodes could have been told.
+        """
+        if self._started_ms is None:
+            return False
         now_ms = self._store.store_clock.earliest_ms(self._clock.monotonic())
-        return sum(each <= now_ms < each + RECENT_START_MS for each in self._starts_ms)
+        return not self._started_ms or now_ms >= self._started_ms + MEMORY_MS
 
     def first_witnesses(self, fingerprint: str) -> list[str]:
         """Return the addresses of the nodes that all senders of a request tell, but for itself."""
@@ -87,28 +87,24 @@
         own = self._nodes.get(self._name)
         return own is not None and own.peer.address in self.first_witnesses(fingerprint)
 
-    def _starts(self, now_ms: int) -> tuple[int, ...]:
-        """Return the starts of this node including this one.
-
-        At the first start of the system there is no memory that it could lack.
-        """
-        former = self._nodes.get(self._name)
-        others = (node for name, node in self._nodes.items() if name != self._name)
-        is_late = any(node.refreshed_ms + SIMULTANEOUS_MS < now_ms for node in others)
-        if former is None and not is_late:
-            return ()
-        return (*(former.starts_ms if former is not None else ()), now_ms)[-MAX_STARTS:]
+    def _is_among_first(self, now_ms: int) -> bool:
+        """Return whether no node has been registered before this start of the system."""
+        return all(
+            name != self._name and now_ms <= node.refreshed_ms + SIMULTANEOUS_MS
+            for name, node in self._nodes.items()
+        )
 
     async def run(self, address: str) -> None:
         """Keep this node registered with `address` until cancelled."""
         clock = self._store.store_clock
         while not clock.is_known or not isfinite(self.watch.age_seconds()):
             await self._clock.sleep(CLOCK_POLL_SECONDS)
-        self._starts_ms = self._starts(clock.earliest_ms(self._clock.monotonic()))
+        now_ms = clock.earliest_ms(self._clock.monotonic())
+        self._started_ms = 0 if self._is_among_first(now_ms) else now_ms
         while True:
             now_ms = clock.earliest_ms(self._clock.monotonic())
             value = NodeMessage(
-                refreshed_ms=now_ms, address=address, zone=self._zone, starts_ms=self._starts_ms
+                refreshed_ms=now_ms, address=address, zone=self._zone
             ).SerializeToString()
             writes = [RowWrite(_row_key(self._name), value)]
             writes += [RowWrite(_row_key(name), None) for name in self._expired(now_ms)]
@@ -148,7 +144,7 @@
                 log.warning("node_row_malformed", name=name, detail=str(error))
                 continue
             peer = Peer(message.address, message.zone)
-            self._nodes[name] = _Node(peer, message.refreshed_ms, tuple(message.starts_ms))
+            self._nodes[name] = _Node(peer, message.refreshed_ms)
         self._ring = WitnessRing({name: node.peer for name, node in self._nodes.items()})
         log.info("nodes_listed", count=len(self._nodes), full=is_full)
 
--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -45,8 +45,10 @@
     """Whether the request holds the claim that repetitions need after a worker ended under it."""
     is_suspected: bool = False
     """Whether a crash or a doubt was known of the request before its last send."""
-    forgotten_sends: int = 0
-    """Number of earlier sends of the request that may be forgotten with all who knew of them."""
+    presumed_losses: int = 0
+    """Number of losses that are presumed, as all who knew of them may have forgotten them."""
+    is_cut_off: bool = False
+    """Whether no other node responded when it was asked about the request."""
     announced: Doubt | None = None
     """The doubt by which other nodes know of the send that runs without a claim."""
     runs_unclaimed: bool = False
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -16,7 +16,7 @@
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
 from foxwinch.records.crash_records import CrashRecords
-from foxwinch.records.node_registry import RECENT_START_MS
+from foxwinch.records.node_registry import MEMORY_MS
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import Attempts
 from foxwinch.serving.crash_detection import PROBE_SECONDS, LostSend
@@ -37,6 +37,9 @@
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
 DOUBT_RETRY_AFTER_SECONDS = 0.1
 """About the time in which health checks resolve a doubt about a send that is over."""
+PRESUMED_LOSSES = MAX_CRASHES - 1
+"""Losses that may be forgotten at once: a doubt is stored only beside a second one, and a send may
+run meanwhile."""
 PROOF_WAIT_SECONDS = 0.5
 """Time for which a request waits for proofs of life that may come soon."""
 DOUBT_POLL_SECONDS = 0.02
@@ -111,7 +114,9 @@
         if history.weight >= MAX_CRASHES:
             await self._wait_for_proofs(attempts, history)
         elif history.weight:
-            attempts.forgotten_sends = await self._witnesses.settle(attempts.fingerprint)
+            testimony = await self._witnesses.settle(attempts.fingerprint)
+            attempts.presumed_losses = PRESUMED_LOSSES if testimony.is_forgotten else 0
+            attempts.is_cut_off = testimony.is_cut_off
 
     async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
         """Wait for proofs of life without which a request is rejected, if they may come soon."""
@@ -125,12 +130,12 @@
             if self._records.table.history_of(attempts.fingerprint).weight < MAX_CRASHES:
                 return
 
-    def _undecided_seconds(self, history: CrashHistory, forgotten_sends: int = 0) -> float:
+    def _undecided_seconds(self, history: CrashHistory, presumed_losses: int = 0) -> float:
         """Return the time until so many doubts may be resolved that a request may be sent."""
         now_ms = self._records.now_ms()
         for ends_ms in sorted(doubt.ends_ms for doubt in history.doubts):
             pending = tuple(doubt for doubt in history.doubts if doubt.ends_ms > ends_ms)
-            if replace(history, doubts=pending).weight + forgotten_sends < MAX_CRASHES:
+            if replace(history, doubts=pending).weight + presumed_losses < MAX_CRASHES:
                 return max(0.0, (ends_ms - now_ms) / 1e3)
         return float("inf")
 
@@ -162,7 +167,7 @@
         self._lost_sends.share(attempts.fingerprint, attempts.request.request_id, has_claim=False)
         if history.weight > 1:
             self._lost_sends.resolve(attempts.fingerprint, history)
-        if history.weight + attempts.forgotten_sends >= MAX_CRASHES:
+        if history.weight + attempts.presumed_losses >= MAX_CRASHES:
             return self._reject_suspected(attempts, history)
         is_repeated = len(history.crashes) > 1 and history.cause_count > 1
         if is_repeated and self._must_spare(worker.service):
@@ -170,7 +175,8 @@
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
         is_single_doubt = not history.crashes and history.weight == 1
-        if is_single_doubt and attempts.request.program is not None:
+        is_announced = attempts.request.program is not None and not attempts.is_cut_off
+        if is_single_doubt and is_announced:
             attempts.announced = self._lost_sends.announce(attempts, worker)
             if attempts.announced is not None:
                 return None
@@ -293,11 +299,13 @@
     ) -> RejectedRequest | None:
         """Admit a program's request with one crash, once at a time; others wait for the store.
 
-        The repetitions of a program are sent by one caller, those of other requests by several.
+        The repetitions of a program are sent by one caller, those of other requests by several. A
+        node that is cut off from the others as well leaves the request to them.
         """
         fingerprint = attempts.fingerprint
         is_running = fingerprint in self._unclaimed and not attempts.runs_unclaimed
-        if history.weight > 1 or is_running or attempts.request.program is None:
+        is_outside = attempts.request.program is None
+        if history.weight > 1 or is_running or is_outside or attempts.is_cut_off:
             return self._reject(
                 attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
@@ -323,12 +331,12 @@
     def _reject_suspected(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
         """Reject a request until its crashes expire, or some of its doubts are resolved."""
         crash_weight = replace(history, doubts=()).weight
-        if crash_weight + attempts.forgotten_sends < MAX_CRASHES:
-            undecided_seconds = self._undecided_seconds(history, attempts.forgotten_sends)
+        if crash_weight + attempts.presumed_losses < MAX_CRASHES:
+            undecided_seconds = self._undecided_seconds(history, attempts.presumed_losses)
             retry_after = undecided_seconds + DOUBT_RETRY_AFTER_SECONDS
             return self._reject(attempts, history, "workers_in_doubt", retry_after)
         if crash_weight < MAX_CRASHES:
-            return self._reject(attempts, history, "sends_forgotten", RECENT_START_MS / 1e3)
+            return self._reject(attempts, history, "sends_forgotten", MEMORY_MS / 1e3)
         left_ms = max(0, history.retained_until_ms - self._records.now_ms())
         return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
 
@@ -352,7 +360,7 @@
             crashes=len(history.crashes),
             doubts=len(history.doubts),
             weight=history.weight,
-            forgotten=attempts.forgotten_sends,
+            presumed=attempts.presumed_losses,
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -6,14 +6,16 @@
 When the request is sent again by another node, its witnesses ask the earlier sender whether it
 still runs; if it does not, they put its send in doubt at all nodes. Requests that are already
 suspected wait until their witnesses have found that out. If none of the witnesses that all senders
-tell has a memory that reaches back, sends may be forgotten, and one is presumed lost for each time
-that the memory was interrupted.
+tell has been running for long, sends may be forgotten with all who knew of them.
 """
 
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
 from foxwinch._generated.crashes_pb2 import CrashNoticesMessage, StartedSendMessage
 from foxwinch.clock import Clock
 from foxwinch.core.limits.token_bucket import TokenBucket
-from foxwinch.core.records.crash_history import MAX_CRASHES, MAX_TIME_MS, Doubt
+from foxwinch.core.records.crash_history import MAX_TIME_MS, Doubt
 from foxwinch.core.records.open_sends import Findings, OpenSend, OpenSends, SenderRun
 from foxwinch.core.records.witness_ring import WITNESS_ZONES
 from foxwinch.core.routing.directory import Worker
@@ -40,8 +42,6 @@
 """Interval at which responses are looked for."""
 MAX_RUN_SECONDS = 3_600.0
 """Maximum duration of a send in an announcement."""
-MAX_FORGOTTEN = MAX_CRASHES - 1
-"""Maximum number of sends that are presumed lost; a request of which nothing is known is sent."""
 MAX_TOLD_LOSSES = 8
 """Maximum number of losses in a response; three already stop a request."""
 MAX_WORKER_BYTES = 256
@@ -49,6 +49,26 @@
 log = EventLog("witnesses")
 
 
+class Testimony(NamedTuple):
+    """What the witnesses of a request leave unknown."""
+
+    is_forgotten: bool
+    """Whether sends may be forgotten with all who knew of them."""
+    is_cut_off: bool
+    """Whether no other node responded, so that none may hear of a send either."""
+
+
+@dataclass(slots=True)
+class _Inquiry:
+    """A question to the witnesses of a request."""
+
+    awaited: set[str] = field(default_factory=set)
+    """Addresses of those that have not responded yet."""
+    is_heard: bool = False
+    is_remembered: bool = False
+    """Whether one has responded that was told by every sender, and has not started since."""
+
+
 class SendWitnesses:
     """Announces the sends of this node, and watches over sends of other nodes."""
 
@@ -73,10 +93,8 @@
         self._own_run = SenderRun("", run)
         self._sends = OpenSends()
         self._extra_sends = TokenBucket.full(EXTRA_WITNESS_SENDS, EXTRA_WITNESS_SENDS, 0.0)
-        self._awaited: dict[str, set[str]] = {}
-        """Addresses of the witnesses that have not responded yet, by fingerprint."""
-        self._starts: dict[str, dict[str, int]] = {}
-        """Recent starts of the first witnesses that have responded, by fingerprint and address."""
+        self._inquiries: dict[str, _Inquiry] = {}
+        """Running inquiries by fingerprint."""
         notices.on_message = self._on_message
 
     def announce(self, attempts: Attempts, worker: Worker) -> None:
@@ -99,37 +117,30 @@
             addresses = addresses[:WITNESS_ZONES]
         self._notices.send_message(addresses, CrashNoticesMessage(sends=[send], run=self._run))
 
-    async def settle(self, fingerprint: str) -> int:
+    async def settle(self, fingerprint: str) -> Testimony:
         """Wait until the witnesses of a request have told of the sends that were lost with nodes.
 
-        One that does not respond is not waited for longer than `SETTLE_SECONDS`. Return the number
-        of sends that the witnesses may have forgotten.
+        One that does not respond is not waited for longer than `SETTLE_SECONDS`. Return what may be
+        unknown nevertheless.
         """
         give_up_at = self._clock.monotonic() + SETTLE_SECONDS
-        if fingerprint not in self._awaited:
-            self._starts[fingerprint] = {}
-            self._awaited[fingerprint] = set(self.inquire(fingerprint))
-        while self._is_unsettled(fingerprint):
+        inquiry = self._inquiries.get(fingerprint)
+        if inquiry is None:
+            inquiry = self._inquiries[fingerprint] = _Inquiry()
+            inquiry.awaited.update(self.inquire(fingerprint))
+        while inquiry.awaited or self._sends.is_undecided(fingerprint):
             if self._clock.monotonic() >= give_up_at:
-                log.info(
-                    "witnesses_silent",
-                    fingerprint=fingerprint,
-                    silent=len(self._awaited.get(fingerprint, ())),
-                )
+                log.info("witnesses_silent", fingerprint=fingerprint, silent=len(inquiry.awaited))
                 break
             await self._clock.sleep(SETTLE_POLL_SECONDS)
-        self._awaited.pop(fingerprint, None)
-        return self._count_forgotten(fingerprint)
-
-    def _count_forgotten(self, fingerprint: str) -> int:
-        """Return how often the memory of the best of the first witnesses was interrupted."""
-        known = list(self._starts.get(fingerprint, {}).values())
-        own_starts = self._registry.recent_starts()
-        if self._registry.is_first_witness(fingerprint) and own_starts is not None:
-            known.append(own_starts)
-        if known:
-            return min(MAX_FORGOTTEN, *known)
-        return 1 if self._registry.others else 0
+        self._inquiries.pop(fingerprint, None)
+        is_cut_off = bool(inquiry.awaited) and not inquiry.is_heard
+        is_remembered = inquiry.is_remembered or self._remembers(fingerprint)
+        return Testimony(bool(self._registry.others) and not is_remembered, is_cut_off)
+
+    def _remembers(self, fingerprint: str) -> bool:
+        """Return whether this node was told of the sends of a request by every sender."""
+        return self._registry.remembers and self._registry.is_first_witness(fingerprint)
 
     def inquire(self, fingerprint: str) -> list[str]:
         """Let the witnesses of a request find its lost sends; return their addresses."""
@@ -139,9 +150,6 @@
         self._notices.send_message(addresses, question)
         return addresses
 
-    def _is_unsettled(self, fingerprint: str) -> bool:
-        return bool(self._awaited.get(fingerprint)) or self._sends.is_undecided(fingerprint)
-
     def _on_message(self, message: CrashNoticesMessage, address: str) -> None:
         """Handle what a datagram holds beside notices."""
         sender = SenderRun(address, message.run)
@@ -189,9 +197,13 @@
 
     def _on_told(self, message: CrashNoticesMessage, address: str) -> None:
         fingerprint = message.told_about.hex()
-        self._awaited.get(fingerprint, set()).discard(address)
-        if message.starts and address in self._registry.first_witnesses(fingerprint):
-            self._starts.get(fingerprint, {})[address] = message.starts - 1
+        inquiry = self._inquiries.get(fingerprint)
+        if inquiry is None or address not in inquiry.awaited:
+            return
+        inquiry.awaited.remove(address)
+        inquiry.is_heard = True
+        if message.remembers and address in self._registry.first_witnesses(fingerprint):
+            inquiry.is_remembered = True
 
     def _on_run_told(self, sender: SenderRun) -> None:
         for send in self._sends.on_response(sender):
@@ -216,11 +228,10 @@
         while self._sends.is_undecided(fingerprint) and self._clock.monotonic() < give_up_at:
             await self._clock.sleep(SETTLE_POLL_SECONDS)
         losses = self._records.table.history_of(fingerprint).losses[-MAX_TOLD_LOSSES:]
-        starts = self._registry.recent_starts()
         message = CrashNoticesMessage(
             told_about=bytes.fromhex(fingerprint),
             run=self._run,
-            starts=0 if starts is None else starts + 1,
+            remembers=self._registry.remembers,
         )
         for loss in losses:
             add_notice(message, CrashNotice(fingerprint, loss))
--- a/tests/test_node_registry.py
+++ b/tests/test_node_registry.py
@@ -4,8 +4,8 @@
 
 from foxwinch.emulator.record_store import RecordStoreModel
 from foxwinch.records.node_registry import (
+    MEMORY_MS,
     NODES_TABLE,
-    RECENT_START_MS,
     SIMULTANEOUS_MS,
     NodeRegistry,
 )
@@ -37,26 +37,27 @@
 
 # Guards against a node that vouches for sends of which it was told before it was killed, or before
 # it joined (BUDGET).
-async def test_a_node_counts_the_starts_at_which_it_lacked_memory():
+async def test_a_node_remembers_only_what_it_may_have_been_told():
     clock = VirtualClock()
     model = RecordStoreModel(clock)
     tasks = ServiceTasks("test")
 
     async def start(name):
         registry = NodeRegistry(ObservedStore(model, clock), clock, name)
-        assert registry.recent_starts() is None
+        assert not registry.remembers
         tasks.start(registry.run(f"{name}:1"))
         tasks.start(registry.watch.run())
         await clock.sleep(1.0)
         return registry
 
     first = [await start(name) for name in NAMES]
-    assert [registry.recent_starts() for registry in first] == [0, 0, 0]
-    assert (await start("a")).recent_starts() == 1
-    assert (await start("a")).recent_starts() == 2
+    assert all(registry.remembers for registry in first)
+    again = await start("a")
+    assert not again.remembers
     await clock.sleep(SIMULTANEOUS_MS / 1e3)
     late = await start("d")
-    assert late.recent_starts() == 1
-    await clock.sleep(RECENT_START_MS / 1e3)
-    assert late.recent_starts() == 0
+    assert not late.remembers
+    await clock.sleep(MEMORY_MS / 1e3)
+    assert again.remembers
+    assert late.remembers
     await tasks.stop()
--- a/tests/test_outdated_nodes.py
+++ b/tests/test_outdated_nodes.py
@@ -1,6 +1,7 @@
 """Nodes that are out of step with the store during a rollout: none joins two software versions."""
 
 import asyncio
+import signal
 from contextlib import asynccontextmanager
 
 import pytest
@@ -8,8 +9,12 @@
 from fake_platform import STREAM, wait_until
 from fake_worker import FakeResponse
 from foxwinch.bench.fault_proxy import FaultProxy
+from foxwinch.core.routing.directory import EVICT_WORKERS_SECONDS
 from foxwinch.records.stream_origins import STREAM_ORIGINS_TABLE
 from foxwinch.serving import stream_origins
+from soak.disruptions import DisruptionLog
+from soak.invariants import InvariantChecker
+from soak.nodes import SoakNode
 from test_stream_versions import ABORTED, ALL_EVENTS, REST, VersionedPlatform
 
 KNOWN_SECONDS = 0.3
@@ -53,6 +58,12 @@
             await proxy.stop()
 
 
+def forget_origins(platform):
+    """Remove the stored origins, as if the store had been away when the streams began."""
+    for row in platform.model.rows_of(STREAM_ORIGINS_TABLE):
+        platform.model.remove(row.table, row.key, row.partition)
+
+
 def isolate(proxy, how):
     """Let the connections of a node to the store fail."""
     if how == "stalled":
@@ -76,10 +87,54 @@
 ):
     async with rollout(monkeypatch, how) as (platform, outdated):
         if not stored:
-            for row in platform.model.rows_of(STREAM_ORIGINS_TABLE):
-                platform.model.remove(row.table, row.key, row.partition)
+            forget_origins(platform)
         assert await platform.listed_versions(outdated) == {"v1"}
         resumes = {"Resumes": "a"} if named else {}
         reply = await platform.request(outdated, STREAM, "b", Last_Event_Id=2, **resumes)
         assert set(platform.versions_of("b")) <= {"v2"}
         assert reply.status in (200, 503)
+
+
+# Guards against the same at a node whose process stood still while the version joined (ORDER).
+@pytest.mark.parametrize("stored", [True, False])
+async def test_a_stream_is_not_resumed_at_another_version_by_a_process_that_stood_still(
+    tmp_path, stored
+):
+    async with VersionedPlatform("v1", "v1", "v2", "v2", attempts=1) as platform:
+        old, new = platform.workers[:2], platform.workers[2:]
+        for number in (2, 3):
+            platform.model.remove("servers", platform.worker_ids[number])
+        disruptions = DisruptionLog()
+        node = SoakNode("p", "z", platform.store_proxy, tmp_path, InvariantChecker(), disruptions)
+        await node.start()
+        try:
+            current = await platform.start_node()
+            await asyncio.sleep(EVICT_WORKERS_SECONDS + KNOWN_SECONDS)
+            node.signal(signal.SIGSTOP)
+            for number in (2, 3):
+                platform.list_worker(number)
+            await wait_until(lambda: platform.listed_versions(current), {"v1", "v2"})
+            for worker in old:
+                worker.responses = [UNAVAILABLE]
+            for worker in new:
+                worker.responses = [ABORTED]
+            begun = await platform.request(current, STREAM, "a")
+            assert begun.body == b"".join(ALL_EVENTS[:2])
+            if not stored:
+                forget_origins(platform)
+            for worker in platform.workers:
+                worker.responses = [REST]
+            resuming = asyncio.ensure_future(
+                platform.request_address(node.address, STREAM, "b", Last_Event_Id=2)
+            )
+            await asyncio.sleep(KNOWN_SECONDS)
+            node.signal(signal.SIGCONT)
+            reply = await resuming
+            assert set(platform.versions_of("b")) <= {"v2"}
+            assert reply.status in (200, 503)
+            if stored and reply.status == 503:
+                await asyncio.sleep(float(reply.headers["Retry-After"]))
+                again = await platform.request_address(node.address, STREAM, "c", Last_Event_Id=2)
+                assert (again.status, platform.versions_of("c")) == (200, ["v2"])
+        finally:
+            await node.kill()
