--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -114,9 +114,9 @@
         if history.weight >= MAX_CRASHES:
             await self._wait_for_proofs(attempts, history)
         elif history.weight:
-            testimony = await self._witnesses.settle(attempts.fingerprint)
-            attempts.presumed_losses = PRESUMED_LOSSES if testimony.is_forgotten else 0
-            attempts.is_cut_off = testimony.is_cut_off
+            report = await self._witnesses.settle(attempts.fingerprint)
+            attempts.presumed_losses = PRESUMED_LOSSES if report.is_forgotten else 0
+            attempts.is_cut_off = report.is_cut_off
 
     async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
         """Wait for proofs of life without which a request is rejected, if they may come soon."""
--- a/src/foxwinch/serving/send_witnesses.py
+++ b/src/foxwinch/serving/send_witnesses.py
@@ -49,7 +49,7 @@
 log = EventLog("witnesses")
 
 
-class Testimony(NamedTuple):
+class WitnessReport(NamedTuple):
     """What the witnesses of a request leave unknown."""
 
     is_forgotten: bool
@@ -117,7 +117,7 @@
             addresses = addresses[:WITNESS_ZONES]
         self._notices.send_message(addresses, CrashNoticesMessage(sends=[send], run=self._run))
 
-    async def settle(self, fingerprint: str) -> Testimony:
+    async def settle(self, fingerprint: str) -> WitnessReport:
         """Wait until the witnesses of a request have told of the sends that were lost with nodes.
 
         One that does not respond is not waited for longer than `SETTLE_SECONDS`. Return what may be
@@ -136,7 +136,7 @@
         self._inquiries.pop(fingerprint, None)
         is_cut_off = bool(inquiry.awaited) and not inquiry.is_heard
         is_remembered = inquiry.is_remembered or self._remembers(fingerprint)
-        return Testimony(bool(self._registry.others) and not is_remembered, is_cut_off)
+        return WitnessReport(bool(self._registry.others) and not is_remembered, is_cut_off)
 
     def _remembers(self, fingerprint: str) -> bool:
         """Return whether this node was told of the sends of a request by every sender."""
--- a/tests/fatal_orders.py
+++ b/tests/fatal_orders.py
@@ -19,7 +19,6 @@
     CallRefused,
     ProbeResult,
     ProgramParameters,
-    ResponseHead,
     ServiceRequest,
 )
 from virtual_platform import (
@@ -27,6 +26,7 @@
     USER_TIMEOUT_SECONDS,
     Caller,
     Cluster,
+    Failure,
     list_virtual_worker,
 )
 
@@ -86,7 +86,7 @@
     """Fault of the store from the receipt until some time after the end."""
     loses_notices: bool = False
     """Whether datagrams are lost from the receipt until some time after the end."""
-    is_delayed: bool = False
+    fails_at_loss: bool = False
     """Whether the nodes fail when the sender sees its loss, not when the worker ends."""
 
 
@@ -175,18 +175,6 @@
         return ProbeResult.RUNNING
 
 
-class _Failure:
-    """A failure of a worker."""
-
-    head = ResponseHead(500, (), False)
-
-    async def read_body(self):
-        return b"failed"
-
-    def close(self):
-        pass
-
-
 class FatalOrders(Cluster):
     """The nodes, the workers and the repetitions of one run."""
 
@@ -233,13 +221,13 @@
         self.model.store_faults.fault = step.store
         self.notice_loss = float(step.loses_notices)
         await asyncio.sleep(step.run_seconds)
-        if step.seen is not Seen.LOST_AT_END and step.is_delayed:
+        if step.seen is not Seen.LOST_AT_END and step.fails_at_loss:
             self._fail_nodes(step.down, node)
         self.start(self._end_later(worker, life, number, step, node))
         if step.seen is Seen.LEFT:
             await asyncio.Event().wait()
         if step.seen is Seen.FAILURE:
-            return _Failure()
+            return Failure()
         if step.seen is Seen.LOST_AT_END:
             await asyncio.sleep(step.later_seconds)
             if worker.is_silent:
@@ -253,7 +241,7 @@
                 self.ended.append(number)
                 self._ended_at.append(self.clock.monotonic())
             worker.end(step.crash)
-        if step.seen is Seen.LOST_AT_END or not step.is_delayed:
+        if step.seen is Seen.LOST_AT_END or not step.fails_at_loss:
             self._fail_nodes(step.down, node)
         await asyncio.sleep(self.rng.uniform(0.0, 2.0))
         self.model.store_faults.fault = StoreFault.NONE
--- a/tests/test_fatal_orders.py
+++ b/tests/test_fatal_orders.py
@@ -46,7 +46,7 @@
     "end 1 s after the connection": Step(Seen.LOST_BEFORE, later_seconds=1.0),
     "end 2.9 s after the connection": Step(Seen.LOST_BEFORE, later_seconds=2.9),
     "end 2 s after the connection, sender killed": Step(
-        Seen.LOST_BEFORE, later_seconds=2.0, down=Down.SENDER, is_delayed=True
+        Seen.LOST_BEFORE, later_seconds=2.0, down=Down.SENDER, fails_at_loss=True
     ),
     "end 0.1 s after the caller left": Step(Seen.LEFT, later_seconds=0.1),
     "end 2 s after the caller left": Step(Seen.LEFT, later_seconds=2.0),
--- a/tests/test_outdated_nodes.py
+++ b/tests/test_outdated_nodes.py
@@ -19,6 +19,8 @@
 
 KNOWN_SECONDS = 0.3
 """Time for which a node must know the worker list, in place of half a minute."""
+NEW_WORKERS = (2, 3)
+"""Numbers of the workers of the version that joins."""
 SLOW_SECONDS = 0.7
 """Delay of each direction to a slow store."""
 UNAVAILABLE = FakeResponse(status=503, headers={"Not-Run": "1"}, signed=False)
@@ -32,8 +34,7 @@
     """
     monkeypatch.setattr(stream_origins, "EVICT_WORKERS_SECONDS", KNOWN_SECONDS)
     async with VersionedPlatform("v1", "v1", "v2", "v2", attempts=1) as platform:
-        old, new = platform.workers[:2], platform.workers[2:]
-        for number in (2, 3):
+        for number in NEW_WORKERS:
             platform.model.remove("servers", platform.worker_ids[number])
         proxy = FaultProxy(platform.store_proxy.address)
         await proxy.start()
@@ -42,22 +43,25 @@
             outdated = await platform.start_node(store_proxy=proxy)
             await asyncio.sleep(KNOWN_SECONDS)
             isolate(proxy, how)
-            for number in (2, 3):
-                platform.list_worker(number)
-            await wait_until(lambda: platform.listed_versions(current), {"v1", "v2"})
-            for worker in old:
-                worker.responses = [UNAVAILABLE]
-            for worker in new:
-                worker.responses = [ABORTED]
-            begun = await platform.request(current, STREAM, "a")
-            assert begun.body == b"".join(ALL_EVENTS[:2])
-            for worker in platform.workers:
-                worker.responses = [REST]
+            await begin_at_new_version(platform, current)
             yield platform, outdated
         finally:
             await proxy.stop()
 
 
+async def begin_at_new_version(platform, current):
+    """Let the workers of the new version join, and begin a stream at one through a current node."""
+    for number in NEW_WORKERS:
+        platform.list_worker(number)
+    await wait_until(lambda: platform.listed_versions(current), {"v1", "v2"})
+    for number, worker in enumerate(platform.workers):
+        worker.responses = [ABORTED if number in NEW_WORKERS else UNAVAILABLE]
+    begun = await platform.request(current, STREAM, "a")
+    assert begun.body == b"".join(ALL_EVENTS[:2])
+    for worker in platform.workers:
+        worker.responses = [REST]
+
+
 def forget_origins(platform):
     """Remove the stored origins, as if the store had been away when the streams began."""
     for row in platform.model.rows_of(STREAM_ORIGINS_TABLE):
@@ -101,8 +105,7 @@
     tmp_path, stored
 ):
     async with VersionedPlatform("v1", "v1", "v2", "v2", attempts=1) as platform:
-        old, new = platform.workers[:2], platform.workers[2:]
-        for number in (2, 3):
+        for number in NEW_WORKERS:
             platform.model.remove("servers", platform.worker_ids[number])
         disruptions = DisruptionLog()
         node = SoakNode("p", "z", platform.store_proxy, tmp_path, InvariantChecker(), disruptions)
@@ -111,19 +114,9 @@
             current = await platform.start_node()
             await asyncio.sleep(EVICT_WORKERS_SECONDS + KNOWN_SECONDS)
             node.signal(signal.SIGSTOP)
-            for number in (2, 3):
-                platform.list_worker(number)
-            await wait_until(lambda: platform.listed_versions(current), {"v1", "v2"})
-            for worker in old:
-                worker.responses = [UNAVAILABLE]
-            for worker in new:
-                worker.responses = [ABORTED]
-            begun = await platform.request(current, STREAM, "a")
-            assert begun.body == b"".join(ALL_EVENTS[:2])
+            await begin_at_new_version(platform, current)
             if not stored:
                 forget_origins(platform)
-            for worker in platform.workers:
-                worker.responses = [REST]
             resuming = asyncio.ensure_future(
                 platform.request_address(node.address, STREAM, "b", Last_Event_Id=2)
             )
