--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -19,7 +19,7 @@
 from foxwinch.records.node_registry import MEMORY_MS
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import Attempts
-from foxwinch.serving.crash_detection import PROBE_SECONDS, LostSend
+from foxwinch.serving.crash_detection import PROBE_SECONDS, PROBES, LostSend
 from foxwinch.serving.lost_sends import LostSends
 from foxwinch.serving.messages import (
     CallFailure,
@@ -35,8 +35,8 @@
 CLAIMED_RETRY_AFTER_SECONDS = 0.3
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
-DOUBT_RETRY_AFTER_SECONDS = 0.1
-"""About the time in which health checks resolve a doubt about a send that is over."""
+DOUBT_RETRY_AFTER_SECONDS = PROBES * PROBE_SECONDS
+"""Time in which health checks resolve a doubt about a send that is over."""
 PRESUMED_LOSSES = MAX_CRASHES - 1
 """Losses that may be forgotten at once: a doubt is stored only beside a second one, and a send may
 run meanwhile."""
