--- a/tests/fatal_orders.py
+++ b/tests/fatal_orders.py
@@ -44,6 +44,8 @@
 CALL_SECONDS = 0.003
 OVERLAP_SECONDS = 0.02
 """Time that a call, a notice and the health check between them take."""
+STEPS = 8
+"""Number of drawn steps of a run; plain ones follow."""
 MAX_ENDS = 3
 """Number of workers that may end under one request."""
 
@@ -90,6 +92,28 @@
     """Whether the nodes fail when the sender sees its loss, not when the worker ends."""
 
 
+class NodeFault(StrEnum):
+    """What happens to nodes apart from sends."""
+
+    KILL_ONE = "kill one"
+    KILL_SOME = "kill some"
+    KILL_ALL = "kill all"
+    REPLACE = "replace"
+    """All nodes stop in turn and start again."""
+    CUT = "cut"
+    """A node is cut off from the other nodes; workers, callers and the store reach it."""
+    ISOLATE = "isolate"
+    """A node is cut off from the other nodes and from the store."""
+
+
+class NodeEvent(NamedTuple):
+    """A fault of nodes at some time of a run."""
+
+    at_seconds: float
+    fault: NodeFault
+    lasts_seconds: float = 0.0
+
+
 class Setting(NamedTuple):
     """What a run has in common."""
 
@@ -99,6 +123,7 @@
     """Whether successors serve under the id of the worker before, which then reports its starts."""
     callers: int = 1
     """Number of callers that repeat the request at once."""
+    events: tuple[NodeEvent, ...] = ()
 
 
 class _Worker:
@@ -255,7 +280,7 @@
             others = set(self.running_nodes())
         if down in (Down.SENDER, Down.WITNESSES, Down.ALL):
             others.add(node)
-        for number in others & set(self.running_nodes()):
+        for number in sorted(others & set(self.running_nodes())):
             if not self.stores[number].is_killed:
                 self.silence_node(number)
                 self.start(self.kill_node(number))
@@ -269,10 +294,37 @@
 
     async def _pause(self, number):
         """Let a node neither send nor receive datagrams for some seconds."""
-        transport = self.transports[number]
-        transport.is_paused = True
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        transport.is_paused = False
+        await self._cut(number, self.rng.uniform(0.5, 4.0))
+
+    async def _cut(self, number, seconds, is_isolated=False):
+        """Cut a node off from the other nodes for some time, and from the store if isolated."""
+        transport, store = self.transports[number], self.stores[number]
+        transport.is_paused, store.is_cut = True, is_isolated
+        await asyncio.sleep(seconds)
+        transport.is_paused = store.is_cut = False
+
+    async def _fail_apart(self, event):
+        """Let nodes fail at a time that no send decides."""
+        await asyncio.sleep(event.at_seconds)
+        running = [each for each in self.running_nodes() if not self.stores[each].is_killed]
+        if event.fault is NodeFault.REPLACE:
+            await self._replace_all(event.lasts_seconds / NODES)
+        elif event.fault in (NodeFault.CUT, NodeFault.ISOLATE):
+            number = self.rng.choice(running or [0])
+            await self._cut(number, event.lasts_seconds, event.fault is NodeFault.ISOLATE)
+        else:
+            counts = {NodeFault.KILL_ONE: 1, NodeFault.KILL_SOME: NODES // 2}
+            count = min(len(running), counts.get(event.fault, NODES))
+            for number in self.rng.sample(running, count):
+                self.silence_node(number)
+                self.start(self.kill_node(number))
+
+    async def _replace_all(self, pause_seconds):
+        """Stop each node gracefully and start it again, one after the other."""
+        for number in range(NODES):
+            if self.nodes[number] is not None and not self.stores[number].is_killed:
+                await self.replace_node(number)
+            await asyncio.sleep(pause_seconds)
 
     def _request(self, number):
         program = ProgramParameters("p", "c", None) if self.setting.in_program else None
@@ -311,6 +363,8 @@
     async def run(self):
         """Repeat the request."""
         await asyncio.sleep(1.0)
+        for event in self.setting.events:
+            self.start(self._fail_apart(event))
         await asyncio.gather(*(self._repeat() for _ in range(self.setting.callers)))
         await self.stop()
 
@@ -327,10 +381,10 @@
     """Draw a step; most have one or two events beside the end of the worker."""
     return Step(
         rng.choice(losses),
-        rng.choice((CrashKind.REFUSES, CrashKind.UNREACHABLE, CrashKind.HANGS)),
+        rng.choice(tuple(CrashKind)),
         rng.choice((Down.NONE, Down.NONE, Down.SENDER, *Down)),
         rng.choice((0.0, 0.02, 0.3)),
-        rng.choice((0.0, 0.01, 0.1, 0.4, 1.0, 2.0)),
+        rng.choice((0.0, 0.01, 0.1, 0.4, 1.0, 2.0, 6.0, 12.0)),
         rng.choice((StoreFault.NONE, StoreFault.NONE, *StoreFault)),
         rng.random() < 0.1,
         rng.random() < 0.5,
@@ -339,4 +393,10 @@
 
 def draw_setting(rng):
     """Draw what a run has in common."""
-    return Setting(rng.choice((STREAM, SAFE)), rng.random() < 0.7, rng.random() < 0.2)
+    events = tuple(
+        NodeEvent(rng.uniform(0.0, 8.0), rng.choice(tuple(NodeFault)), rng.uniform(0.5, 6.0))
+        for _ in range(rng.choice((0, 1, 2, 3)))
+    )
+    callers = rng.choice((1, 1, 1, 2, 3))
+    in_program = callers == 1 and rng.random() < 0.7
+    return Setting(rng.choice((STREAM, SAFE)), in_program, rng.random() < 0.3, callers, events)
--- a/tests/test_fatal_orders.py
+++ b/tests/test_fatal_orders.py
@@ -11,6 +11,7 @@
 from fake_platform import SAFE, STREAM
 from fake_worker import CrashKind
 from fatal_orders import (
+    STEPS,
     Down,
     FatalOrders,
     Seen,
@@ -23,7 +24,6 @@
 
 pytestmark = [pytest.mark.looptime]
 RUN_SECONDS = 0.02
-STEPS = 8
 SEEDS = 60
 REPEATS = 4
 """Number of runs of a case: in the first half each send meets the event, in the others some."""
@@ -48,6 +48,9 @@
     "end 2 s after the connection, sender killed": Step(
         Seen.LOST_BEFORE, later_seconds=2.0, down=Down.SENDER, fails_at_loss=True
     ),
+    "end 6 s after the connection": Step(Seen.LOST_BEFORE, later_seconds=6.0),
+    "end 12 s after the connection": Step(Seen.LOST_BEFORE, later_seconds=12.0),
+    "end 12 s after the send": Step(later_seconds=12.0),
     "end 0.1 s after the caller left": Step(Seen.LEFT, later_seconds=0.1),
     "end 2 s after the caller left": Step(Seen.LEFT, later_seconds=2.0),
 }
@@ -110,6 +113,16 @@
         await run_orders([FORGOTTEN[case]], SETTINGS[setting], seed)
 
 
+# Guards against sends that are forgotten each time, so that no loss is ever known (BUDGET).
+@pytest.mark.parametrize("store", [StoreFault.NONE, StoreFault.BUSY])
+@pytest.mark.parametrize("setting", SETTINGS)
+@pytest.mark.parametrize("case", FORGOTTEN)
+async def test_three_workers_end_at_most_when_each_send_is_forgotten(case, setting, store):
+    for seed in range(REPEATS):
+        step = FORGOTTEN[case]._replace(store=store)
+        await run_orders([step] * STEPS, SETTINGS[setting], seed)
+
+
 # Guards against any drawn order of events after which a fourth worker ends (BUDGET).
 @pytest.mark.parametrize("seed", range(SEEDS))
 async def test_three_workers_end_at_most_over_drawn_orders(seed):
--- a/tests/virtual_platform.py
+++ b/tests/virtual_platform.py
@@ -9,6 +9,7 @@
 from fake_platform import HOST, SAFE, STREAM, configuration, routes
 from fake_worker import CrashKind
 from foxwinch.emulator.record_store import RecordStoreModel, StoreFault
+from foxwinch.outcomes import Reason, outcome_unknown
 from foxwinch.platform.translation import decode_configuration_row, decode_worker_row
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.serving.messages import (
@@ -54,6 +55,7 @@
 """Range of the time after which a caller leaves."""
 RETURN_SECONDS = 0.05
 """Time after which callers repeat a fatal request."""
+POLL_SECONDS = 0.05
 NOTICE_SECONDS = 0.002
 NOTICE_LOSS = 0.02
 
@@ -203,23 +205,32 @@
     def __init__(self, model):
         self._model = model
         self.is_killed = False
+        self.is_cut = False
+        """Whether the node gets no response from the store."""
 
-    async def _call(self, call):
+    async def _call(self, call, timeout_seconds):
         if self.is_killed:
+            call.close()
             await asyncio.Event().wait()
+        if self.is_cut:
+            call.close()
+            await asyncio.sleep(timeout_seconds)
+            return outcome_unknown(Reason.STORE_UNAVAILABLE, "cut off from the store")
         return await call
 
     async def transact(self, conditions, writes, timeout_seconds):
-        return await self._call(self._model.transact(conditions, writes, timeout_seconds))
+        call = self._model.transact(conditions, writes, timeout_seconds)
+        return await self._call(call, timeout_seconds)
 
     async def read(self, first, end_key, timeout_seconds):
-        return await self._call(self._model.read(first, end_key, timeout_seconds))
+        return await self._call(self._model.read(first, end_key, timeout_seconds), timeout_seconds)
 
     async def read_table(self, table, timeout_seconds):
-        return await self._call(self._model.read_table(table, timeout_seconds))
+        return await self._call(self._model.read_table(table, timeout_seconds), timeout_seconds)
 
     async def changes(self, table, after_version, wait_seconds):
-        return await self._call(self._model.changes(table, after_version, wait_seconds))
+        call = self._model.changes(table, after_version, wait_seconds)
+        return await self._call(call, wait_seconds)
 
 
 class WorkerCalls:
@@ -415,6 +426,22 @@
         await asyncio.sleep(self.rng.random())
         self.start_node(number)
 
+    async def replace_node(self, number):
+        """Stop a node gracefully, and start it again within a second."""
+
+        async def close():
+            pass
+
+        store = self.stores[number]
+        stopping = asyncio.ensure_future(self.nodes[number].stop(close))
+        while not store.is_killed:
+            done, _ = await asyncio.wait([stopping], timeout=POLL_SECONDS)
+            if done:
+                break
+        stopping.cancel()
+        if not store.is_killed:
+            await self.kill_node(number)
+
     async def handle(self, number, request, caller, patience=None):
         """Let a node handle a request, until it is killed or the caller leaves after `patience`."""
         task = asyncio.ensure_future(self.nodes[number].handle(request, caller))
