Let a call be made only to the expected start of a worker

Cause: the list's word was taken for the process that answers. A connection belongs to one process, so the worker's report on it tells whose answer the next request gets. A call may now ask for that check: the report is read on a connection of its own, which is kept for the next call to the same start; another start is refused, not run.

--- a/src/foxwinch/platform/connections.py
+++ b/src/foxwinch/platform/connections.py
@@ -25,12 +25,16 @@
 MAX_KEEPALIVE_PROBES = 2
 
 
-def open_session(keepalive_seconds: float, **options: Any) -> aiohttp.ClientSession:
+def open_session(
+    keepalive_seconds: float,
+    make_connector: type[aiohttp.TCPConnector] = aiohttp.TCPConnector,
+    **options: Any,
+) -> aiohttp.ClientSession:
     """Return a session that closes connections whose peer stops acknowledging packets.
 
     Idle connections are kept for `keepalive_seconds`; `options` are passed to `ClientSession`.
     """
-    connector = aiohttp.TCPConnector(
+    connector = make_connector(
         limit=0, keepalive_timeout=keepalive_seconds, socket_factory=_open_socket
     )
     return aiohttp.ClientSession(
--- a/src/foxwinch/platform/worker_client.py
+++ b/src/foxwinch/platform/worker_client.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import errno
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -35,6 +35,11 @@
     WORKER_REPORT,
     WORKER_STARTED_MS,
 )
+from foxwinch.platform.verified_connections import (
+    ConnectionGoneError,
+    SingleConnector,
+    VerifiedSessions,
+)
 from foxwinch.serving.messages import (
     CallFailure,
     CallInterrupted,
@@ -42,6 +47,7 @@
     OutgoingCall,
     ProbeResult,
     ResponseHead,
+    StartCheck,
 )
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -136,6 +142,8 @@
 def _matches_request(
     status: int, headers: "CIMultiDictProxy[str]", expected_id: str | None
 ) -> bool:
+    if expected_id is None:
+        return True
     response_id = headers.get(REQUEST_ID)
     if response_id is None:
         return NOT_RUN in headers or status in (STATUS_WRONG_WORKER, STATUS_SWITCHING_PROTOCOLS)
@@ -145,9 +153,15 @@
 class HttpWorkerResponse:
     """A response whose head has arrived; implements `foxwinch.serving.messages.WorkerResponse`."""
 
-    def __init__(self, response: aiohttp.ClientResponse, limit: _BufferLimit) -> None:
-        """Count the body against `limit` from its receipt until `close`."""
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        limit: _BufferLimit,
+        on_close: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Count the body against `limit` from its receipt until `close`, which calls `on_close`."""
         self._response = response
+        self._on_close = on_close
         self._limit = limit
         self._buffered_bytes = 0
         self._protocol = response.connection.protocol if response.connection else None
@@ -193,6 +207,8 @@
         self._response.close()
         self._limit.release(self._buffered_bytes)
         self._buffered_bytes = 0
+        on_close, self._on_close = self._on_close, lambda: None
+        on_close()
 
     def _check_reset(self) -> CallInterrupted | None:
         """Return an error if a response without a length ended with a connection reset."""
@@ -210,36 +226,106 @@
     def __init__(self) -> None:
         """Open a connection pool; must be called in a running event loop."""
         self._limit = _BufferLimit()
-        self._session = open_session(
-            KEEPALIVE_SECONDS,
-            response_class=_MatchedResponse,
-            auto_decompress=False,
-            skip_auto_headers=SKIPPED_AUTO_HEADERS,
-        )
-        # Only foxwinch decides on retries, never the HTTP library.
-        self._session._retry_connection = False
+        self._session = _open_session(aiohttp.TCPConnector)
+        self._verified = VerifiedSessions(lambda: _open_session(SingleConnector))
 
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
+        await self._verified.close()
 
     async def call(
         self, worker: Worker, call: OutgoingCall
     ) -> HttpWorkerResponse | CallRefused | CallInterrupted:
         """Send a call and wait for the head of its response."""
+        if call.start_check is StartCheck.NONE:
+            return await self._send(self._session, worker, call, lambda: None)
+        session = self._verified.take(worker)
+        if session is not None:
+            outcome = await self._send_verified(session, worker, call)
+            if outcome is not None:
+                return outcome
+        session = self._verified.open()
+        started_ms = await self._read_start(session, worker, call.deadline_seconds)
+        is_untold = started_ms is None and call.start_check is StartCheck.IF_TOLD
+        if started_ms != worker.started_ms and not is_untold:
+            self._verified.discard(session)
+            return CallRefused(CallFailure.WRONG_WORKER, "the start of the worker is not confirmed")
+        outcome = await self._send_verified(session, worker, call)
+        return outcome or CallRefused(CallFailure.UNREACHABLE, "the connection was closed")
+
+    async def _send_verified(
+        self, session: aiohttp.ClientSession, worker: Worker, call: OutgoingCall
+    ) -> HttpWorkerResponse | CallRefused | CallInterrupted | None:
+        """Send a call on a verified connection; return None if that was closed before."""
+
+        def give_back() -> None:
+            self._verified.give_back(worker, session)
+
+        try:
+            outcome = await self._send(session, worker, call, give_back)
+        except ConnectionGoneError:
+            self._verified.discard(session)
+            return None
+        except BaseException:
+            self._verified.discard(session)
+            raise
+        if isinstance(outcome, CallRefused):
+            give_back()
+        elif isinstance(outcome, CallInterrupted):
+            self._verified.discard(session)
+        return outcome
+
+    async def _read_start(
+        self, session: aiohttp.ClientSession, worker: Worker, timeout_seconds: float
+    ) -> int | None:
+        """Return the start in milliseconds of Unix time of the process behind a new connection.
+
+        Return None if its report does not tell, or 0 if it cannot be the worker.
+        """
+        headers = {"Host": worker.address, EXPECTED_WORKER: worker.worker_id}
+        try:
+            url = URL(f"http://{worker.address}{WORKER_REPORT}", encoded=True)
+            async with (
+                asyncio.timeout(timeout_seconds),
+                session.get(url, headers=headers, allow_redirects=False) as response,
+            ):
+                if response.headers.get(INSTANCE) not in (None, worker.worker_id):
+                    return 0
+                started_ms = await _read_start(response)
+        except (TimeoutError, HttpProcessingError, *CONNECTION_ERRORS) as error:
+            log.info("start_not_verified", worker=worker.worker_id, detail=type(error).__name__)
+            return 0
+        log.info(
+            "start_verified",
+            worker=worker.worker_id,
+            expected_ms=worker.started_ms,
+            started_ms=started_ms,
+        )
+        return started_ms
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        worker: Worker,
+        call: OutgoingCall,
+        on_close: Callable[[], None],
+    ) -> HttpWorkerResponse | CallRefused | CallInterrupted:
         request = call.request
         try:
             url = URL(f"http://{worker.address}{request.target}", encoded=True)
         except ValueError as error:
             return CallRefused(CallFailure.UNREACHABLE, f"no valid address or target: {error}")
         try:
-            response = await self._session.request(
+            response = await session.request(
                 request.method,
                 url,
                 headers=_headers(worker, call),
                 data=call.body or None,
                 allow_redirects=False,
             )
+        except ConnectionGoneError:
+            raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return CallRefused(CallFailure.UNREACHABLE, type(error).__name__)
         except (HttpProcessingError, _MalformedResponseError) as error:
@@ -253,7 +339,7 @@
         if refused is not None:
             response.release()
             return refused
-        return HttpWorkerResponse(response, self._limit)
+        return HttpWorkerResponse(response, self._limit, on_close)
 
     async def probe(self, worker: Worker, health_path: str, timeout_seconds: float) -> ProbeResult:
         """Return whether the worker still runs, from a request on a new connection.
@@ -299,6 +385,19 @@
                 return ProbeResult.UNKNOWN
 
 
+def _open_session(make_connector: type[aiohttp.TCPConnector]) -> aiohttp.ClientSession:
+    session = open_session(
+        KEEPALIVE_SECONDS,
+        make_connector,
+        response_class=_MatchedResponse,
+        auto_decompress=False,
+        skip_auto_headers=SKIPPED_AUTO_HEADERS,
+    )
+    # Only foxwinch decides on retries, never the HTTP library.
+    session._retry_connection = False
+    return session
+
+
 async def _read_start(response: aiohttp.ClientResponse) -> int | None:
     """Return the start in milliseconds of Unix time that a worker's report names, if any."""
     report = decode_json(await response.content.read(MAX_REPORT_BYTES))
--- a/src/foxwinch/serving/messages.py
+++ b/src/foxwinch/serving/messages.py
@@ -148,6 +148,15 @@
         ...
 
 
+class StartCheck(StrEnum):
+    """Whether a call is made only if the worker proves to be the expected start of its id."""
+
+    NONE = "none"
+    IF_TOLD = "if told"
+    """Also if the worker's report tells no start."""
+    REQUIRED = "required"
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingCall:
     """A request as sent to one worker."""
@@ -158,6 +167,7 @@
     """Remaining time under the caller's and the route's deadline."""
     last_event_id: int | None = None
     urgency: int | None = None
+    start_check: StartCheck = StartCheck.NONE
 
 
 class Rejection(StrEnum):
