--- a/src/foxwinch/core/records/open_sends.py
+++ b/src/foxwinch/core/records/open_sends.py
@@ -2,18 +2,20 @@
 
 A node that sends a request accounts for the send itself as long as it runs: it puts it in doubt if
 it gets no response. A witness takes the node's place once it has ended. It finds that out only when
-it has to: when another node sends the same request, or asks about it.
+it has to: when another node sends the same request.
 """
 
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from foxwinch.core.records.crash_history import Doubt, SendKey
+from foxwinch.core.records.crash_history import Doubt
 
 KEPT_SECONDS = 60.0
 """Time for which a witness keeps a send. Programs that were stopped may return within a minute."""
 MAX_SENDS = 20_000
 """Maximum number of sends that a witness keeps."""
+RANGES = 16
+"""Number of ranges of fingerprints, by their first hexadecimal digit."""
 
 
 class SenderRun(NamedTuple):
@@ -35,17 +37,24 @@
     """Monotonic time of the receipt at the witness."""
 
 
+class Question(NamedTuple):
+    """A question to the node of some sends whether it still accounts for them."""
+
+    fingerprint: str
+    sender: SenderRun
+
+
 class Findings(NamedTuple):
     """What a witness has to do about the earlier sends of a request."""
 
     lost: list[OpenSend]
     """Sends whose nodes have ended."""
-    asked: list[SenderRun]
-    """Runs that have to be asked whether they still account for their sends."""
+    asked: list[Question]
+    """Questions that have to be asked."""
 
 
 class OpenSends:
-    """The sends that one witness keeps, and the runs that it has asked."""
+    """The sends that one witness keeps, and the questions about them."""
 
     def __init__(self) -> None:
         """Start without sends."""
@@ -54,99 +63,104 @@
         self._count = 0
         self._runs: dict[str, int] = {}
         """The latest known run by address."""
-        self._asked: dict[SenderRun, dict[str, SenderRun]] = {}
-        """Requests for which a run was asked, until it responds or is found to have ended, and the
-        run on whose behalf it was."""
-        self._questions: dict[SenderRun, int] = {}
-        """Numbers of the questions to the asked runs."""
+        self._questions: dict[Question, int] = {}
+        """Numbers of the questions without a response."""
         self._question_count = 0
-        self._presumed_lost: dict[SenderRun, list[OpenSend]] = {}
+        self._presumed_lost: dict[Question, list[OpenSend]] = {}
         """Sends of runs that did not respond in time; one that responds later takes them back."""
 
     def __len__(self) -> int:
         return self._count
 
     def add(self, send: OpenSend) -> Findings:
-        """Keep a send that starts and return the findings about earlier ones of its request."""
+        """Keep a send that starts and return the findings about earlier ones of its request.
+
+        A send that is known with another worker was refused there.
+        """
         self._note_run(send.sender)
         findings = self.find(send.fingerprint, send.sender)
+        self.keep(send)
+        return findings
+
+    def keep(self, send: OpenSend) -> None:
+        """Keep a send, also one that another witness has handed over."""
         sends = self._sends.pop(send.fingerprint, [])
         known = [each for each in sends if _identity(each) != _identity(send)]
         self._sends[send.fingerprint] = [*known, send]
         self._count += len(known) + 1 - len(sends)
         self._evict(send.received_at)
-        return findings
 
-    def find(self, fingerprint: str, without: SenderRun) -> Findings:
-        """Return the findings about the sends of a request by other runs than `without`.
+    def settle(self, fingerprint: str, sender: SenderRun, sent_ms: int) -> None:
+        """Forget a send that its node does not have to account for any more."""
+        for send in self._sends.get(fingerprint, []):
+            if send.sender == sender and send.doubt.sent_ms == sent_ms:
+                self._remove(send)
+                return
 
-        A run that was asked for one node and has not responded yet is taken to have ended when a
-        third node sends a program's request, as that shows that the earlier sends were lost.
-        """
+    def find(self, fingerprint: str, without: SenderRun) -> Findings:
+        """Return the findings about the sends of a request by other runs than `without`."""
         lost: list[OpenSend] = []
-        asked: list[SenderRun] = []
+        asked: list[Question] = []
         for send in list(self._others(fingerprint, without)):
-            sender = send.sender
-            if self._runs.get(sender.address) != sender.run:
+            question = Question(fingerprint, send.sender)
+            if self._runs.get(send.sender.address, send.sender.run) != send.sender.run:
                 self._remove(send)
                 lost.append(send)
-            elif send.doubt.suspected and self._is_asked_for_other(send, without):
-                self._remove(send)
-                self._presumed_lost.setdefault(sender, []).append(send)
-                lost.append(send)
-            else:
-                if sender not in self._asked:
-                    asked.append(sender)
-                    self._question_count += 1
-                    self._questions[sender] = self._question_count
-                self._asked.setdefault(sender, {})[fingerprint] = without
+            elif question not in self._questions:
+                asked.append(question)
+                self._question_count += 1
+                self._questions[question] = self._question_count
         return Findings(lost, asked)
 
-    def _is_asked_for_other(self, send: OpenSend, without: SenderRun) -> bool:
-        """Return whether the sender was asked about the request for another run than `without`."""
-        return self._asked.get(send.sender, {}).get(send.fingerprint, without) != without
-
-    def is_undecided(self, fingerprint: str) -> bool:
-        """Return whether a run was asked about a request and has not responded yet."""
-        return any(fingerprint in fingerprints for fingerprints in self._asked.values())
-
-    def on_response(self, sender: SenderRun) -> list[OpenSend]:
-        """Note that a run still accounts for its sends; return those that were presumed lost.
-
-        A response of another run at the address shows that the earlier one has ended.
-        """
-        self._note_run(sender)
-        self._asked.pop(sender, None)
-        self._questions.pop(sender, None)
-        restored = self._presumed_lost.pop(sender, [])
+    def is_undecided(self, fingerprint: str, without: SenderRun) -> bool:
+        """Return whether a run other than `without` was asked and has not responded yet."""
+        return any(
+            Question(fingerprint, send.sender) in self._questions
+            for send in self._others(fingerprint, without)
+        )
+
+    def on_response(self, question: Question) -> list[OpenSend]:
+        """Note that a run still accounts for its sends; return those that were presumed lost."""
+        self._note_run(question.sender)
+        self._questions.pop(question, None)
+        restored = self._presumed_lost.pop(question, [])
         for send in restored:
             self._sends.setdefault(send.fingerprint, []).append(send)
             self._count += 1
         return restored
 
-    def open_question(self, sender: SenderRun) -> int | None:
-        """Return the number of the question that a run has not responded to; None without one."""
-        return self._questions.get(sender)
+    def note_run(self, sender: SenderRun) -> None:
+        """Note the run at an address; an earlier one has ended."""
+        self._note_run(sender)
+
+    def number_of(self, question: Question) -> int | None:
+        """Return the number of a question without a response; None if there is none."""
+        return self._questions.get(question)
 
-    def on_timeout(self, sender: SenderRun) -> list[OpenSend]:
+    def on_timeout(self, question: Question) -> list[OpenSend]:
         """Return the sends that are lost as a run that was asked about them did not respond."""
-        fingerprints = self._asked.pop(sender, {})
-        self._questions.pop(sender, None)
-        lost = [
-            send
-            for fingerprint in fingerprints
-            for send in self._sends.get(fingerprint, [])
-            if send.sender == sender
-        ]
+        self._questions.pop(question, None)
+        sends = self._sends.get(question.fingerprint, [])
+        lost = [send for send in sends if send.sender == question.sender]
         for send in lost:
             self._remove(send)
         if lost:
-            self._presumed_lost.setdefault(sender, []).extend(lost)
+            self._presumed_lost.setdefault(question, []).extend(lost)
         return lost
 
-    def forget_presumed(self, sender: SenderRun) -> None:
+    def forget_presumed(self, question: Question) -> None:
         """Stop to wait for the late response of a run."""
-        self._presumed_lost.pop(sender, None)
+        self._presumed_lost.pop(question, None)
+
+    def in_range(self, number: int) -> list[OpenSend]:
+        """Return the sends whose fingerprints are in a range."""
+        digit = f"{number:x}"
+        return [
+            send
+            for fingerprint, sends in self._sends.items()
+            if fingerprint.startswith(digit)
+            for send in sends
+        ]
 
     def _others(self, fingerprint: str, without: SenderRun) -> Iterator[OpenSend]:
         return (each for each in self._sends.get(fingerprint, []) if each.sender != without)
@@ -176,6 +190,6 @@
             self._count -= len(sends)
 
 
-def _identity(send: OpenSend) -> tuple[SenderRun, SendKey]:
-    """Return what identifies a send that is announced twice."""
-    return send.sender, send.doubt.send
+def _identity(send: OpenSend) -> tuple[SenderRun, int]:
+    """Return what identifies a send at a witness: its node numbers its sends by their time."""
+    return send.sender, send.doubt.sent_ms
--- a/src/foxwinch/core/records/witness_ring.py
+++ b/src/foxwinch/core/records/witness_ring.py
@@ -1,20 +1,18 @@
-"""Choice of the witnesses of a request: the nodes that other nodes tell of its sends.
+"""Choice of the witnesses of a request: the nodes that keep a record of its sends.
 
-Every node chooses the same ones from the request's fingerprint. A witness in another zone outlives
-the sender when racks and zones fail. A node is no witness of its own sends; the next one of its
-zone stands in for it, so the witnesses of two senders have at least one node in common.
+Every node chooses the same ones from the request's fingerprint. They are in different zones if
+there are enough, so that most outlive the failure of one. Any two majorities of the witnesses have
+a node in common: what one majority was told, another one knows.
 """
 
 import hashlib
 from bisect import bisect_left
-from collections.abc import Iterable, Mapping
-from itertools import chain, zip_longest
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import chain, islice, zip_longest
 from typing import NamedTuple
 
-WITNESS_ZONES = 2
-"""Number of zones with witnesses; in a single zone, the number of its first witnesses."""
-MAX_WITNESSES = 4
-"""Number of witnesses while there is bandwidth for all; the first two suffice if one survives."""
+WITNESSES = 3
+"""Number of witnesses of a request, if there are so many nodes."""
 HASH_BYTES = 8
 
 
@@ -32,11 +30,11 @@
     hashes: list[int]
     names: list[str]
 
-    def successors(self, point: int, count: int) -> list[str]:
-        """Return the `count` names whose hashes follow a point."""
+    def successors(self, point: int) -> Iterator[str]:
+        """Return the names in the order in which their hashes follow a point."""
         start = bisect_left(self.hashes, point)
         total = len(self.names)
-        return [self.names[(start + step) % total] for step in range(min(count, total))]
+        return (self.names[(start + step) % total] for step in range(total))
 
 
 class WitnessRing:
@@ -44,29 +42,29 @@
 
     def __init__(self, peers: Mapping[str, Peer]) -> None:
         """Choose among nodes by their names."""
-        self._peers = dict(peers)
         zones: dict[str, list[str]] = {}
-        for name, peer in self._peers.items():
+        for name, peer in peers.items():
             zones.setdefault(peer.zone, []).append(name)
         self._zones = _ring(zones)
         self._nodes = {zone: _ring(names) for zone, names in zones.items()}
 
-    def choose(self, fingerprint: str, own_name: str) -> list[str]:
-        """Return the addresses of the witnesses of a request that node `own_name` sends.
-
-        The first of each zone come first.
-        """
-        point = _hash(fingerprint)
-        names_by_zone: list[list[str]] = []
-        for zone in self._zones.successors(point, WITNESS_ZONES + 1):
-            candidates = self._nodes[zone].successors(point, MAX_WITNESSES + 1)
-            others = [name for name in candidates if name != own_name]
-            if others:
-                names_by_zone.append(others)
-        names_by_zone = names_by_zone[:WITNESS_ZONES]
-        per_zone = MAX_WITNESSES // max(1, len(names_by_zone))
-        ranked = chain.from_iterable(zip_longest(*(names[:per_zone] for names in names_by_zone)))
-        return [self._peers[name].address for name in ranked if name is not None]
+    def choose(self, fingerprint: str) -> list[str]:
+        """Return the names of the witnesses of a request, those to be told first in front."""
+        return self._choose_at(_hash(fingerprint))
+
+    def partners(self, name: str) -> set[str]:
+        """Return the names of the nodes that are witnesses of some request beside node `name`."""
+        rings = (self._zones, *self._nodes.values())
+        # The choice changes only at the hashes of zones and nodes.
+        choices = [self._choose_at(point) for ring in rings for point in (0, *ring.hashes)]
+        partners = {each for chosen in choices if name in chosen for each in chosen}
+        return partners - {name}
+
+    def _choose_at(self, point: int) -> list[str]:
+        zones = list(islice(self._zones.successors(point), WITNESSES))
+        candidates = [self._nodes[zone].successors(point) for zone in zones]
+        ranked = chain.from_iterable(zip_longest(*candidates))
+        return list(islice((name for name in ranked if name is not None), WITNESSES))
 
 
 def _ring(names: Iterable[str]) -> _Ring:
--- a/src/foxwinch/records/crash_table.py
+++ b/src/foxwinch/records/crash_table.py
@@ -112,12 +112,7 @@
             known.reported_doubts[doubt.send] = doubt
         return True
 
-    def has_loss(self, fingerprint: str, worker: str) -> bool:
-        """Return whether a send to an incarnation is in doubt or counts as a crash."""
-        history = self.history_of(fingerprint)
-        return any(each.worker == worker for each in history.losses)
-
-    def unstored_losses(self, most: int) -> list[tuple[str, Crash | Doubt]]:
+    def unstored_losses(self, most: int = MAX_HISTORIES) -> list[tuple[str, Crash | Doubt]]:
         """Return at most `most` losses that are not known to be stored, by fingerprint."""
         now_ms = self._now_ms()
         unstored: list[tuple[str, Crash | Doubt]] = []
@@ -133,15 +128,13 @@
         return unstored[:most]
 
     def forget_doubt(self, fingerprint: str, doubt: Doubt) -> bool:
-        """Forget a reported doubt or an earlier one of its worker; return whether one is stored."""
+        """Forget the reported doubt of a send; return whether a loss of it is stored."""
         known = self._known.get(fingerprint)
         if known is None:
             return False
-        for reported in list(known.reported_doubts.values()):
-            if reported.worker == doubt.worker and reported.lost_ms <= doubt.lost_ms:
-                del known.reported_doubts[reported.send]
+        known.reported_doubts.pop(doubt.send, None)
         self.drop_if_unknown(fingerprint)
-        return any(each.worker == doubt.worker for each in known.history.losses)
+        return any(each.send == doubt.send for each in known.history.losses)
 
     def forget_reported(self, fingerprint: str, before_ms: int) -> bool:
         """Forget the reported crashes before a time; return whether there is a stored row."""
--- a/src/foxwinch/serving/attempt_state.py
+++ b/src/foxwinch/serving/attempt_state.py
@@ -2,16 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from foxwinch.core.records.crash_history import Doubt
+from foxwinch.core.records.crash_history import Doubt, SendKey
 from foxwinch.core.routing.configuration import Route
 from foxwinch.core.routing.directory import Worker
 from foxwinch.core.routing.stream_origin import StreamOrigin
 from foxwinch.serving.messages import ServiceRequest, WorkerResponse
 
-MIN_RUN_SECONDS = 4.0
-"""Time from a send without a response for which its worker may run it at least, and end under it. A
-worker may notice neither that the connection is gone nor that the deadline has passed."""
-
 
 @dataclass(slots=True)
 class Attempts:
@@ -33,7 +29,13 @@
     sent_at: float = 0.0
     """Time of the last send on the monotonic clock."""
     sent_ms: int = 0
-    """The same on the store's clock; with the worker, it identifies the send at all nodes."""
+    """The same on the store's clock."""
+    send: SendKey | None = None
+    """What identifies the last send at all nodes."""
+    unused_sent_ms: int | None = None
+    """Number of a send that witnesses know of and that was not made; the next one has it."""
+    is_resend: bool = False
+    """Whether the last send went to a worker that had lost the request before."""
     last_event_id: int | None = None
     origin: StreamOrigin | None = None
     """Service and software version that the stream is bound to; None while any may begin it."""
@@ -47,12 +49,8 @@
     """Whether a crash or a doubt was known of the request before its last send."""
     presumed_losses: int = 0
     """Number of losses that are presumed, as all who knew of them may have forgotten them."""
-    is_cut_off: bool = False
-    """Whether no other node responded when it was asked about the request."""
     announced: Doubt | None = None
     """The doubt by which other nodes know of the send that runs without a claim."""
-    runs_unclaimed: bool = False
-    """Whether the request runs without that claim, as the store was not available."""
     has_ended: bool = False
     _fingerprint: str | None = None
 
@@ -61,12 +59,6 @@
         """Whether all sends of the request are known to be those of one caller."""
         return self.is_suspected or self.request.program is not None
 
-    @property
-    def over_at(self) -> float:
-        """Monotonic time from which on no worker runs the last send any more."""
-        run_seconds = max(self.route.timeout_seconds, MIN_RUN_SECONDS)
-        return max(self.deadline_at, self.sent_at + run_seconds)
-
     @property
     def fingerprint(self) -> str:
         """Return the fingerprint of the request, which is computed when it is first needed."""
--- a/src/foxwinch/serving/attempts.py
+++ b/src/foxwinch/serving/attempts.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 
 from foxwinch.clock import Clock
-from foxwinch.core.routing.configuration import Route
+from foxwinch.core.routing.configuration import Route, RouteKind
 from foxwinch.core.routing.directory import Worker
 from foxwinch.core.routing.load import LoadTable
 from foxwinch.core.routing.round_robin import WeightedRoundRobin
@@ -13,7 +13,7 @@
 from foxwinch.core.routing.urgency import urgency_of
 from foxwinch.log import EventLog, age_ms
 from foxwinch.serving.attempt_state import AcceptedCall, Attempts
-from foxwinch.serving.crash_guard import CrashGuard
+from foxwinch.serving.crash_guard import Admission, CrashGuard
 from foxwinch.serving.messages import (
     CallFailure,
     CallInterrupted,
@@ -22,6 +22,7 @@
     RejectedRequest,
     Rejection,
     ServiceRequest,
+    StartCheck,
     WorkerResponse,
 )
 from foxwinch.serving.metrics import ServingMetrics
@@ -78,42 +79,54 @@
         dispatches = 0
         wait_for_capacity_until = self._clock.monotonic() + RESUME_WAIT_SECONDS
         last_refusal: CallRefused | None = None
-        while True:
-            if self._is_too_late(attempts):
-                return _deadline_exceeded(attempts)
-            await self.guard.settle(attempts)
+        while not self._is_too_late(attempts):
             worker = self._choose_worker(attempts, last_worker)
             if worker is None or dispatches >= MAX_DISPATCHES:
+                rejected = self.guard.reject_exhausted(attempts) if worker is None else None
+                if rejected is not None:
+                    return rejected
                 if not await self._wait_for_capacity(attempts, wait_for_capacity_until):
                     return _not_dispatched(attempts, last_refusal)
                 dispatches = 0
                 continue
-            rejected = await self._admit(attempts, worker)
-            if rejected is not None:
-                return rejected
+            admission = await self._admit(attempts, worker)
+            if isinstance(admission, RejectedRequest):
+                return admission
+            if admission is Admission.RESELECT:
+                continue
             dispatches += 1
-            attempts.tried_workers.add(worker.worker_id)
-            outcome = await self._call(worker, attempts)
+            outcome = await self._send(worker, attempts)
             if isinstance(outcome, CallRefused):
                 last_refusal = outcome
-                if outcome.failure is CallFailure.SHED:
-                    attempts.full_workers.add(worker.worker_id)
-            elif isinstance(outcome, CallInterrupted):
-                attempts.possibly_ran_on.add(worker.worker_id)
-                await self.record_failure(worker, outcome, attempts)
-                if not self.may_retry(attempts):
-                    return RejectedRequest(Rejection.FAILED, outcome.failure.value)
-            else:
-                attempts.possibly_ran_on.add(worker.worker_id)
-                return AcceptedCall(worker, outcome)
-
-    async def _admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
-        rejected = await self.guard.admit(attempts, worker)
-        if rejected is None and self._is_too_late(attempts):
+            elif outcome is not None:
+                return outcome
+        return _deadline_exceeded(attempts)
+
+    async def _send(
+        self, worker: Worker, attempts: Attempts
+    ) -> AcceptedCall | RejectedRequest | CallRefused | None:
+        """Send a request to a worker; return None if it was lost and may be sent to another one."""
+        attempts.tried_workers.add(worker.worker_id)
+        outcome = await self._call(worker, attempts)
+        if isinstance(outcome, CallRefused):
+            if outcome.failure is CallFailure.SHED:
+                attempts.full_workers.add(worker.worker_id)
+            return outcome
+        attempts.possibly_ran_on.add(worker.worker_id)
+        if not isinstance(outcome, CallInterrupted):
+            return AcceptedCall(worker, outcome)
+        await self.record_failure(worker, outcome, attempts)
+        if self.may_retry(attempts):
+            return None
+        return RejectedRequest(Rejection.FAILED, outcome.failure.value)
+
+    async def _admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | Admission:
+        admission = await self.guard.admit(attempts, worker)
+        if admission is Admission.ADMITTED and self._is_too_late(attempts):
             # The process may have stood still since: the claim may have expired meanwhile.
             self.guard.on_refusal(attempts)
             return _deadline_exceeded(attempts)
-        return rejected
+        return admission
 
     def _is_too_late(self, attempts: Attempts) -> bool:
         return attempts.deadline_at - self._clock.monotonic() < MIN_CALL_SECONDS
@@ -226,6 +239,7 @@
             remaining_seconds,
             attempts.last_event_id,
             urgency_of(attempts.route.priority, self._is_late(attempts.request)),
+            start_check=_start_check(attempts, worker),
         )
         started_at = self._clock.monotonic()
         attempts.running_on, attempts.sent_at = worker, started_at
@@ -289,6 +303,19 @@
         )
 
 
+def _start_check(attempts: Attempts, worker: Worker) -> StartCheck:
+    """Return whether a send is right only for the start of its worker that the list names.
+
+    A stream is bound to the software version of that start.
+    """
+    if worker.started_ms is None:
+        return StartCheck.NONE
+    if attempts.is_resend:
+        return StartCheck.REQUIRED
+    is_stream = attempts.route.kind is RouteKind.STREAM
+    return StartCheck.IF_TOLD if is_stream else StartCheck.NONE
+
+
 def _caching_program(request: ServiceRequest) -> str | None:
     """Return the program of a model call, or None; other calls populate no cache."""
     if request.program is None or request.model is None:
--- a/src/foxwinch/serving/crash_detection.py
+++ b/src/foxwinch/serving/crash_detection.py
@@ -1,8 +1,8 @@
 """Detection of workers that have ended, after a send to them got no response.
 
 That may be the worker's end, or a cut connection, a slow worker or a caller that left while the
-worker lives on. A health check on a new connection tells most of them apart, the worker list the
-others, some seconds later.
+worker lives on. A health check on a new connection tells most ends, the worker list the others,
+some seconds later.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from foxwinch.clock import Clock
+from foxwinch.core.records.crash_history import SendKey
 from foxwinch.core.routing.directory import RESTORE_SECONDS, Worker
 from foxwinch.log import EventLog, age_ms
 from foxwinch.serving.messages import ProbeResult
@@ -21,13 +22,11 @@
 PROBES = 2
 """Number of probes until one tells. After a pause of this process, the first one is timed out."""
 DEFAULT_HEALTH_PATH = "/"
-EXPIRY_MARGIN_SECONDS = 1.0
-"""Time by which the store may remove an expired entry late, and by which its nodes notice it."""
-RESOLVE_SECONDS = 120.0
+WATCH_SECONDS = 120.0
 """Time for which a lost send is watched; during an outage the worker list does not tell."""
 CHECK_INTERVAL_SECONDS = 0.3
-RUNNING_CHECK_INTERVAL_SECONDS = 1.0
-"""Interval of health checks while a worker may still run the request, as none then proves life."""
+MAX_CHECK_INTERVAL_SECONDS = 5.0
+"""Maximum of that interval, which doubles each time."""
 POLL_SECONDS = 0.25
 FIRST_POLL_SECONDS = 0.02
 """Poll interval of the first quarter of a second; a worker that restarts at once is listed then."""
@@ -38,21 +37,19 @@
 class LostSend:
     """A send without a response, whose worker may have ended under it.
 
-    Times are monotonic but for the one that identifies the send, which is on the store's clock.
+    Times are monotonic but for the one in the key, which is on the store's clock.
     """
 
     worker: Worker
     fingerprint: str
     request_id: str
-    sent_ms: int
+    send: SendKey
     lost_at: float
-    ends_at: float
-    """Time from which on the worker does not run the request any more."""
+    deadline_at: float
+    """Deadline of the request."""
     suspected: bool
     """Whether a crash or a doubt was known of the request when it was sent, or its program tells
     that all sends are repetitions of one caller."""
-    checked_at: float = float("-inf")
-    """Time of the last health check."""
 
 
 class CrashDetector:
@@ -92,76 +89,33 @@
         )
         return result
 
-    async def resolve(
+    async def wait_for_end(
         self, lost: LostSend, is_open: Callable[[], bool], is_needed: Callable[[], bool]
-    ) -> ProbeResult:
-        """Return whether a worker lived at the end of a lost send, or has ended, once it is known.
+    ) -> bool:
+        """Return whether the worker of a lost send has ended, once that is known.
 
-        The worker list costs no call and tells within seconds. A health check is made once the
-        worker no longer runs the request, and others while `is_needed()` is true. Return `UNKNOWN`
-        if nothing tells within `RESOLVE_SECONDS`, or once `is_open()` is false.
+        A worker that lives may still run the request, so nothing else ends the wait but
+        `WATCH_SECONDS`, or that `is_open()` is false. The worker list costs no call and tells
+        within seconds. Health checks are made while `is_needed()` is true.
         """
-        give_up_at = max(lost.lost_at, lost.ends_at) + RESOLVE_SECONDS
+        give_up_at = lost.lost_at + WATCH_SECONDS
         unlisted_since: float | None = None
-        checked_at = lost.checked_at
+        checked_at, interval = self._clock.monotonic(), CHECK_INTERVAL_SECONDS
         while (now := self._clock.monotonic()) < give_up_at and is_open():
             listed = self._routing.directory.listed_incarnation(lost.worker.worker_id)
             if listed is not None and listed != lost.worker.incarnation:
-                return ProbeResult.ENDED
-            if self._is_listed_as_living(lost, listed):
-                return ProbeResult.LIVING
+                return True
             unlisted_since = None if listed is not None else unlisted_since or now
             is_unlisted = unlisted_since is not None and now - unlisted_since > RESTORE_SECONDS
-            is_first_proof = checked_at < lost.ends_at <= now
-            is_over = now >= lost.ends_at
-            interval = CHECK_INTERVAL_SECONDS if is_over else RUNNING_CHECK_INTERVAL_SECONDS
-            is_due = now - checked_at >= interval
-            if ((is_needed() or is_unlisted) and is_due) or is_first_proof:
-                checked_at = now
+            if (is_needed() or is_unlisted) and now - checked_at >= interval:
+                checked_at, interval = now, min(MAX_CHECK_INTERVAL_SECONDS, 2 * interval)
                 result = await self.check(lost.worker, lost.request_id, lost.fingerprint)
                 if result is ProbeResult.ENDED:
-                    return result
-                if self.proves_life(lost, result, now):
-                    return ProbeResult.LIVING
+                    return True
                 if result is ProbeResult.UNKNOWN and is_unlisted:
-                    return ProbeResult.ENDED
+                    return True
             await self._clock.sleep(_poll_seconds(lost, now))
-        return ProbeResult.UNKNOWN
-
-    def proves_life(self, lost: LostSend, result: ProbeResult, checked_at: float) -> bool:
-        """Return whether a health check that began at `checked_at` proves that the worker lived.
-
-        A worker that reports its starts may be back under its id. Its successor is listed within
-        half of the time in which entries expire.
-        """
-        if checked_at < lost.ends_at:
-            return False
-        if result is ProbeResult.LIVING:
-            return True
-        if result is not ProbeResult.RUNNING:
-            return False
-        if lost.worker.started_ms is None:
-            return True
-        listed = self._routing.directory.listed_incarnation(lost.worker.worker_id)
-        listed_by = self._watched_from(lost) + 0.5 * self._routing.expiry_seconds
-        return listed == lost.worker.incarnation and self._listed_at() >= listed_by
-
-    def _is_listed_as_living(self, lost: LostSend, listed: str | None) -> bool:
-        """Return whether the entry has stayed for longer than that of an ended worker."""
-        expired_by = self._watched_from(lost) + self._routing.expiry_seconds
-        is_later = self._listed_at() >= expired_by + EXPIRY_MARGIN_SECONDS
-        return listed == lost.worker.incarnation and is_later
-
-    def _watched_from(self, lost: LostSend) -> float:
-        """Return the time after a lost send from which on the list is watched without a gap.
-
-        While the store is away, entries may neither expire nor be written.
-        """
-        return max(lost.lost_at, lost.ends_at, self._routing.workers_watched_since())
-
-    def _listed_at(self) -> float:
-        """Return the time as of which the worker list is known."""
-        return self._clock.monotonic() - self._routing.workers_age_seconds()
+        return False
 
     async def _probe(self, worker: Worker) -> ProbeResult:
         configuration = self._routing.configuration
@@ -177,9 +131,5 @@
 
 
 def _poll_seconds(lost: LostSend, now: float) -> float:
-    """Return the time until the next look at a lost send; the first one is at its end."""
-    if now - lost.lost_at < POLL_SECONDS:
-        return FIRST_POLL_SECONDS
-    if now < lost.ends_at:
-        return min(POLL_SECONDS, max(FIRST_POLL_SECONDS, lost.ends_at - now))
-    return POLL_SECONDS
+    """Return the time until the next look at the worker of a lost send."""
+    return FIRST_POLL_SECONDS if now - lost.lost_at < POLL_SECONDS else POLL_SECONDS
--- a/src/foxwinch/serving/crash_guard.py
+++ b/src/foxwinch/serving/crash_guard.py
@@ -1,17 +1,20 @@
 """Limits how many workers end under one request, over all of its repetitions and all nodes.
 
-Everything that runs at a worker when it ends is suspected, most of it without reason. A suspected
-request runs again, but one send at a time, under a claim in the shared store, and away from other
-suspected ones. A success clears it unless it is a program's. After `MAX_CRASHES` crashes it is not
-sent any more until they expire; sends in doubt count as crashes until their workers have proved to
-live.
+Everything that runs at a worker when it ends is suspected, most of it without reason. Each send is
+recorded outside its node before it is made: by a majority of the request's witnesses, or under a
+claim in the shared store if those do not know all earlier sends. After `MAX_CRASHES` sends that
+were lost, a request is sent only to workers that lost it and live, as those may end under it
+anyway. Outside programs, a success clears a request, and one send at a time runs after a loss.
 """
 
 import asyncio
 from dataclasses import replace
+from enum import Enum
+
+from cachetools import LRUCache
 
 from foxwinch.clock import Clock
-from foxwinch.core.records.crash_history import MAX_CRASHES, CrashHistory
+from foxwinch.core.records.crash_history import MAX_CRASHES, CrashHistory, SendKey
 from foxwinch.core.routing.directory import Worker
 from foxwinch.log import EventLog
 from foxwinch.outcomes import Refused
@@ -19,7 +22,7 @@
 from foxwinch.records.node_registry import MEMORY_MS
 from foxwinch.service_tasks import ServiceTasks
 from foxwinch.serving.attempt_state import Attempts
-from foxwinch.serving.crash_detection import PROBE_SECONDS, PROBES, LostSend
+from foxwinch.serving.crash_detection import LostSend
 from foxwinch.serving.lost_sends import LostSends
 from foxwinch.serving.messages import (
     CallFailure,
@@ -35,15 +38,10 @@
 CLAIMED_RETRY_AFTER_SECONDS = 0.3
 """About the duration of a request, after which the holder of the claim has released it."""
 UNAVAILABLE_RETRY_AFTER_SECONDS = 1.0
-DOUBT_RETRY_AFTER_SECONDS = PROBES * PROBE_SECONDS
-"""Time in which health checks resolve a doubt about a send that is over."""
 PRESUMED_LOSSES = MAX_CRASHES - 1
-"""Losses that may be forgotten at once: a doubt is stored only beside a second one, and a send may
-run meanwhile."""
-PROOF_WAIT_SECONDS = 0.5
-"""Time for which a request waits for proofs of life that may come soon."""
-DOUBT_POLL_SECONDS = 0.02
-"""Interval at which a request that waits for proofs of life looks for them."""
+"""Losses that may be forgotten at once, as a third one is made under a claim in the store."""
+MAX_SUCCEEDED = 4_096
+"""Number of requests outside programs that are known to have succeeded at this node."""
 PROTECTION_SECONDS = 10.0
 """Time for which a crash counts against the limits of a service, which hold for requests under
 which two workers have ended."""
@@ -54,6 +52,14 @@
 log = EventLog("crashes")
 
 
+class Admission(Enum):
+    """Whether a send may be made that is not rejected."""
+
+    ADMITTED = "admitted"
+    RESELECT = "reselect"
+    """What has become known of earlier sends excludes the chosen worker."""
+
+
 class CrashGuard:
     """Admits sends of requests to workers, and records the crashes under them."""
 
@@ -76,8 +82,12 @@
         self._metrics = metrics
         self._tasks = tasks
         self._claims = SendClaims(records, lost_sends, clock, tasks)
-        self._unclaimed: set[str] = set()
-        """Fingerprints of suspected requests that run here without a claim."""
+        self._last_sent_ms = 0
+        self._running: dict[str, list[Attempts]] = {}
+        """Sends without a response by fingerprint."""
+        self._succeeded: LRUCache[str, bool] = LRUCache(MAX_SUCCEEDED)
+        """Fingerprints of requests outside programs that have succeeded here."""
+        witnesses.on_asked = self._announce_running
 
     def shared_workers(self, attempts: Attempts) -> frozenset[str]:
         """Return the incarnations at which other suspected requests run."""
@@ -86,101 +96,104 @@
         return frozenset(self._records.table.claimed_workers(attempts.fingerprint))
 
     def without_lost(self, attempts: Attempts, workers: list[Worker]) -> list[Worker]:
-        """Return the workers that have not ended under a request.
+        """Return the workers that a request may be sent to.
 
-        Those that may have ended are a last resort, unless a successor may have their id and be
-        taken for them.
+        Those that lost it and live are a last resort, and the only ones once it has been lost too
+        often.
         """
-        if self._records.table.is_empty:
+        if self._records.table.is_empty and not attempts.presumed_losses:
             return workers
         history = self._records.table.history_of(attempts.fingerprint)
-        ended = {crash.worker for crash in history.crashes}
-        doubted = {doubt.worker for doubt in history.doubts}
-        known_alive = [worker for worker in workers if worker.incarnation not in ended | doubted]
-        return known_alive or [
-            worker
-            for worker in workers
-            if worker.incarnation not in ended and worker.started_ms is None
-        ]
-
-    async def settle(self, attempts: Attempts) -> None:
-        """Wait until it is known which sends of a suspected request were lost with their nodes.
-
-        A request that has too many doubts waits for proofs of life that may come soon.
-        """
-        if self._records.table.is_empty:
-            return
+        living = [each for each in workers if each.incarnation in history.living_workers]
+        if _is_exhausted(attempts, history):
+            return living
+        lost = {loss.worker for loss in history.losses}
+        return [each for each in workers if each.incarnation not in lost] or living
+
+    def reject_exhausted(self, attempts: Attempts) -> RejectedRequest | None:
+        """Return why a request is not sent that no worker may get any more, or None."""
         history = self._records.table.history_of(attempts.fingerprint)
-        if history.weight >= MAX_CRASHES:
-            await self._wait_for_proofs(attempts, history)
-        elif history.weight:
-            report = await self._witnesses.settle(attempts.fingerprint)
-            attempts.presumed_losses = PRESUMED_LOSSES if report.is_forgotten else 0
-            attempts.is_cut_off = report.is_cut_off
-
-    async def _wait_for_proofs(self, attempts: Attempts, history: CrashHistory) -> None:
-        """Wait for proofs of life without which a request is rejected, if they may come soon."""
-        now = self._clock.monotonic()
-        give_up_at = min(now + PROOF_WAIT_SECONDS, attempts.deadline_at) + PROBE_SECONDS
-        if self._undecided_seconds(history) > PROOF_WAIT_SECONDS:
-            return
-        self._lost_sends.resolve(attempts.fingerprint, history)
-        while self._clock.monotonic() < give_up_at:
-            await self._clock.sleep(DOUBT_POLL_SECONDS)
-            if self._records.table.history_of(attempts.fingerprint).weight < MAX_CRASHES:
-                return
-
-    def _undecided_seconds(self, history: CrashHistory, presumed_losses: int = 0) -> float:
-        """Return the time until so many doubts may be resolved that a request may be sent."""
-        now_ms = self._records.now_ms()
-        for ends_ms in sorted(doubt.ends_ms for doubt in history.doubts):
-            pending = tuple(doubt for doubt in history.doubts if doubt.ends_ms > ends_ms)
-            if replace(history, doubts=pending).weight + presumed_losses < MAX_CRASHES:
-                return max(0.0, (ends_ms - now_ms) / 1e3)
-        return float("inf")
-
-    async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
-        """Return None if a request may be sent to a worker now, or why not."""
+        if not _is_exhausted(attempts, history):
+            return None
+        return self._reject_suspected(attempts, history)
+
+    async def admit(self, attempts: Attempts, worker: Worker) -> RejectedRequest | Admission:
+        """Record a send before it is made; return whether it may be, or why not."""
         attempts.is_suspected, attempts.announced = False, None
-        self._note_send(attempts)
-        rejected = await self._admit_suspected(attempts, worker)
-        if rejected is not None:
-            return rejected
-        if attempts.announced is None:
-            self._note_send(attempts)
-            if not attempts.has_claim:
-                self._witnesses.announce(attempts, worker)
-        return None
-
-    def _note_send(self, attempts: Attempts) -> None:
+        self._start_send(attempts, worker)
+        if attempts.is_resend:
+            self._admit_again(attempts)
+        else:
+            rejected = await self._admit_new(attempts, worker)
+            if rejected is not None:
+                return rejected
+            attempts.unused_sent_ms = None
+        attempts.sent_at = self._clock.monotonic()
+        self._running.setdefault(attempts.fingerprint, []).append(attempts)
+        return Admission.ADMITTED
+
+    def _admit_again(self, attempts: Attempts) -> None:
+        """Admit a send to a worker that has lost the request and may end under it anyway."""
+        history = self._records.table.history_of(attempts.fingerprint)
+        attempts.is_suspected = any(
+            doubt.suspected for doubt in history.doubts if doubt.send == attempts.send
+        )
+        self._lost_sends.watch(attempts.fingerprint, history)
+        self._log_decision("admitted", attempts, history, "sent_again")
+
+    async def _admit_new(
+        self, attempts: Attempts, worker: Worker
+    ) -> RejectedRequest | Admission | None:
+        """Record a send to another worker; return why it may not be made, or None."""
+        registration = await self._witnesses.register(attempts, worker)
+        attempts.unused_sent_ms = attempts.send.sent_ms if attempts.send else None
+        is_known = registration.is_remembered or attempts.fingerprint in self._succeeded
+        attempts.presumed_losses = 0 if is_known else PRESUMED_LOSSES
+        history = self._records.table.history_of(attempts.fingerprint)
+        lost = {loss.worker for loss in history.losses}
+        if worker.incarnation in lost or _is_exhausted(attempts, history):
+            return Admission.RESELECT
+        attempts.is_suspected = history.weight > 0
+        # A claim is a send that the witnesses may not know of.
+        is_recorded = registration.is_recorded and history.claim is None
+        if attempts.is_suspected:
+            return await self._admit_suspected(attempts, worker, history, is_recorded)
+        return None if is_recorded else await self._claim(attempts, worker)
+
+    def _start_send(self, attempts: Attempts, worker: Worker) -> None:
+        """Choose the key of a send, which is that of the lost one if its worker gets it again.
+
+        A send that was not made leaves its number to the next one.
+        """
+        history = self._records.table.history_of(attempts.fingerprint)
         attempts.sent_at, attempts.sent_ms = self._clock.monotonic(), self._records.now_ms()
+        attempts.is_resend = worker.incarnation in history.living_workers
+        if attempts.is_resend:
+            lost = [each.send for each in history.doubts if each.worker == worker.incarnation]
+            attempts.send = lost[-1]
+            return
+        sent_ms = attempts.unused_sent_ms
+        if sent_ms is None:
+            sent_ms = self._last_sent_ms = max(attempts.sent_ms, self._last_sent_ms + 1)
+        attempts.send = SendKey(worker.incarnation, sent_ms)
 
-    async def _admit_suspected(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
-        """Return why a request may not be sent; one that nothing is known of may."""
-        if self._records.table.is_empty:
-            return None
-        history = self._records.table.history_of(attempts.fingerprint)
-        if not history.weight:
-            return None
-        attempts.is_suspected = True
+    async def _admit_suspected(
+        self, attempts: Attempts, worker: Worker, history: CrashHistory, is_recorded: bool
+    ) -> RejectedRequest | None:
+        """Return why a request with known losses may not be sent, or None."""
         # This node may be killed during the next send.
         self._lost_sends.share(attempts.fingerprint, attempts.request.request_id, has_claim=False)
         if history.weight > 1:
-            self._lost_sends.resolve(attempts.fingerprint, history)
-        if history.weight + attempts.presumed_losses >= MAX_CRASHES:
-            return self._reject_suspected(attempts, history)
+            self._lost_sends.watch(attempts.fingerprint, history)
         is_repeated = len(history.crashes) > 1 and history.cause_count > 1
         if is_repeated and self._must_spare(worker.service):
             return self._reject(
                 attempts, history, "service_protected", UNAVAILABLE_RETRY_AFTER_SECONDS
             )
-        is_single_doubt = not history.crashes and history.weight == 1
-        is_announced = attempts.request.program is not None and not attempts.is_cut_off
-        if is_single_doubt and is_announced:
-            attempts.announced = self._lost_sends.announce(attempts, worker)
-            if attempts.announced is not None:
-                return None
-        return await self._claim(attempts, worker, history)
+        is_last = history.weight + attempts.presumed_losses + 1 >= MAX_CRASHES
+        if is_recorded and not is_last and attempts.request.program is not None:
+            return None
+        return await self._claim(attempts, worker)
 
     async def on_failure(
         self, worker: Worker, interrupted: CallInterrupted, attempts: Attempts
@@ -188,9 +201,9 @@
         """Find out whether a worker that lost a call has ended, and record it before returning.
 
         This goes on, and keeps the claim, when the caller leaves meanwhile. A worker that was left
-        for its slow response, or that has lost the connection, may still run the call, so only
-        later checks can prove its life.
+        for its slow response still runs the call, so it is not checked.
         """
+        self._end_send(attempts)
         lost = self._lost_send(worker, attempts)
         if interrupted.failure is CallFailure.UNRESPONSIVE:
             self._lost_sends.add(lost)
@@ -205,13 +218,14 @@
             self._claims.release(attempts)
 
     def _lost_send(self, worker: Worker, attempts: Attempts) -> LostSend:
+        assert attempts.send is not None
         return LostSend(
             worker,
             attempts.fingerprint,
             attempts.request.request_id,
-            attempts.sent_ms,
+            attempts.send,
             self._clock.monotonic(),
-            attempts.over_at,
+            attempts.deadline_at,
             attempts.is_repetition,
         )
 
@@ -222,23 +236,27 @@
         about losses after its send. A program repeats a request only if its response was lost, so
         its losses stay and cost nothing.
         """
+        self._end_send(attempts)
         self._withdraw(attempts)
+        self._witnesses.settle(attempts)
+        is_outside_success = is_success and attempts.request.program is None
+        if is_outside_success:
+            self._succeeded[attempts.fingerprint] = True
         if self._records.table.is_empty:
             return
         history = self._records.table.history_of(attempts.fingerprint)
         if not history.weight:
             return
-        is_cleared = is_success and attempts.request.program is None
         log.info(
             "suspected_response",
             request=attempts.request.request_id,
             fingerprint=attempts.fingerprint,
             success=is_success,
-            cleared=is_cleared,
+            cleared=is_outside_success,
             crashes=len(history.crashes),
             doubts=len(history.doubts),
         )
-        if not is_cleared:
+        if not is_outside_success:
             return
         attempts.has_claim = False
         self._metrics.crash_decisions.labels("cleared").inc()
@@ -248,21 +266,51 @@
 
     def on_refusal(self, attempts: Attempts) -> None:
         """Note that a worker has refused to run a request."""
+        self._end_send(attempts)
         self._withdraw(attempts)
+        if attempts.send is not None and not attempts.is_resend:
+            attempts.unused_sent_ms = attempts.send.sent_ms
+
+    def _end_send(self, attempts: Attempts) -> None:
+        running = self._running.get(attempts.fingerprint, [])
+        if attempts in running:
+            running.remove(attempts)
+        if not running:
+            self._running.pop(attempts.fingerprint, None)
+
+    def _announce_running(self, fingerprint: str) -> None:
+        """Put this node's running sends of a request in doubt that another node is to send.
+
+        The caller of a program has left the earlier send then.
+        """
+        for attempts in self._running.get(fingerprint, []):
+            is_single_caller = attempts.request.program is not None
+            if is_single_caller and attempts.announced is None and not attempts.is_resend:
+                self._lost_sends.announce(attempts)
 
     def _withdraw(self, attempts: Attempts) -> None:
-        """Remove the doubt of a send that has got a response."""
+        """Remove the doubt of a send that has got a response.
+
+        Other nodes may have put it in doubt as this one did not respond.
+        """
         announced, attempts.announced = attempts.announced, None
-        if announced is not None:
-            self._lost_sends.withdraw(attempts.fingerprint, announced)
+        if attempts.is_resend or self._records.table.is_empty:
+            return
+        doubts = self._records.table.history_of(attempts.fingerprint).doubts
+        known = [doubt for doubt in doubts if doubt.send == attempts.send]
+        if announced is not None and announced not in known:
+            known.append(announced)
+        for doubt in known:
+            self._lost_sends.withdraw(attempts.fingerprint, doubt)
 
     def on_end(self, attempts: Attempts) -> None:
         """Release what a request holds once it has ended in any way."""
         attempts.has_ended = True
         if attempts.running_on is not None:
+            self._end_send(attempts)
             self._give_up(attempts, attempts.running_on)
-        if attempts.runs_unclaimed:
-            self._unclaimed.discard(attempts.fingerprint)
+        elif attempts.unused_sent_ms is not None:
+            self._witnesses.settle_unused(attempts)
         self._claims.release(attempts)
 
     def _give_up(self, attempts: Attempts, worker: Worker) -> None:
@@ -280,40 +328,21 @@
         )
         self._lost_sends.add(self._lost_send(worker, attempts))
 
-    async def _claim(
-        self, attempts: Attempts, worker: Worker, history: CrashHistory
-    ) -> RejectedRequest | None:
+    async def _claim(self, attempts: Attempts, worker: Worker) -> RejectedRequest | None:
+        """Take the claim for a send; return why it may not be made, or None."""
         outcome = await self._claims.take(attempts, worker)
+        history = self._records.table.history_of(attempts.fingerprint)
         if isinstance(outcome, Refused):
-            return self._admit_without_store(attempts, history)
+            return self._reject(
+                attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
+            )
+        if _is_exhausted(attempts, history):
+            return self._reject_suspected(attempts, history)
         if attempts.has_claim:
             self._log_decision("admitted", attempts, outcome, "claimed")
             return None
-        history = self._records.table.history_of(attempts.fingerprint)
-        if history.weight >= MAX_CRASHES:
-            return self._reject_suspected(attempts, history)
         return self._reject(attempts, outcome, "runs_elsewhere", CLAIMED_RETRY_AFTER_SECONDS)
 
-    def _admit_without_store(
-        self, attempts: Attempts, history: CrashHistory
-    ) -> RejectedRequest | None:
-        """Admit a program's request with one crash, once at a time; others wait for the store.
-
-        The repetitions of a program are sent by one caller, those of other requests by several. A
-        node that is cut off from the others as well leaves the request to them.
-        """
-        fingerprint = attempts.fingerprint
-        is_running = fingerprint in self._unclaimed and not attempts.runs_unclaimed
-        is_outside = attempts.request.program is None
-        if history.weight > 1 or is_running or is_outside or attempts.is_cut_off:
-            return self._reject(
-                attempts, history, "claim_unavailable", UNAVAILABLE_RETRY_AFTER_SECONDS
-            )
-        self._unclaimed.add(fingerprint)
-        attempts.runs_unclaimed = True
-        self._log_decision("admitted", attempts, history, "claim_unavailable")
-        return None
-
     def _must_spare(self, service: str) -> bool:
         """Return whether a service has lost too many workers to risk another one."""
         directory = self._routing.directory
@@ -329,14 +358,13 @@
         return is_half_lost or remaining <= MIN_REMAINING_WORKERS
 
     def _reject_suspected(self, attempts: Attempts, history: CrashHistory) -> RejectedRequest:
-        """Reject a request until its crashes expire, or some of its doubts are resolved."""
-        crash_weight = replace(history, doubts=()).weight
-        if crash_weight + attempts.presumed_losses < MAX_CRASHES:
-            undecided_seconds = self._undecided_seconds(history, attempts.presumed_losses)
-            retry_after = undecided_seconds + DOUBT_RETRY_AFTER_SECONDS
-            return self._reject(attempts, history, "workers_in_doubt", retry_after)
-        if crash_weight < MAX_CRASHES:
+        """Reject a request until its crashes expire, or a worker that lost it may get it again."""
+        if history.weight < MAX_CRASHES:
             return self._reject(attempts, history, "sends_forgotten", MEMORY_MS / 1e3)
+        if replace(history, doubts=()).weight < MAX_CRASHES:
+            return self._reject(
+                attempts, history, "workers_in_doubt", UNAVAILABLE_RETRY_AFTER_SECONDS
+            )
         left_ms = max(0, history.retained_until_ms - self._records.now_ms())
         return self._reject(attempts, history, "crashes_workers", left_ms / 1e3)
 
@@ -364,3 +392,8 @@
             claim=history.claim.holder if history.claim else None,
             store_ms=self._records.now_ms(),
         )
+
+
+def _is_exhausted(attempts: Attempts, history: CrashHistory) -> bool:
+    """Return whether a request was lost so often that no further worker may get it."""
+    return history.weight + attempts.presumed_losses >= MAX_CRASHES
--- a/src/foxwinch/serving/crash_notices.py
+++ b/src/foxwinch/serving/crash_notices.py
@@ -74,11 +74,6 @@
         self.on_message: Callable[[CrashNoticesMessage, str], None] = lambda message, sender: None
         """Handles a datagram from `ip:port`, after its notices."""
 
-    @property
-    def has_receivers(self) -> bool:
-        """Whether other nodes are known."""
-        return bool(self._registry.others)
-
     async def open(self, host: str, port: int) -> str:
         """Listen on a UDP address, port 0 for a free one; return `ip:port`."""
         loop = asyncio.get_running_loop()
--- a/src/foxwinch/serving/lost_sends.py
+++ b/src/foxwinch/serving/lost_sends.py
@@ -1,13 +1,12 @@
 """Sends without a response: whether their workers have ended is found out and told to other nodes.
 
-Until a worker has proved to live after a send was lost, the send is in doubt and counts like a
-crash. Most doubts are resolved by a health check before the caller hears of the failure. The others
-are told to the other nodes before the request is sent again or ends; they are stored only if
-several sends of the request are in doubt or have ended their workers, as only then they decide
-about the next send.
+A send without a response is in doubt, and counts like a crash: its worker may still run it, and end
+under it. Doubts are told to the other nodes before the request is sent again or ends; they are
+stored only if several sends of the request are in doubt or have ended their workers, as only then
+they decide about the next send.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 
 from cachetools import LRUCache
@@ -29,8 +28,8 @@
 SAVE_WAIT_SECONDS = 0.1
 """Maximum time that a failed call's caller waits for the crash to be stored. Notices tell the other
 nodes while the store is slow."""
-STORE_AFTER_SECONDS = 0.5
-"""Time after which the doubt of a running send is stored; most have got a response by then."""
+MAX_OWN = 4_096
+"""Number of requests whose doubts this node accounts for; the others stay in its table."""
 MAX_CLEARED = 4_096
 """Number of cleared doubts that are kept."""
 log = EventLog("crashes")
@@ -46,13 +45,6 @@
     """The send, once it is lost; None while its worker runs it."""
     is_shared: bool = False
     is_stored: bool = False
-    is_earlier_shared: bool = False
-    """Whether the other nodes know of an earlier doubt about the send."""
-
-    @property
-    def is_known(self) -> bool:
-        """Whether the other nodes have to be told that the worker lives."""
-        return self.is_shared or self.is_earlier_shared
 
 
 class LostSends:
@@ -81,9 +73,9 @@
         self._tasks = tasks
         self._node = node
         self._own: dict[str, dict[SendKey, _OwnDoubt]] = {}
-        """Unresolved doubts of this node by fingerprint and send."""
-        self._resolving: set[tuple[str, SendKey]] = set()
-        """Fingerprints and sends of the doubts that this node tries to resolve."""
+        """Doubts of this node's sends, and of those that it accounts for, by fingerprint."""
+        self._watched: set[tuple[str, SendKey]] = set()
+        """Fingerprints and sends of the doubts whose workers this node watches."""
         self._cleared: LRUCache[tuple[str, Crash | Doubt], bool] = LRUCache(MAX_CLEARED)
         """Doubts that were cleared; their notices may still arrive."""
         notices.on_notice = self._on_notice
@@ -95,61 +87,42 @@
 
     def add(self, lost: LostSend) -> None:
         """Put a send in doubt whose worker may still run it."""
-        self._start_resolving(lost, self._add_doubt(lost))
+        self._add_doubt(lost)
+        self._start_watching(lost)
 
     async def settle(self, lost: LostSend) -> bool:
         """Put a send in doubt whose connection was lost, and check its worker before returning.
 
         Return whether the worker has ended, which is then recorded and releases the request's
-        claim. A worker that proves to live leaves no doubt.
+        claim.
         """
-        doubt = self._add_doubt(lost)
-        checked_at = self._clock.monotonic()
+        self._add_doubt(lost)
         result = await self._detector.check(lost.worker, lost.request_id, lost.fingerprint)
         if result is ProbeResult.ENDED:
             await self._record(lost)
             return True
-        if self._detector.proves_life(lost, result, checked_at):
-            self._clear(lost, doubt)
-        else:
-            self._start_resolving(replace(lost, checked_at=checked_at), doubt)
+        self._start_watching(lost)
         return False
 
-    def announce(self, attempts: Attempts, worker: Worker) -> Doubt | None:
-        """Put a send in doubt from its start, at all nodes, and return the doubt.
-
-        The other nodes then know of it if this one is killed, and no claim has to be stored. Return
-        None if no other node is known.
-        """
-        if not self._notices.has_receivers:
-            return None
+    def announce(self, attempts: Attempts) -> None:
+        """Put a running send in doubt at all nodes until it gets its response."""
+        assert attempts.send is not None
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
-        ends_ms = now_ms + int(1e3 * max(0.0, attempts.over_at - now))
-        doubt = Doubt(worker.incarnation, now_ms, ends_ms, sent_ms=attempts.sent_ms)
+        ends_ms = now_ms + int(1e3 * max(0.0, attempts.deadline_at - now))
+        worker, sent_ms = attempts.send
+        doubt = Doubt(worker, now_ms, ends_ms, sent_ms=sent_ms, is_presumed=True)
         if self._records.table.add_doubt(attempts.fingerprint, doubt):
-            own = self._own.setdefault(attempts.fingerprint, {})
+            own = self._own_of(attempts.fingerprint)
             own[doubt.send] = _OwnDoubt(doubt, attempts.request.request_id, None, is_shared=True)
             self._notices.send(CrashNotice(attempts.fingerprint, doubt))
-            self._tasks.start(self._store_if_running(attempts.fingerprint, doubt))
-        return doubt
-
-    async def _store_if_running(self, fingerprint: str, doubt: Doubt) -> None:
-        """Store the doubt of an announced send that lasts, as all nodes may lose power at once."""
-        await self._clock.sleep(STORE_AFTER_SECONDS)
-        own = self._own.get(fingerprint, {}).get(doubt.send)
-        if own is not None and own.doubt == doubt:
-            self._store_own(fingerprint)
+        attempts.announced = doubt
 
     def adopt(self, fingerprint: str, doubt: Doubt) -> None:
-        """Put a send of a node that has ended in doubt, at all nodes, and try to resolve it.
-
-        The doubt has the time of the send, so that taking it back removes no loss after that.
-        """
+        """Put a send of a node that has ended in doubt, at all nodes."""
         is_doubted = doubt.send in self._own.get(fingerprint, {})
         if is_doubted or not self._records.table.add_doubt(fingerprint, doubt):
             return
-        own = self._own.setdefault(fingerprint, {})
-        own[doubt.send] = _OwnDoubt(doubt, request_id="", lost=None, is_shared=True)
+        self._own_of(fingerprint)[doubt.send] = _OwnDoubt(doubt, "", None, is_shared=True)
         self._metrics.crash_decisions.labels("adopted").inc()
         self._notices.send(CrashNotice(fingerprint, doubt))
         if self._is_needed(fingerprint):
@@ -157,7 +130,7 @@
         workers = {each.incarnation: each for each in self._routing.directory.known_workers()}
         worker = workers.get(doubt.worker)
         if worker is not None:
-            self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
+            self._start_watching(self._lost_send(fingerprint, doubt, worker))
 
     def retract(self, fingerprint: str, send: SendKey) -> None:
         """Remove the doubt of an adopted send whose node still accounts for it."""
@@ -178,7 +151,7 @@
         """
         for doubt in history.doubts:
             if doubt.lost_ms < before_ms:
-                self._drop_own(fingerprint, doubt.worker, doubt.lost_ms)
+                self._drop_send(fingerprint, doubt.send)
                 self._records.table.forget_doubt(fingerprint, doubt)
                 self._cleared[fingerprint, doubt] = True
                 self._notices.send(CrashNotice(fingerprint, doubt, is_cleared=True))
@@ -197,15 +170,15 @@
             self._store_own(fingerprint)
         return has_claim and any(each.request_id == request_id for each in unshared)
 
-    def resolve(self, fingerprint: str, history: CrashHistory) -> None:
-        """Try to resolve doubts that keep a request from being sent, whichever node has them."""
+    def watch(self, fingerprint: str, history: CrashHistory) -> None:
+        """Watch the workers of a request's doubts, whichever node has these."""
         if not history.doubts:
             return
         workers = {each.incarnation: each for each in self._routing.directory.known_workers()}
         for doubt in history.doubts:
             worker = workers.get(doubt.worker)
-            if worker is not None and (fingerprint, doubt.send) not in self._resolving:
-                self._start_resolving(self._lost_send(fingerprint, doubt, worker), doubt)
+            if worker is not None and (fingerprint, doubt.send) not in self._watched:
+                self._start_watching(self._lost_send(fingerprint, doubt, worker))
 
     def _lost_send(self, fingerprint: str, doubt: Doubt, worker: Worker) -> LostSend:
         """Return the lost send of another node's doubt."""
@@ -214,68 +187,57 @@
             worker,
             fingerprint,
             request_id="",
-            sent_ms=doubt.sent_ms,
+            send=doubt.send,
             lost_at=now + (doubt.lost_ms - now_ms) / 1e3,
-            ends_at=now + (doubt.ends_ms - now_ms) / 1e3,
+            deadline_at=now + (doubt.ends_ms - now_ms) / 1e3,
             suspected=doubt.suspected,
         )
 
-    def _add_doubt(self, lost: LostSend) -> Doubt:
+    def _add_doubt(self, lost: LostSend) -> None:
         now, now_ms = self._clock.monotonic(), self._records.now_ms()
-        ends_ms = now_ms + int(1e3 * max(0.0, lost.ends_at - now))
-        send = SendKey(lost.worker.incarnation, lost.sent_ms)
-        earlier = self._own.get(lost.fingerprint, {}).get(send)
+        ends_ms = now_ms + int(1e3 * max(0.0, lost.deadline_at - now))
+        earlier = self._own.get(lost.fingerprint, {}).get(lost.send)
         lost_ms = now_ms if earlier is None else max(now_ms, earlier.doubt.lost_ms + 1)
-        doubt = Doubt(lost.worker.incarnation, lost_ms, ends_ms, lost.suspected, lost.sent_ms)
+        doubt = Doubt(lost.send.worker, lost_ms, ends_ms, lost.suspected, lost.send.sent_ms)
         if self._records.table.add_doubt(lost.fingerprint, doubt):
-            own = self._own.setdefault(lost.fingerprint, {})
-            is_known = earlier is not None and earlier.is_known
-            own[send] = _OwnDoubt(doubt, lost.request_id, lost, is_earlier_shared=is_known)
+            own = self._own_of(lost.fingerprint)
+            own[lost.send] = _OwnDoubt(doubt, lost.request_id, lost)
             self._metrics.crash_decisions.labels("doubted").inc()
-        return doubt
 
-    def _start_resolving(self, lost: LostSend, doubt: Doubt) -> None:
-        key = (lost.fingerprint, doubt.send)
-        if key not in self._resolving:
-            self._resolving.add(key)
-            self._tasks.start(self._resolve(lost, doubt))
+    def _start_watching(self, lost: LostSend) -> None:
+        key = (lost.fingerprint, lost.send)
+        if key not in self._watched:
+            self._watched.add(key)
+            self._tasks.start(self._watch(lost))
 
-    async def _resolve(self, lost: LostSend, doubt: Doubt) -> None:
-        result = await self._detector.resolve(
+    async def _watch(self, lost: LostSend) -> None:
+        has_ended = await self._detector.wait_for_end(
             lost,
             is_open=lambda: self._is_open(lost),
             is_needed=lambda: self._is_needed(lost.fingerprint),
         )
-        self._resolving.discard((lost.fingerprint, doubt.send))
-        if result is ProbeResult.ENDED:
+        self._watched.discard((lost.fingerprint, lost.send))
+        self._drop_send(lost.fingerprint, lost.send)
+        if has_ended:
             await self._record(lost)
-        elif result is ProbeResult.LIVING:
-            self._clear(lost, doubt)
-        else:
-            self._drop_own(lost.fingerprint, doubt.worker, doubt.lost_ms)
-            if self._is_open(lost):
-                log.warning("doubt_unresolved", **self._log_fields(lost))
+        elif self._is_open(lost):
+            log.info("doubt_not_watched", **self._log_fields(lost))
 
     def _is_open(self, lost: LostSend) -> bool:
-        return self._records.table.has_loss(lost.fingerprint, lost.worker.incarnation)
+        """Return whether a send is still in doubt."""
+        doubts = self._records.table.history_of(lost.fingerprint).doubts
+        return any(doubt.send == lost.send for doubt in doubts)
 
     def _is_needed(self, fingerprint: str) -> bool:
         """Return whether doubts of a request decide about its next send."""
         return self._records.table.history_of(fingerprint).weight > 1
 
-    def _clear(self, lost: LostSend, doubt: Doubt) -> None:
-        """Remove the doubt of a worker that has proved to live, at the other nodes too."""
-        self._remove(lost.fingerprint, doubt)
-        self._metrics.crash_decisions.labels("doubt_cleared").inc()
-        log.info("doubt_cleared", **self._log_fields(lost))
-
     def _remove(self, fingerprint: str, doubt: Doubt) -> None:
-        dropped = self._drop_own(fingerprint, doubt.worker, doubt.lost_ms)
+        """Remove the doubt of a send that is over, at the other nodes too."""
+        self._drop_send(fingerprint, doubt.send)
         self._records.remove_doubt(fingerprint, doubt)
-        for own in dropped:
-            if own.is_known:
-                self._cleared[fingerprint, own.doubt] = True
-                self._notices.send(CrashNotice(fingerprint, own.doubt, is_cleared=True))
+        self._cleared[fingerprint, doubt] = True
+        self._notices.send(CrashNotice(fingerprint, doubt, is_cleared=True))
 
     def _log_fields(self, lost: LostSend) -> dict[str, object]:
         """Return what the log lines of a lost send have in common."""
@@ -287,17 +249,11 @@
             "lost_ago_ms": int(1e3 * (self._clock.monotonic() - lost.lost_at)),
         }
 
-    def _drop_own(self, fingerprint: str, worker: str, until_ms: int) -> list[_OwnDoubt]:
-        """Drop this node's doubts of a worker that are not later than a time, and return them."""
-        own = self._own.get(fingerprint, {})
-        dropped = [
-            each
-            for each in own.values()
-            if each.doubt.worker == worker and each.doubt.lost_ms <= until_ms
-        ]
-        for each in dropped:
-            self._drop_send(fingerprint, each.doubt.send)
-        return dropped
+    def _own_of(self, fingerprint: str) -> dict[SendKey, _OwnDoubt]:
+        """Return this node's doubts of a request, to add one."""
+        if fingerprint not in self._own and len(self._own) >= MAX_OWN:
+            self._own.pop(next(iter(self._own)))
+        return self._own.setdefault(fingerprint, {})
 
     def _drop_send(self, fingerprint: str, send: SendKey) -> None:
         own = self._own.get(fingerprint, {})
@@ -319,10 +275,10 @@
     async def _record(self, lost: LostSend) -> None:
         """Tell the other nodes of a crash and store it."""
         crash = Crash(
-            lost.worker.incarnation,
+            lost.send.worker,
             self._store_ms(lost.lost_at),
             lost.suspected,
-            lost.sent_ms,
+            lost.send.sent_ms,
         )
         self._drop_send(lost.fingerprint, crash.send)
         is_new = self._records.table.add_crash(lost.fingerprint, crash)
@@ -389,13 +345,13 @@
         return True
 
     def _on_cleared(self, notice: CrashNotice) -> bool:
-        """Forget the doubt of another node whose worker has proved to live."""
+        """Forget the doubt of another node's send that is over."""
         key = (notice.fingerprint, notice.loss)
         if key in self._cleared:
             return False
         self._cleared[key] = True
         if isinstance(notice.loss, Doubt):
-            self._drop_own(notice.fingerprint, notice.loss.worker, notice.loss.lost_ms)
+            self._drop_send(notice.fingerprint, notice.loss.send)
             self._records.table.forget_doubt(notice.fingerprint, notice.loss)
         return True
 
--- a/src/foxwinch/serving/node.py
+++ b/src/foxwinch/serving/node.py
@@ -9,6 +9,7 @@
 from foxwinch.records.budgets import BudgetLedger
 from foxwinch.records.crash_records import CrashRecords
 from foxwinch.records.node_registry import NodeRegistry
+from foxwinch.records.send_records import SendRecords
 from foxwinch.records.store_probe import StoreProbe
 from foxwinch.records.store_state import ObservedStore
 from foxwinch.records.turns import TurnRecords
@@ -63,7 +64,8 @@
         self.budgets = BudgetLedger(store, clock, self._tasks, run_id)
         self.turns = TurnRecords(store, clock)
         self.crash_records = CrashRecords(store, clock, self._tasks)
-        self.registry = NodeRegistry(store, clock, name, zone)
+        run = crc32(run_id.encode())
+        self.registry = NodeRegistry(store, clock, name, zone, run)
         self.notices = CrashNotices(self.registry, clock)
         lost_sends = LostSends(
             self.crash_records,
@@ -76,17 +78,18 @@
             self._tasks,
             run_id,
         )
-        witnesses = SendWitnesses(
+        self.witnesses = SendWitnesses(
             self.notices,
             self.registry,
             self.crash_records,
             lost_sends,
+            SendRecords(store, clock, self._tasks),
             clock,
             self._tasks,
-            crc32(run_id.encode()),
+            run,
         )
         guard = CrashGuard(
-            self.crash_records, lost_sends, witnesses, routing, clock, metrics, self._tasks
+            self.crash_records, lost_sends, self.witnesses, routing, clock, metrics, self._tasks
         )
         self.dispatcher = Dispatcher(routing, workers, clock, zone, metrics, guard)
         origins = StreamOrigins(store, routing, clock, metrics, self._tasks)
@@ -101,7 +104,8 @@
     def ready(self) -> bool:
         """Whether the node should receive new requests."""
         knows_crashes = isfinite(self.crash_records.watch.age_seconds())
-        is_informed = self.routing.is_complete and knows_crashes
+        knows_nodes = self.registry.is_registered or not self.registry.address
+        is_informed = self.routing.is_complete and knows_crashes and knows_nodes
         return not self.stopping and not self.is_isolated and is_informed
 
     @property
@@ -123,6 +127,7 @@
             self._tasks.start(self.registry.watch.run())
             self._tasks.start(self.registry.run(notices_address))
             self._tasks.start(self.notices.ask_for_unstored())
+            self._tasks.start(self.witnesses.take_over())
         table = self.routing.configuration_watch.table
         self._tasks.start(StoreProbe(self._store, self._clock, table).run())
 
--- a/src/foxwinch/serving/ports.py
+++ b/src/foxwinch/serving/ports.py
@@ -44,11 +44,6 @@
         """Return the time since the configuration was last confirmed as the newest."""
         ...
 
-    @property
-    def expiry_seconds(self) -> float:
-        """Return the time after which the entry of a worker that has ended expires."""
-        ...
-
     def workers_age_seconds(self) -> float:
         """Return the time since the worker list was last confirmed as the newest."""
         ...
@@ -60,7 +55,3 @@
     async def confirm_workers(self) -> bool:
         """Return whether the worker list is known as of a time after the call."""
         ...
-
-    def workers_watched_since(self) -> float:
-        """Return the monotonic time since which the worker list is watched without a gap."""
-        ...
--- a/src/foxwinch/serving/routing.py
+++ b/src/foxwinch/serving/routing.py
@@ -78,11 +78,6 @@
         """Return the directory of known workers."""
         return self._directory
 
-    @property
-    def expiry_seconds(self) -> float:
-        """Return the time after which the entry of a worker that has ended expires."""
-        return self._expiry_seconds
-
     def configuration_age_seconds(self) -> float:
         """Return the time since the configuration was last confirmed as the newest."""
         return self.configuration_watch.age_seconds()
@@ -99,10 +94,6 @@
         """Return whether the worker list is known as of a time after the call."""
         return await self.workers_watch.confirm()
 
-    def workers_watched_since(self) -> float:
-        """Return the monotonic time since which the worker list is watched without a gap."""
-        return self.workers_watch.uninterrupted_since
-
     @property
     def is_complete(self) -> bool:
         """Whether a configuration and workers are known, so that requests can be served."""
