Ignore rows of nodes whose address takes no datagrams

A row of another writer in the table of nodes could become a witness: a datagram to port 99999 ended the socket of notices (OverflowError in the transport), and a node that started waited for its handover.

--- a/src/foxwinch/records/node_registry.py
+++ b/src/foxwinch/records/node_registry.py
@@ -46,6 +46,7 @@
 MEMORY_MS = 60_000
 """Time for which witnesses keep sends. A node that has run for longer knows all that it was told,
 as it was told nothing older that is still kept."""
+MAX_PORT = 65_535
 UNREGISTER_SECONDS = 0.3
 """Timeout of the last write of the row during a shutdown."""
 log = EventLog("nodes")
@@ -247,6 +248,9 @@
             except DecodeError as error:
                 log.warning("node_row_malformed", name=name, detail=str(error))
                 continue
+            if not _is_address(message.address):
+                log.warning("node_row_malformed", name=name, detail="no ip:port")
+                continue
             if name == self._name and message.run == self._run:
                 self._note_registered(row.version)
             peer = Peer(message.address, message.zone)
@@ -257,5 +261,12 @@
         log.info("nodes_listed", count=len(self._nodes), full=is_full)
 
 
+def _is_address(address: str) -> bool:
+    """Return whether datagrams can be sent to an address."""
+    host, _, port = address.rpartition(":")
+    is_numeric = address.isascii() and port.isdigit()
+    return bool(host) and is_numeric and int(port) <= MAX_PORT
+
+
 def _row_key(name: str) -> RowKey:
     return RowKey(NODES_TABLE, "", name)
