--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,121 +1,163 @@
-"""A node gets SIGTERM while callers keep using open connections for long requests."""
+"""A node is killed right after a turn of programs that go on at other nodes."""
 
 import asyncio
-import json
-import signal
 
-import aiohttp
-import aiohttp.web
-from deployment import GRACE_SECONDS, HOST, Deployment, Node, configuration
+from deployment import CONTACT_SECONDS, Answer, Deployment, Node, configuration
 from outcome import BROKEN, HELD, IS_DISRUPTED, NOT_RUN, main
 from record import Record
 
-ZONES = ["caerdydd", "abertawe"]
-CALLERS = 12
-FIRST_SEND_SECONDS = 3.02
-"""Time from SIGTERM to the first long request; the rule excuses those of the first 3 s."""
-SEND_INTERVAL_SECONDS = 0.012
-WORK_SECONDS = 4.6
-TIMEOUT_SECONDS = 8.0
-LOSS_UNTIL_SECONDS = GRACE_SECONDS + 1.0
-
-
-async def call(
-    record: Record, session: aiohttp.ClientSession, node: Node, request_id: str, path: str
-) -> None:
-    """Send a request on the caller's own kept connection."""
-    headers = {
-        "Host": HOST,
-        "Request-Id": request_id,
-        "Deadline-Ms": str(int(1e3 * TIMEOUT_SECONDS)),
-        "Program": request_id,
-        "Session": request_id,
-    }
-    record.add("sent", request=request_id, node=node.name, path=path)
-    status, is_whole, error = None, False, ""
-    try:
-        async with session.post(
-            f"http://{node.address}{path}", data=request_id.encode(), headers=headers
-        ) as response:
-            status = response.status
-            await response.read()
-            is_whole = True
-    except (aiohttp.ClientError, OSError, TimeoutError) as failure:
-        error = type(failure).__name__
-    record.add("answered", request=request_id, status=status, whole=is_whole, error=error)
+ZONES = ["caerdydd", "abertawe", "casnewydd", "wrecsam"]
+PROGRAMS = 2
+TURNS = 30
+TURN_TOKENS = 100
+"""Tokens that each turn makes, which are also the most that its `Token-Count` allows."""
+BUDGET = TURNS * TURN_TOKENS
+EVENTS = TURN_TOKENS // 25
+EVENT_SECONDS = 0.03
+PAUSE_SECONDS = 0.18
+WAY_SECONDS = 0.026
+FINISH_SECONDS = TURNS * (1.5 * (EVENTS * EVENT_SECONDS + PAUSE_SECONDS) + WAY_SECONDS)
+"""Time objective: 1.5 times what turns and pauses take on idle workers, and the way."""
+TRIES = 6
+MIN_TRIES = 5
+TRY_INTERVAL_SECONDS = 0.5
+"""The Retry-After of the refusals, which callers honour."""
+DOWN_SECONDS = 1.0
+
+
+class Program:
+    """A program with one line of turns."""
+
+    def __init__(self, deployment: Deployment, name: str) -> None:
+        """Start the program."""
+        self.name = name
+        self.turns: list[str] = []
+        """Request ids of the turns that were answered whole."""
+        self.tokens = 0
+        """Tokens that were handed out, those of tries that broke off included."""
+        self.counted_tries: list[Answer] = []
+        """Tries of the last turn at machines in touch."""
+        self._deployment = deployment
+        self._ends_at = deployment.record.now() + FINISH_SECONDS
 
+    @property
+    def is_before_aim(self) -> bool:
+        """Whether the program's time objective has not passed."""
+        return self._deployment.record.now() < self._ends_at
 
-async def caller(record: Record, node: Node, number: int, stopped: asyncio.Event) -> None:
-    """Open a connection with a short request, and use it again for a long one."""
-    connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        await call(record, session, node, f"short{number:02d}", "/confirm/short")
-        await stopped.wait()
-        await asyncio.sleep(FIRST_SEND_SECONDS + number * SEND_INTERVAL_SECONDS)
-        await call(record, session, node, f"long{number:02d}", "/confirm/long")
+    async def turn(self, node: Node) -> Answer:
+        """Send one try of the next turn."""
+        headers: dict[str, object] = {
+            "Program": self.name,
+            "Session": f"{self.name}-main",
+            "Finish_Ms": int(1e3 * (self._ends_at - self._deployment.record.now())),
+            "Token_Budget": BUDGET,
+            "Token_Count": f"840,{TURN_TOKENS}",
+            "Model": "m",
+        }
+        if self.turns:
+            headers["Previous_Turn"] = self.turns[-1]
+        body = f"{self.name} turn {len(self.turns)}".encode()
+        answer = await self._deployment.send(node, "POST", "/kept/turn", body, **headers)
+        if answer.status == 200:
+            self.tokens += 25 * len(answer.events)
+        if answer.status == 200 and answer.is_whole:
+            self.turns.append(answer.request_id)
+        return answer
 
 
-async def work(_: object, request: aiohttp.web.Request, __: bytes) -> None:
-    """Let long requests take their time."""
-    if request.path.endswith("/long"):
-        await asyncio.sleep(WORK_SECONDS)
+async def go_on(program: Program, nodes: list[Node], touched: asyncio.Event) -> None:
+    """Take turns at one node; a turn that is not answered is asked at the others too."""
+    home, failed = nodes[0], 0
+    while len(program.turns) < TURNS and failed < TRIES:
+        is_counted = touched.is_set() and program.is_before_aim
+        answer = await program.turn(nodes[failed % len(nodes)] if failed else home)
+        if answer.status == 200 and answer.is_whole:
+            failed, program.counted_tries = 0, []
+            await asyncio.sleep(PAUSE_SECONDS)
+            continue
+        failed += 1
+        if is_counted:
+            program.counted_tries.append(answer)
+        await asyncio.sleep(TRY_INTERVAL_SECONDS)
+
+
+async def first_turns(deployment: Deployment) -> list[Answer]:
+    """Send first turns of new programs until cancelled."""
+    turns: list[asyncio.Task[Answer]] = []
+    try:
+        while True:
+            program = Program(deployment, f"new{len(turns)}")
+            node = deployment.nodes[len(turns) % len(deployment.nodes)]
+            turns.append(asyncio.create_task(program.turn(node)))
+            await asyncio.sleep(0.2)
+    except asyncio.CancelledError:
+        return await asyncio.gather(*turns)
 
 
 async def run(record: Record) -> int:
     """Return the outcome."""
     async with Deployment(record, ZONES) as deployment:
-        await deployment.add_worker("i-llm0", "llm", ZONES[0])
         for number, zone in enumerate(ZONES):
-            worker = await deployment.add_worker(f"i-app{number}", "app", zone)
-            worker.on_request = work
-        document = json.loads(configuration())
-        for route in document["routes"]:
-            route["timeout_ms"] = int(1e3 * TIMEOUT_SECONDS)
-        deployment.configure(json.dumps(document).encode())
+            worker = await deployment.add_worker(f"i-llm{number}", "llm", zone)
+            worker.events, worker.pause_seconds = EVENTS, EVENT_SECONDS
+        deployment.configure(configuration())
         if not await deployment.start_nodes():
             return NOT_RUN
         await asyncio.sleep(1.0)
-        node = deployment.nodes[0]
-        stopped = asyncio.Event()
-        calls = asyncio.gather(
-            *(caller(record, node, number, stopped) for number in range(CALLERS))
-        )
-        await asyncio.sleep(0.5)
-        if IS_DISRUPTED:
-            node.signal(signal.SIGTERM)
-        stopped_at = record.add("stopped")["at"]
-        stopped.set()
-        await calls
+        killed, *others = deployment.nodes
+        programs = [Program(deployment, f"p{number:02d}") for number in range(PROGRAMS)]
+        answers = await asyncio.gather(*(program.turn(killed) for program in programs))
+        if not all(answer.is_whole for answer in answers):
+            return NOT_RUN
+        touched = asyncio.Event()
         if IS_DISRUPTED:
-            await node.wait()
-        return judge(record, stopped_at)
-
-
-def judge(record: Record, stopped_at: float) -> int:
-    """Check that no connection ended without an answer once its request was at a worker."""
-    sent = {line["request"]: line["at"] for line in record.of("sent")}
-    ran = {line["request"] for line in record.of("run")}
-    lost = [
-        line["request"]
-        for line in record.of("answered", whole=False)
-        if line["request"] in ran
-        and sent[line["request"]] > stopped_at + 3.0
-        and line["at"] < stopped_at + LOSS_UNTIL_SECONDS
-        and line["at"] < sent[line["request"]] + TIMEOUT_SECONDS
+            await killed.kill()
+        running = asyncio.gather(*(go_on(program, others, touched) for program in programs))
+        if IS_DISRUPTED and not await deployment.restart([killed], DOWN_SECONDS):
+            return NOT_RUN
+        await asyncio.sleep(CONTACT_SECONDS + 0.2)
+        touched.set()
+        in_touch_at = record.add("all_in_touch")["at"]
+        beginning = asyncio.ensure_future(first_turns(deployment))
+        await running
+        await asyncio.sleep(1.0)
+        beginning.cancel()
+        return judge(record, programs, await beginning, in_touch_at, deployment.workers[0].slots)
+
+
+def judge(
+    record: Record, programs: list[Program], begun: list[Answer], in_touch_at: float, slots: int
+) -> int:
+    """Check that no turn that fits its budget got to no worker in five tries or more."""
+    runs = record.of("run")
+    ran = {line["request"] for line in runs}
+    reached = sum(answer.request_id in ran for answer in begun)
+    most = max((line["running"] for line in runs if line["at"] >= in_touch_at), default=0)
+    stuck = [
+        program
+        for program in programs
+        if len(program.counted_tries) >= MIN_TRIES
+        and program.tokens + TURN_TOKENS <= BUDGET
+        and not any(answer.request_id in ran for answer in program.counted_tries)
     ]
-    long_sent = [sent[each] - stopped_at for each in sent if each.startswith("long")]
     record.add(
         "judged",
-        long_requests=len(long_sent),
-        sent_after_seconds=[round(min(long_sent), 3), round(max(long_sent), 3)],
-        at_a_worker=len([each for each in ran if each.startswith("long")]),
-        lost=lost,
-        cut_after_seconds=sorted(
-            {round(line["at"] - stopped_at, 1) for line in record.of("answered", whole=False)}
+        programs={program.name: [len(program.turns), program.tokens] for program in programs},
+        budget=BUDGET,
+        stuck=[program.name for program in stuck],
+        answers=sorted(
+            {f"{a.status} {a.body.decode()}" for program in stuck for a in program.counted_tries}
         ),
+        first_turns=len(begun),
+        first_turns_at_a_worker=reached,
+        most_running_at_a_worker=most,
+        slots=slots,
     )
     print(record.lines[-1])
-    return BROKEN if lost else HELD
+    if not begun or reached < 0.9 * len(begun) or 2 * most >= slots:
+        return NOT_RUN
+    return BROKEN if stuck else HELD
 
 
 main(__file__, run)
