--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,12 +1,15 @@
 """Two of four nodes are killed at once; programs that were in a turn there come back."""
 
 import asyncio
+import os
 
 from deployment import CONTACT_SECONDS, Deployment, configuration
-from outcome import IS_DISRUPTED, NOT_RUN, main
+from outcome import NOT_RUN, main
 from programs import Line, Program, come_back_all
 from record import Record
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is made."""
 ZONES = ["caerdydd", "abertawe", "casnewydd", "wrecsam"]
 PROGRAMS = 8
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,20 +1,25 @@
 """A node is killed while sub-agents of a program take turns with the same input through it."""
 
 import asyncio
+import os
 
 from deployment import CONTACT_SECONDS, Deployment, configuration
-from outcome import IS_DISRUPTED, NOT_RUN, main
+from outcome import NOT_RUN, main
 from programs import Line, Program, come_back_all
 from record import Record
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is made."""
 ZONES = ["caerdydd", "abertawe", "casnewydd", "wrecsam"]
+NODE_ZONES = [*ZONES, *ZONES[:3]]
+"""One of seven nodes is a share of 0.14."""
 PROGRAMS = 4
 SUB_AGENTS = 3
 
 
 async def run(record: Record) -> int:
     """Return the outcome."""
-    async with Deployment(record, ZONES) as deployment:
+    async with Deployment(record, NODE_ZONES) as deployment:
         for number, zone in enumerate(ZONES):
             await deployment.add_worker(f"i-llm{number}", "llm", zone, pause_seconds=0.1)
         deployment.configure(configuration())
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,16 @@
 """A caller leaves three tries of a turn, and the workers of those are replaced as planned."""
 
 import asyncio
+import os
 
 from deployment import CONTACT_SECONDS, Answer, Deployment, configuration
-from outcome import IS_DISRUPTED, NOT_RUN, main
+from outcome import NOT_RUN, main
 from programs import Line, Program, come_back_all
 from record import Record
 from worker import Worker
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is made."""
 ZONES = ["caerdydd", "abertawe", "casnewydd", "wrecsam"]
 WORKERS = 7
 PROGRAMS = 4
@@ -58,10 +61,9 @@
             return NOT_RUN
         lines = [Line(each) for each in programs]
         if IS_DISRUPTED:
-            for line in lines:
-                for number in range(LEFT_TRIES):
-                    await leave(line, deployment, number)
-                    await asyncio.sleep(0.2)
+            for number in range(LEFT_TRIES):
+                await leave(lines[0], deployment, number)
+                await asyncio.sleep(0.2)
         left = {line.program.name: workers_of(record, line) for line in lines}
         record.add("tried", workers=left)
         # Those that one program has tried: three of seven.
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,12 +1,17 @@
 """A node is killed right after a turn of programs that go on at other nodes."""
 
 import asyncio
+import os
 
 from deployment import CONTACT_SECONDS, Answer, Deployment, Node, configuration
-from outcome import BROKEN, HELD, IS_DISRUPTED, NOT_RUN, main
+from outcome import BROKEN, HELD, NOT_RUN, main
 from record import Record
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is made."""
 ZONES = ["caerdydd", "abertawe", "casnewydd", "wrecsam"]
+NODE_ZONES = [*ZONES, *ZONES[:3]]
+"""One of seven nodes is a share of 0.14."""
 PROGRAMS = 2
 TURNS = 30
 TURN_TOKENS = 100
@@ -97,7 +102,7 @@
 
 async def run(record: Record) -> int:
     """Return the outcome."""
-    async with Deployment(record, ZONES) as deployment:
+    async with Deployment(record, NODE_ZONES) as deployment:
         for number, zone in enumerate(ZONES):
             worker = await deployment.add_worker(f"i-llm{number}", "llm", zone)
             worker.events, worker.pause_seconds = EVENTS, EVENT_SECONDS
@@ -155,7 +160,8 @@
         slots=slots,
     )
     print(record.lines[-1])
-    if not begun or reached < 0.9 * len(begun) or 2 * most >= slots:
+    has_conditions = reached >= 0.9 * len(begun) > 0 and 2 * most < slots
+    if stuck and not has_conditions:
         return NOT_RUN
     return BROKEN if stuck else HELD
 
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -75,6 +75,8 @@
                 **stream,
                 "name": "journey-plan",
                 "path_prefix": "/kept/",
+                "resumable": False,
+                "attempts": 2,
                 "retain": True,
                 "retain_s": 60,
             },
